Workspace: the whole path, thin

Cause: nothing stood yet. Change: two programs (entry, sidecar), one gRPC stream a pair, the manifest with its checks, the decision package without input or output, stand-ins for platform and targets, both examples. Open: tests, failures, everything that the issues list.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The commands of the workspace. Each installs and builds what it needs.
+
+BUILD ?= build
+PACKAGES = g++ cmake ninja-build pkg-config python3 \
+	libcxxtools-dev libgrpc++-dev libprotobuf-dev protobuf-compiler \
+	protobuf-compiler-grpc libboost-dev libboost-program-options-dev \
+	libspdlog-dev doctest-dev libtrompeloeil-cpp-dev librapidcheck-dev \
+	nlohmann-json3-dev libxxhash-dev spin clang-format clang-tidy
+PYTHON ?= /usr/bin/python3
+CONFIGURE = cmake -S . -B $(BUILD) -G Ninja
+
+.PHONY: all install build run up test bench capacity format lint generate
+
+all: build
+
+# Installs only what is missing, so that it works without a network too.
+install:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+	(apt-get update -q && apt-get install -y -q $(PACKAGES))
+
+build: install
+	@$(CONFIGURE) >$(BUILD).log 2>&1 || { cat $(BUILD).log; exit 1; }
+	@cmake --build $(BUILD)
+
+run: build
+	$(PYTHON) bench/run_example.py $(EXAMPLE)
+
+up: build
+	$(PYTHON) bench/up.py $(EXAMPLE)
+
+test: build
+	cd $(BUILD) && ctest --output-on-failure --no-tests=error -j4
+
+bench: build
+	$(PYTHON) bench/scenarios.py $(SCENARIO)
+
+generate:
+	cd packages/wire && protoc -I. --cpp_out=generated \
+	--grpc_out=generated \
+	--plugin=protoc-gen-grpc=$$(which grpc_cpp_plugin) link.proto
--- /dev/null
+++ b/packages/decision/digest.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace mangofold::decision
+{
+
+/// A 128-bit digest that stands for a key or a body.
+struct digest
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    friend auto operator<=>(const digest&, const digest&) = default;
+};
+
+/// Returns the digest of \a bytes.
+digest digest_of(std::string_view bytes);
+
+/// Returns the digest of two parts; no other split of the same bytes has it.
+digest digest_of(std::string_view first, std::string_view second);
+
+struct digest_hash
+{
+    std::size_t operator()(const digest& value) const { return value.low; }
+};
+
+} // namespace mangofold::decision
--- /dev/null
+++ b/packages/decision/pool_router.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "decision/random_source.hpp"
+#include "decision/selection_policy.hpp"
+#include "decision/stage_result.hpp"
+#include "decision/target_view.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangofold::decision
+{
+
+/// Name and zone of a target, as published.
+struct target_place
+{
+    std::string id;
+    std::string zone;
+
+    friend auto operator<=>(const target_place&, const target_place&) = default;
+};
+
+/// When a target is set aside, and for how long.
+struct aside_policy
+{
+    std::uint32_t failures = 3; ///< In a row.
+    duration first = std::chrono::milliseconds(250);
+    duration longest = std::chrono::seconds(8);
+    double largest_share = 0.5; ///< Of the pool that may be aside at once.
+
+    friend bool operator==(const aside_policy&, const aside_policy&) = default;
+};
+
+/// Chooses among the targets of one pool, and learns from how attempts end.
+template<selection_policy Selection>
+class pool_router
+{
+public:
+    pool_router(std::string zone, Selection selection, aside_policy aside,
+                std::uint64_t seed)
+        : m_zone(std::move(zone)), m_selection(std::move(selection)),
+          m_aside(aside), m_random(seed)
+    {
+    }
+
+    /// Sets the published targets; what is known of those that stay is kept.
+    void set_targets(const std::vector<target_place>& targets);
+
+    /// Returns a target for new work, or nothing where none may take it.
+    std::optional<std::string> pick(const std::vector<std::string>& avoid,
+                                    instant now);
+
+    void link_opened(const std::string& target, instant now);
+    void link_closed(const std::string& target);
+    void target_left(const std::string& target);
+    void load_reported(const std::string& target, const target_load& load);
+    void attempt_sent(const std::string& target);
+    void attempt_ended(const std::string& target, const stage_result& result,
+                       instant now);
+
+    const std::map<std::string, target_view>& targets() const
+    {
+        return m_targets;
+    }
+
+private:
+    using candidates = std::vector<const target_view*>;
+
+    candidates usable(const std::vector<std::string>& avoid,
+                      instant now) const;
+    std::size_t aside_count(instant now) const;
+    void note_failure(target_view& view, instant now);
+
+    template<typename Change>
+    void change(const std::string& target, Change apply)
+    {
+        const auto found = m_targets.find(target);
+        if (found != m_targets.end())
+            apply(found->second);
+    }
+
+    std::string m_zone;
+    Selection m_selection;
+    aside_policy m_aside;
+    random_source m_random;
+    std::map<std::string, target_view> m_targets;
+};
+
+} // namespace mangofold::decision
+
+#include "decision/pool_router.ipp"
--- /dev/null
+++ b/packages/decision/submission.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "decision/digest.hpp"
+#include "decision/grant_book.hpp"
+#include "decision/reason.hpp"
+#include "decision/request_key.hpp"
+#include "decision/ticket_book.hpp"
+#include "decision/time.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangofold::decision
+{
+
+/// Names one submission on one stream.
+struct submission_ref
+{
+    link_id link = 0;
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const submission_ref&,
+                            const submission_ref&) = default;
+};
+
+/// One attempt at one stage, as an entry hands it to a sidecar.
+struct submission
+{
+    submission_ref ref;
+    request_key key;
+    std::uint32_t attempt = 0;
+    bool is_repeatable = true;
+    work_class priority = work_class::standard;
+    std::uint32_t weight = 1;
+    grant_ref grant;
+    std::uint64_t generation = 0;
+    duration budget{}; ///< What is left of the caller's deadline.
+    std::string model;
+    std::string body;
+    digest request; ///< Digest of the caller's whole request.
+    std::uint64_t pinned_incarnation = 0; ///< 0 where any will do.
+    std::optional<ticket> dated_by;
+    std::vector<std::string> renounced_by;
+
+    friend bool operator==(const submission&, const submission&) = default;
+};
+
+} // namespace mangofold::decision
--- /dev/null
+++ b/packages/entry/caller_api.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "configuration/config_store.hpp"
+#include "entry/outcome.hpp"
+#include "entry/pipeline_runner.hpp"
+#include "entry/request.hpp"
+#include "runtime/http_server.hpp"
+#include "runtime/metrics.hpp"
+
+#include <atomic>
+#include <string>
+
+namespace mangofold::entry
+{
+
+/// What callers reach over HTTP: requests and tickets.
+class caller_api
+{
+public:
+    caller_api(pipeline_runner& runner, configuration::config_store& store,
+               const runtime::clock& time, runtime::metrics& counters,
+               unsigned max_in_progress);
+
+    /// Adds the paths to \a server.
+    void add_to(runtime::http_server& server);
+
+    /// Refuses new requests from now on.
+    void set_draining() { m_is_draining = true; }
+
+    bool is_draining() const { return m_is_draining; }
+    unsigned in_progress() const { return m_in_progress; }
+
+private:
+    runtime::http_reply answer_request(const runtime::http_request& from);
+    runtime::http_reply answer_ticket(const runtime::http_request& from);
+    outcome serve(const runtime::http_request& from, request& parsed);
+    outcome check_and_run(request& parsed);
+    runtime::http_reply to_reply(const request& parsed,
+                                 const outcome& ended) const;
+    std::string new_request_id();
+
+    pipeline_runner& m_runner;
+    configuration::config_store& m_store;
+    const runtime::clock& m_clock;
+    runtime::metrics& m_metrics;
+    unsigned m_max_in_progress;
+    std::atomic<bool> m_is_draining{false};
+    std::atomic<unsigned> m_in_progress{0};
+    std::atomic<std::uint64_t> m_next_id{1};
+};
+
+} // namespace mangofold::entry
--- /dev/null
+++ b/packages/entry/link_table.cpp
@@ -0,0 +1,174 @@
+#include "entry/link_table.hpp"
+
+#include "decision/owner_order.hpp"
+
+#include <algorithm>
+
+namespace mangofold::entry
+{
+
+link_table::link_table(const link_context& context,
+                       std::size_t links_per_pool)
+    : m_context(context), m_links_per_pool(links_per_pool)
+{
+}
+
+void link_table::configure(const configuration::snapshot_ptr& value)
+{
+    std::vector<link_ptr> ended;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_addresses.clear();
+        std::set<std::string> wanted;
+        for (const manifest::pool& pool : value->document.pools)
+        {
+            for (const manifest::target& one : pool.targets)
+                m_addresses[one.id] = one.sidecar;
+            wanted.merge(subset(pool));
+        }
+        for (auto link = m_links.begin(); link != m_links.end();)
+        {
+            const auto known = m_addresses.find(link->first);
+            const bool stays = known != m_addresses.end() &&
+                               known->second == link->second->address();
+            if (!stays)
+                ended.push_back(link->second);
+            link = stays ? std::next(link) : m_links.erase(link);
+        }
+        for (const std::string& target : wanted)
+        {
+            if (!m_links.contains(target))
+                m_links[target] = std::make_shared<sidecar_link>(
+                    m_context, target, m_addresses.at(target));
+        }
+    }
+    for (const link_ptr& link : ended)
+        link->close();
+}
+
+// A full mesh would cost each process more memory than it has at the size
+// to design for. Every entry takes its own part of a pool, its zone first;
+// rendezvous hashing keeps the parts even and lets few links change.
+std::set<std::string> link_table::subset(const manifest::pool& pool) const
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (const manifest::target& one : pool.targets)
+        (one.zone == m_context.zone ? near : far).push_back(one.id);
+    const decision::digest own =
+        decision::digest_of(m_context.entry_id, pool.id);
+    std::set<std::string> chosen;
+    const auto take = [&](std::vector<std::string> targets, std::size_t most)
+    {
+        for (std::string& target : decision::owner_order(own, targets))
+        {
+            if (chosen.size() < most)
+                chosen.insert(std::move(target));
+        }
+    };
+    const std::size_t kept_for_far = m_links_per_pool / 4;
+    take(std::move(near), m_links_per_pool - kept_for_far);
+    take(std::move(far), m_links_per_pool);
+    return chosen;
+}
+
+void link_table::add_seed(const std::string& address)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::string name = "seed " + address;
+    m_links[name] =
+        std::make_shared<sidecar_link>(m_context, name, address);
+}
+
+void link_table::maintain()
+{
+    for (const auto& [target, link] : links())
+        link->maintain();
+}
+
+void link_table::close()
+{
+    for (const auto& [target, link] : links())
+        link->close();
+}
+
+void link_table::announce_generation()
+{
+    for (const auto& [target, link] : links())
+        link->announce_generation();
+}
+
+void link_table::note_leaving(const std::set<std::string>& targets)
+{
+    std::set<std::string> news;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::set_difference(targets.begin(), targets.end(),
+                            m_told_leaving.begin(), m_told_leaving.end(),
+                            std::inserter(news, news.end()));
+        m_told_leaving = targets;
+    }
+    for (const std::string& target : news)
+    {
+        m_context.routes.target_left(target);
+        if (const link_ptr link = link_to(target))
+            link->announce_leaving();
+    }
+}
+
+std::uint32_t link_table::entry_count() const
+{
+    std::uint32_t most = 1;
+    for (const auto& [target, link] : links())
+        most = std::max(most, link->entry_count());
+    return most;
+}
+
+std::optional<dispatched>
+link_table::submit(const std::string& target, decision::submission work,
+                   const std::shared_ptr<mailbox>& replies)
+{
+    const link_ptr link = link_to(target);
+    if (!link)
+        return std::nullopt;
+    return link->submit(std::move(work), replies);
+}
+
+void link_table::withdraw(const dispatched& sent)
+{
+    if (const link_ptr link = link_to(sent.target))
+        link->withdraw(sent.number);
+}
+
+bool link_table::mint(const std::string& target,
+                      const std::shared_ptr<mailbox>& replies)
+{
+    const link_ptr link = link_to(target);
+    return link && link->mint(replies);
+}
+
+// The owner of a request that may not be repeated can lie outside this
+// entry's part of the pool; its link is then opened on first use.
+link_table::link_ptr link_table::link_to(const std::string& target)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_links.find(target);
+    if (found != m_links.end())
+        return found->second;
+    const auto known = m_addresses.find(target);
+    if (known == m_addresses.end())
+        return nullptr;
+    auto link =
+        std::make_shared<sidecar_link>(m_context, target, known->second);
+    m_links[target] = link;
+    link->maintain();
+    return link;
+}
+
+std::map<std::string, link_table::link_ptr> link_table::links() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_links;
+}
+
+} // namespace mangofold::entry
--- /dev/null
+++ b/packages/entry/main.cpp
@@ -0,0 +1,36 @@
+#include "entry/check_command.hpp"
+#include "entry/entry.hpp"
+#include "runtime/log.hpp"
+#include "runtime/program.hpp"
+
+#include <iostream>
+
+using namespace mangofold;
+
+int main(int argc, char** argv)
+{
+    if (argc == 3 && std::string(argv[1]) == "check")
+        return entry::check_manifest(argv[2]);
+    runtime::settings flags(
+        "mangofold-entry: takes callers' requests in\n"
+        "mangofold-entry check FILE: checks a manifest");
+    entry::add_flags(flags);
+    entry::entry_settings values;
+    try
+    {
+        flags.read(argc, argv);
+        if (runtime::answered_information(flags, "mangofold-entry"))
+            return runtime::exit_ok;
+        values = entry::checked(flags);
+        if (!runtime::start_log("entry", values.id, values.log_level))
+            throw runtime::settings_error("--log-level is not known");
+    }
+    catch (const runtime::settings_error& fault)
+    {
+        std::cerr << "mangofold-entry: " << fault.what() << "\nTry --help.\n";
+        return runtime::exit_bad_settings;
+    }
+    const runtime::system_clock time;
+    return runtime::run_until_signalled(
+        [&] { return std::make_unique<entry::entry>(values, time); });
+}
--- /dev/null
+++ b/packages/entry/pipeline_runner.cpp
@@ -0,0 +1,322 @@
+#include "entry/pipeline_runner.hpp"
+
+#include "decision/owned_run.hpp"
+#include "decision/owner_order.hpp"
+#include "decision/repeatable_run.hpp"
+
+#include <algorithm>
+
+namespace mangofold::entry
+{
+
+using namespace decision;
+
+/// What one request has come to so far.
+struct pipeline_runner::progress
+{
+    progress(const request& what, const manifest::document& manifest,
+             const manifest::pipeline& through, instant latest)
+        : asked(what), document(manifest), pipeline(through), deadline(latest)
+    {
+    }
+
+    const request& asked;
+    const manifest::document& document;
+    const manifest::pipeline& pipeline;
+    instant deadline;
+    std::shared_ptr<mailbox> replies = std::make_shared<mailbox>();
+    std::string previous;          ///< Output of the last stage, JSON.
+    bool has_run = false;          ///< Some stage may have run.
+    bool has_run_owned = false;    ///< A non-repeatable stage may have run.
+    outcome result;
+};
+
+pipeline_runner::pipeline_runner(dispatcher& sidecars, router& routes,
+                                 const runtime::clock& time,
+                                 runtime::metrics& counters)
+    : m_sidecars(sidecars), m_router(routes), m_clock(time),
+      m_metrics(counters)
+{
+}
+
+outcome pipeline_runner::run(const request& value,
+                             const configuration::snapshot_ptr& in_force)
+{
+    const manifest::pipeline& pipeline =
+        *in_force->document.find_pipeline(value.pipeline);
+    const duration allowed =
+        value.deadline == duration::zero()
+            ? pipeline.deadline
+            : std::min(value.deadline, pipeline.deadline);
+    progress state(value, in_force->document, pipeline,
+                   m_clock.now() + allowed);
+    for (const manifest::stage& stage : pipeline.stages)
+    {
+        const stage_result result = run_stage(state, stage);
+        if (result.status != stage_status::done)
+        {
+            conclude(state, stage, result);
+            return state.result;
+        }
+        state.has_run = true;
+        state.has_run_owned = state.has_run_owned || !stage.is_repeatable;
+        state.result.is_replayed = result.is_replayed;
+        state.previous = result.body;
+    }
+    state.result.kind = outcome_kind::answered;
+    state.result.answer = std::move(state.previous);
+    return state.result;
+}
+
+// "Refused" is said only where no stage of this sending ran at all. A
+// refusal at the third stage is a failure to the caller: two stages ran.
+void pipeline_runner::conclude(progress& state, const manifest::stage& stage,
+                               const stage_result& result)
+{
+    outcome& ended = state.result;
+    ended.why = result.why;
+    ended.stage = stage.id;
+    ended.retry_after = result.retry_after;
+    const bool is_over = result.why == reason::deadline_passed;
+    if (result.status == stage_status::unknown && !stage.is_repeatable)
+        ended.kind = outcome_kind::unknown;
+    else if (result.status == stage_status::refused && !state.has_run)
+        ended.kind = outcome_kind::refused;
+    else if (state.has_run_owned)
+        ended.kind = outcome_kind::unknown;
+    else
+        ended.kind =
+            is_over ? outcome_kind::deadline_passed : outcome_kind::failed;
+}
+
+stage_result pipeline_runner::run_stage(progress& state,
+                                        const manifest::stage& stage)
+{
+    const instant begun = m_clock.now();
+    stage_cost cost{stage.id, {}, 0};
+    const stage_result result = stage.is_repeatable
+                                    ? run_repeatable(state, stage, cost)
+                                    : run_owned(state, stage, cost);
+    const std::string labels =
+        runtime::label("pipeline", state.pipeline.id) + "," +
+        runtime::label("stage", stage.id);
+    m_metrics.observe({"mangofold_stage_seconds", labels},
+                      m_clock.now() - begun);
+    m_metrics.count({"mangofold_stage_service_microseconds_total", labels}) +=
+        static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(cost.service)
+                .count());
+    state.result.costs.push_back(std::move(cost));
+    return result;
+}
+
+stage_result pipeline_runner::run_repeatable(progress& state,
+                                             const manifest::stage& stage,
+                                             stage_cost& cost)
+{
+    repeatable_run attempts(m_policy, state.deadline, m_seed++);
+    std::optional<dispatched> out;
+    const auto withdraw = [&]
+    {
+        if (out)
+            m_sidecars.withdraw(*out);
+        out.reset();
+    };
+    while (true)
+    {
+        const instant now = m_clock.now();
+        const attempt_step step = m_router.with_budget(
+            stage.pool, [&](retry_budget& budget)
+            { return attempts.next(now, budget, duration::max() / 4); });
+        if (const auto* ended = std::get_if<finish_stage>(&step))
+        {
+            withdraw();
+            return ended->result;
+        }
+        if (const auto* send = std::get_if<send_attempt>(&step))
+        {
+            withdraw();
+            const auto target = m_router.pick(stage.pool, send->avoid);
+            if (target)
+                out = m_sidecars.submit(
+                    *target, submission_for(state, stage, *send),
+                    state.replies);
+            if (!out)
+            {
+                attempts.not_sent(m_clock.now());
+                continue;
+            }
+            ++cost.attempts;
+            attempts.sent(*target, m_clock.now());
+            continue;
+        }
+        const instant until = std::get<wait_until>(step).until;
+        const auto arrived = state.replies->take(until - now);
+        if (!arrived)
+            continue;
+        if (const auto* lost = std::get_if<link_broke>(&*arrived))
+        {
+            if (attempts.ended(lost->attempt,
+                               unknown_outcome(reason::link_lost),
+                               m_clock.now()))
+                count_retry(stage, reason::link_lost);
+            out.reset();
+        }
+        else if (const auto* came = std::get_if<result_arrived>(&*arrived))
+        {
+            const bool is_own = came->request_id == state.asked.id &&
+                                came->stage == stage.id;
+            if (!is_own || !attempts.ended(came->attempt, came->result,
+                                           m_clock.now()))
+            {
+                ++m_metrics.count({"mangofold_late_results_total", ""});
+                continue;
+            }
+            out.reset();
+            cost.service += came->result.service;
+            if (came->result.status != stage_status::done)
+                count_retry(stage, came->result.why);
+        }
+    }
+}
+
+stage_result pipeline_runner::run_owned(progress& state,
+                                        const manifest::stage& stage,
+                                        stage_cost& cost)
+{
+    const auto& tickets = state.asked.tickets;
+    const auto ticket =
+        std::find_if(tickets.begin(), tickets.end(),
+                     [&](const stage_ticket& one)
+                     { return one.stage == stage.id; });
+    std::optional<std::string> ticket_target;
+    if (ticket != tickets.end())
+        ticket_target = ticket->value.target;
+    owned_run attempts(m_policy, state.deadline, owners(state, stage),
+                       ticket_target);
+    while (true)
+    {
+        const instant now = m_clock.now();
+        const attempt_step step = attempts.next(now);
+        if (const auto* ended = std::get_if<finish_stage>(&step))
+            return ended->result;
+        if (const auto* send = std::get_if<send_attempt>(&step))
+        {
+            submission work = submission_for(state, stage, *send);
+            if (send->uses_ticket)
+                work.dated_by = ticket->value;
+            const auto out = m_sidecars.submit(send->target, std::move(work),
+                                               state.replies);
+            if (!out)
+            {
+                attempts.not_sent(m_clock.now());
+                continue;
+            }
+            ++cost.attempts;
+            attempts.sent(out->incarnation);
+            continue;
+        }
+        const instant until = std::get<wait_until>(step).until;
+        const auto arrived = state.replies->take(until - now);
+        if (!arrived)
+            continue;
+        if (const auto* lost = std::get_if<link_broke>(&*arrived))
+        {
+            attempts.link_lost(lost->attempt, m_clock.now());
+            count_retry(stage, reason::link_lost);
+        }
+        else if (const auto* came = std::get_if<result_arrived>(&*arrived))
+        {
+            const bool is_own = came->request_id == state.asked.id &&
+                                came->stage == stage.id;
+            if (!is_own || !attempts.ended(came->attempt, came->result,
+                                           m_clock.now()))
+            {
+                ++m_metrics.count({"mangofold_late_results_total", ""});
+                continue;
+            }
+            if (!came->result.is_replayed)
+                cost.service += came->result.service;
+            if (came->result.status == stage_status::refused)
+                count_retry(stage, came->result.why);
+        }
+    }
+}
+
+submission pipeline_runner::submission_for(const progress& state,
+                                           const manifest::stage& stage,
+                                           const send_attempt& step)
+{
+    submission work;
+    work.key = {state.asked.account, state.asked.id, stage.id};
+    work.attempt = step.attempt;
+    work.is_repeatable = stage.is_repeatable;
+    work.priority = state.pipeline.priority;
+    const manifest::account* account =
+        state.document.find_account(state.asked.account);
+    work.weight = account != nullptr ? account->weight : 1;
+    work.budget = std::max(state.deadline - m_clock.now(), duration::zero());
+    work.model = stage.model;
+    work.request = content_digest(state.asked);
+    work.pinned_incarnation = step.pinned_incarnation;
+    work.renounced_by = step.renounced_by;
+    work.body = "{\"request\":";
+    work.body += state.asked.input.empty() ? "null" : state.asked.input;
+    work.body += ",\"previous\":";
+    work.body += state.previous.empty() ? "null" : state.previous;
+    work.body += '}';
+    return work;
+}
+
+std::vector<std::string>
+pipeline_runner::owners(const progress& state,
+                        const manifest::stage& stage) const
+{
+    std::vector<std::string> targets;
+    for (const auto& one : state.document.find_pool(stage.pool)->targets)
+        targets.push_back(one.id);
+    const request_key key{state.asked.account, state.asked.id, stage.id};
+    return owner_order(digest_of(key), std::move(targets));
+}
+
+std::optional<std::string>
+pipeline_runner::mint(const request& value,
+                      const manifest::pipeline& pipeline,
+                      const configuration::snapshot_ptr& in_force)
+{
+    constexpr duration longest_wait = std::chrono::seconds(1);
+    progress state(value, in_force->document, pipeline,
+                   m_clock.now() + longest_wait);
+    std::vector<stage_ticket> tickets;
+    for (const manifest::stage& stage : pipeline.stages)
+    {
+        if (stage.is_repeatable)
+            continue;
+        std::optional<ticket> minted;
+        for (const std::string& owner : owners(state, stage))
+        {
+            if (minted || m_clock.now() >= state.deadline)
+                break;
+            if (!m_sidecars.mint(owner, state.replies))
+                continue;
+            const auto arrived =
+                state.replies->take(state.deadline - m_clock.now());
+            if (arrived &&
+                std::holds_alternative<ticket_arrived>(*arrived))
+                minted = std::get<ticket_arrived>(*arrived).value;
+        }
+        if (!minted)
+            return std::nullopt;
+        tickets.push_back({stage.id, *minted});
+    }
+    return to_text(tickets);
+}
+
+void pipeline_runner::count_retry(const manifest::stage& stage, reason why)
+{
+    ++m_metrics.count({"mangofold_attempts_without_answer_total",
+                       runtime::label("stage", stage.id) + "," +
+                           runtime::label("reason", to_string(why))});
+}
+
+} // namespace mangofold::entry
--- /dev/null
+++ b/packages/entry/router.cpp
@@ -0,0 +1,105 @@
+#include "entry/router.hpp"
+
+#include <algorithm>
+
+namespace mangofold::entry
+{
+
+namespace
+{
+
+// One retry for ten first attempts, and twenty saved up for a bad moment.
+constexpr double retry_share = 0.1;
+constexpr double retry_reserve = 20;
+
+} // namespace
+
+router::router(std::string zone, const runtime::clock& time,
+               std::uint64_t seed)
+    : m_zone(std::move(zone)), m_clock(time), m_seed(seed)
+{
+}
+
+void router::configure(const configuration::snapshot_ptr& value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pool_of.clear();
+    for (const manifest::pool& pool : value->document.pools)
+    {
+        std::vector<decision::target_place> places;
+        for (const manifest::target& one : pool.targets)
+        {
+            places.push_back({one.id, one.zone});
+            m_pool_of[one.id] = pool.id;
+        }
+        auto [found, is_new] = m_pools.try_emplace(
+            pool.id, m_zone, decision::least_expected_of_few{},
+            decision::aside_policy{}, ++m_seed);
+        found->second.set_targets(places);
+        m_budgets.try_emplace(pool.id, retry_share, retry_reserve);
+    }
+}
+
+std::optional<std::string> router::pick(const std::string& pool,
+                                        const std::vector<std::string>& avoid)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_pools.find(pool);
+    if (found == m_pools.end())
+        return std::nullopt;
+    return found->second.pick(avoid, m_clock.now());
+}
+
+void router::link_opened(const std::string& target)
+{
+    change(target, [&](pool_router& pool)
+           { pool.link_opened(target, m_clock.now()); });
+}
+
+void router::link_closed(const std::string& target)
+{
+    change(target, [&](pool_router& pool) { pool.link_closed(target); });
+}
+
+void router::target_left(const std::string& target)
+{
+    change(target, [&](pool_router& pool) { pool.target_left(target); });
+}
+
+void router::load_reported(const std::string& target,
+                           const decision::target_load& load)
+{
+    change(target,
+           [&](pool_router& pool) { pool.load_reported(target, load); });
+}
+
+void router::attempt_sent(const std::string& target)
+{
+    change(target, [&](pool_router& pool) { pool.attempt_sent(target); });
+}
+
+void router::attempt_ended(const std::string& target,
+                           const decision::stage_result& result)
+{
+    change(target, [&](pool_router& pool)
+           { pool.attempt_ended(target, result, m_clock.now()); });
+}
+
+bool router::is_complete() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_pools.empty())
+        return false;
+    return std::all_of(m_pools.begin(), m_pools.end(),
+                       [](const auto& pool)
+                       {
+                           const auto& targets = pool.second.targets();
+                           return std::any_of(targets.begin(), targets.end(),
+                                              [](const auto& one)
+                                              {
+                                                  return one.second.is_linked;
+                                              });
+                       });
+}
+
+} // namespace mangofold::entry
--- /dev/null
+++ b/packages/entry/router.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "configuration/config_store.hpp"
+#include "decision/pool_router.hpp"
+#include "decision/retry_budget.hpp"
+#include "runtime/clock.hpp"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace mangofold::entry
+{
+
+/// The routers of all pools, behind one lock.
+class router
+{
+public:
+    using pool_router =
+        decision::pool_router<decision::least_expected_of_few>;
+
+    router(std::string zone, const runtime::clock& time, std::uint64_t seed);
+
+    /// Takes the pools and targets of a manifest over.
+    void configure(const configuration::snapshot_ptr& value);
+
+    std::optional<std::string> pick(const std::string& pool,
+                                    const std::vector<std::string>& avoid);
+    void link_opened(const std::string& target);
+    void link_closed(const std::string& target);
+    void target_left(const std::string& target);
+    void load_reported(const std::string& target,
+                       const decision::target_load& load);
+    void attempt_sent(const std::string& target);
+    void attempt_ended(const std::string& target,
+                       const decision::stage_result& result);
+
+    /// Calls \a use with the retry budget of \a pool.
+    template<typename Use>
+    auto with_budget(const std::string& pool, Use use)
+    {
+        const std::lock_guard lock(m_mutex);
+        return use(m_budgets.at(pool));
+    }
+
+    /// Returns whether every pool has a target that work can go to.
+    bool is_complete() const;
+
+private:
+    template<typename Change>
+    void change(const std::string& target, Change apply)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto pool = m_pool_of.find(target);
+        if (pool != m_pool_of.end())
+            apply(m_pools.at(pool->second));
+    }
+
+    std::string m_zone;
+    const runtime::clock& m_clock;
+    std::uint64_t m_seed;
+    mutable std::mutex m_mutex;
+    std::map<std::string, pool_router> m_pools;
+    std::map<std::string, decision::retry_budget> m_budgets;
+    std::map<std::string, std::string> m_pool_of;
+};
+
+} // namespace mangofold::entry
--- /dev/null
+++ b/packages/entry/sidecar_stream.cpp
@@ -0,0 +1,49 @@
+#include "entry/sidecar_stream.hpp"
+
+#include <grpcpp/grpcpp.h>
+
+namespace mangofold::entry
+{
+
+namespace
+{
+
+constexpr int reconnect_least_ms = 50;
+constexpr int reconnect_most_ms = 1000;
+
+} // namespace
+
+void sidecar_stream::open(const std::string& address)
+{
+    grpc::ChannelArguments arguments;
+    // A pool of channels shared over the process would tie a new stream to
+    // the connection that the last one found dead.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                     reconnect_least_ms);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnect_most_ms);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_most_ms);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    m_stub = wire::Link::NewStub(grpc::CreateCustomChannel(
+        "ipv4:" + address, grpc::InsecureChannelCredentials(), arguments));
+    m_self = shared_from_this();
+    m_stub->async()->Attach(&m_context, this);
+    AddHold();
+    start_reading();
+    StartCall();
+}
+
+void sidecar_stream::end()
+{
+    m_context.TryCancel();
+    close();
+}
+
+void sidecar_stream::closed()
+{
+    m_context.TryCancel();
+    m_on_closed();
+    RemoveHold();
+}
+
+} // namespace mangofold::entry
--- /dev/null
+++ b/packages/entry/sidecar_stream.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "wire/batch_stream.hpp"
+
+#include "link.grpc.pb.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace mangofold::entry
+{
+
+/// The entry's end of the stream to one sidecar.
+class sidecar_stream
+    : public wire::batch_stream<
+          grpc::ClientBidiReactor<wire::EntryBatch, wire::SidecarBatch>,
+          wire::SidecarBatch, wire::EntryBatch>,
+      public std::enable_shared_from_this<sidecar_stream>
+{
+public:
+    using receiver = std::function<void(const wire::SidecarMessage&)>;
+    using closer = std::function<void()>;
+
+    sidecar_stream(receiver on_message, closer on_closed)
+        : m_on_message(std::move(on_message)),
+          m_on_closed(std::move(on_closed))
+    {
+    }
+
+    /// Opens the stream to the sidecar at \a address.
+    void open(const std::string& address);
+
+    /// Ends the stream from this side.
+    void end();
+
+    void OnDone(const grpc::Status&) override { m_self.reset(); }
+
+protected:
+    void received(const wire::SidecarMessage& message) override
+    {
+        m_on_message(message);
+    }
+
+    void closed() override;
+
+private:
+    receiver m_on_message;
+    closer m_on_closed;
+    std::unique_ptr<wire::Link::Stub> m_stub;
+    grpc::ClientContext m_context;
+    std::shared_ptr<sidecar_stream> m_self; ///< Until the stream is done.
+};
+
+} // namespace mangofold::entry
--- /dev/null
+++ b/packages/manifest/manifest.cpp
@@ -0,0 +1,43 @@
+#include "manifest/manifest.hpp"
+
+#include <algorithm>
+
+namespace mangofold::manifest
+{
+
+namespace
+{
+
+template<typename Item>
+const Item* find_by_id(const std::vector<Item>& items, const std::string& id)
+{
+    const auto found =
+        std::find_if(items.begin(), items.end(),
+                     [&](const Item& one) { return one.id == id; });
+    return found == items.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+bool pipeline::is_repeatable() const
+{
+    return std::all_of(stages.begin(), stages.end(),
+                       [](const stage& one) { return one.is_repeatable; });
+}
+
+const pool* document::find_pool(const std::string& id) const
+{
+    return find_by_id(pools, id);
+}
+
+const pipeline* document::find_pipeline(const std::string& id) const
+{
+    return find_by_id(pipelines, id);
+}
+
+const account* document::find_account(const std::string& id) const
+{
+    return find_by_id(accounts, id);
+}
+
+} // namespace mangofold::manifest
--- /dev/null
+++ b/packages/runtime/program.cpp
@@ -0,0 +1,43 @@
+#include "runtime/program.hpp"
+
+#include "runtime/version.hpp"
+
+#include <iostream>
+
+namespace mangofold::runtime
+{
+
+namespace
+{
+
+volatile std::sig_atomic_t stop_wanted = 0;
+
+void note_stop(int) { stop_wanted = 1; }
+
+} // namespace
+
+bool answered_information(const settings& flags, const std::string& program)
+{
+    if (flags.has("help"))
+    {
+        std::cout << flags.help();
+        return true;
+    }
+    if (flags.has("version"))
+    {
+        std::cout << program << ' ' << version << '\n';
+        return true;
+    }
+    return false;
+}
+
+void watch_signals()
+{
+    std::signal(SIGTERM, note_stop);
+    std::signal(SIGINT, note_stop);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+bool is_stop_wanted() { return stop_wanted != 0; }
+
+} // namespace mangofold::runtime
--- /dev/null
+++ b/packages/runtime/settings.cpp
@@ -0,0 +1,99 @@
+#include "runtime/settings.hpp"
+
+#include <boost/program_options/parsers.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace mangofold::runtime
+{
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+constexpr std::string_view prefix = "MANGOFOLD_";
+
+std::string flag_of(const std::string& variable)
+{
+    std::string flag = variable.substr(prefix.size());
+    std::transform(flag.begin(), flag.end(), flag.begin(),
+                   [](unsigned char one)
+                   { return one == '_' ? '-' : std::tolower(one); });
+    return flag;
+}
+
+} // namespace
+
+void settings::read(int argc, const char* const* argv)
+{
+    const auto named = [this](const std::string& variable)
+    {
+        if (!variable.starts_with(prefix))
+            return std::string();
+        const std::string flag = flag_of(variable);
+        return m_known.find_nothrow(flag, false) != nullptr ? flag
+                                                            : std::string();
+    };
+    try
+    {
+        po::store(po::command_line_parser(argc, argv)
+                      .options(m_known)
+                      .positional({})
+                      .run(),
+                  m_values);
+        po::store(po::parse_environment(m_known, named), m_values);
+        po::notify(m_values);
+    }
+    catch (const po::error& fault)
+    {
+        throw settings_error(fault.what());
+    }
+}
+
+unsigned settings::bounded(const std::string& name, unsigned least,
+                           unsigned most) const
+{
+    const auto number = value<unsigned>(name);
+    if (number < least || number > most)
+        throw settings_error("--" + name + " must be between " +
+                             std::to_string(least) + " and " +
+                             std::to_string(most));
+    return number;
+}
+
+std::string settings::required_text(const std::string& name) const
+{
+    if (!has(name) || value<std::string>(name).empty())
+        throw settings_error("--" + name + " is missing");
+    return value<std::string>(name);
+}
+
+std::string settings::help() const
+{
+    std::ostringstream out;
+    out << m_known
+        << "\nEach flag can also be set in the environment, --http-threads "
+           "as MANGOFOLD_HTTP_THREADS.\n";
+    return out.str();
+}
+
+address parse_flag(const std::string& name, const std::string& text)
+{
+    try
+    {
+        return address::parse(text);
+    }
+    catch (const address_error& fault)
+    {
+        throw settings_error("--" + name + ": " + fault.what());
+    }
+}
+
+address address_flag(const settings& flags, const std::string& name)
+{
+    return parse_flag(name, flags.required_text(name));
+}
+
+} // namespace mangofold::runtime
--- /dev/null
+++ b/packages/sidecar/entry_stream.cpp
@@ -0,0 +1,93 @@
+#include "sidecar/entry_stream.hpp"
+
+#include "wire/convert.hpp"
+
+namespace mangofold::sidecar
+{
+
+void entry_stream::open()
+{
+    m_self = shared_from_this();
+    start_reading();
+}
+
+void entry_stream::send_stamped(wire::SidecarMessage message)
+{
+    message.set_generation(m_owner.m_store.generation());
+    send(std::move(message));
+}
+
+void entry_stream::received(const wire::EntryMessage& message)
+{
+    generation_heard(message.generation());
+    switch (message.kind_case())
+    {
+    case wire::EntryMessage::kHello:
+        return m_owner.stream_named(*this, message.hello().entry_id());
+    case wire::EntryMessage::kSubmit:
+        return submitted(message.submit(), message.generation());
+    case wire::EntryMessage::kCancel:
+        return m_owner.m_keeper.cancel({m_link, message.cancel().number()});
+    case wire::EntryMessage::kMint:
+        return mint_wanted(message.mint());
+    case wire::EntryMessage::kConfigWanted:
+        return config_wanted();
+    case wire::EntryMessage::kConfig:
+        m_owner.m_store.offer(message.config().body(),
+                              configuration::source::peer);
+        return;
+    case wire::EntryMessage::kLeaving:
+        return m_owner.m_keeper.set_leaving();
+    case wire::EntryMessage::KIND_NOT_SET:
+        return;
+    }
+}
+
+void entry_stream::submitted(const wire::Submit& message,
+                             std::uint64_t generation)
+{
+    m_owner.m_keeper.submit(wire::from_wire(message, m_link, generation));
+}
+
+void entry_stream::generation_heard(std::uint64_t generation)
+{
+    if (generation <= m_owner.m_store.generation())
+        return;
+    wire::SidecarMessage message;
+    message.mutable_config_wanted();
+    send_stamped(std::move(message));
+}
+
+void entry_stream::config_wanted()
+{
+    const configuration::snapshot_ptr current = m_owner.m_store.current();
+    if (!current)
+        return;
+    wire::SidecarMessage message;
+    message.mutable_config()->set_body(current->body);
+    send_stamped(std::move(message));
+}
+
+void entry_stream::mint_wanted(const wire::Mint& message)
+{
+    wire::SidecarMessage reply;
+    wire::Minted& minted = *reply.mutable_minted();
+    minted.set_number(message.number());
+    const auto ticket = m_owner.m_keeper.mint_ticket();
+    minted.set_refused(!ticket.has_value());
+    if (ticket)
+    {
+        minted.mutable_ticket()->set_target_id(ticket->target);
+        minted.mutable_ticket()->set_incarnation(ticket->incarnation);
+        minted.mutable_ticket()->set_serial(ticket->serial);
+    }
+    send_stamped(std::move(reply));
+}
+
+void entry_stream::closed()
+{
+    m_owner.stream_closed(*this);
+    Finish(grpc::Status::OK);
+}
+
+} // namespace mangofold::sidecar
--- /dev/null
+++ b/packages/sidecar/gate_keeper.cpp
@@ -0,0 +1,182 @@
+#include "sidecar/gate_keeper.hpp"
+
+#include "runtime/event.hpp"
+
+#include <algorithm>
+
+namespace mangofold::sidecar
+{
+
+using namespace decision;
+
+namespace
+{
+
+// Calls a visitor made of several functions.
+template<typename... Functions>
+struct overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+
+template<typename... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
+} // namespace
+
+gate_keeper::gate_keeper(gate::identity self, gate::bounds limits,
+                         const runtime::clock& time,
+                         runtime::metrics& counters)
+    : m_target(self.target), m_clock(time), m_metrics(counters),
+      m_gate(std::move(self), limits)
+{
+}
+
+void gate_keeper::set_ports(result_sink& results, target_port& target)
+{
+    m_results = &results;
+    m_port = &target;
+}
+
+void gate_keeper::configure(const configuration::snapshot_ptr& value)
+{
+    const manifest::document& document = value->document;
+    for (const manifest::pool& pool : document.pools)
+    {
+        const auto is_own = [&](const manifest::target& one)
+        { return one.id == m_target; };
+        if (std::none_of(pool.targets.begin(), pool.targets.end(), is_own))
+            continue;
+        gate_configuration part;
+        part.generation = document.generation;
+        for (const manifest::target& one : pool.targets)
+            part.pool_targets.push_back(one.id);
+        part.slots = pool.slots;
+        part.shares = pool.shares;
+        part.horizon = document.resend_horizon;
+        const std::lock_guard lock(m_mutex);
+        carry_out(m_gate.set_configuration(part, m_clock.now()));
+        return;
+    }
+    // A target that the manifest no longer names is leaving.
+    set_leaving();
+}
+
+grant_notice gate_keeper::renew_grant(link_id link)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto grant = m_gate.issue_grant(link, m_clock.now());
+    return {grant.value_or(grant_ref{m_gate.incarnation(), 0}),
+            m_gate.is_leaving(), m_gate.load()};
+}
+
+std::optional<ticket> gate_keeper::mint_ticket()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_gate.mint_ticket(m_clock.now());
+}
+
+void gate_keeper::submit(const submission& work)
+{
+    const std::lock_guard lock(m_mutex);
+    carry_out(m_gate.submit(work, m_clock.now()));
+}
+
+void gate_keeper::cancel(const submission_ref& ref)
+{
+    const std::lock_guard lock(m_mutex);
+    carry_out(m_gate.cancel(ref, m_clock.now()));
+}
+
+void gate_keeper::close_link(link_id link)
+{
+    const std::lock_guard lock(m_mutex);
+    carry_out(m_gate.close_link(link, m_clock.now()));
+}
+
+void gate_keeper::finish(run_id run, const stage_result& result)
+{
+    const std::lock_guard lock(m_mutex);
+    carry_out(m_gate.finish(run, result, m_clock.now()));
+}
+
+void gate_keeper::advance()
+{
+    const std::lock_guard lock(m_mutex);
+    carry_out(m_gate.advance(m_clock.now()));
+}
+
+void gate_keeper::set_leaving()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_gate.is_leaving())
+        return;
+    runtime::event("target_leaving").with("target", m_target).info();
+    carry_out(m_gate.set_leaving(m_clock.now()));
+}
+
+bool gate_keeper::is_leaving() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_gate.is_leaving();
+}
+
+bool gate_keeper::is_idle() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_gate.is_idle();
+}
+
+std::uint64_t gate_keeper::generation() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_gate.generation();
+}
+
+std::uint64_t gate_keeper::incarnation() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_gate.incarnation();
+}
+
+target_load gate_keeper::load() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_gate.load();
+}
+
+std::size_t gate_keeper::ledger_size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_gate.ledger_size();
+}
+
+// The effects leave under the lock, so that they arrive in the order in
+// which they were decided. Neither port blocks.
+void gate_keeper::carry_out(const gate_effects& effects)
+{
+    for (const gate_effect& effect : effects)
+    {
+        std::visit(overloaded{[&](const start_run& run) { m_port->start(run); },
+                              [&](const send_result& result)
+                              {
+                                  count(result);
+                                  m_results->send(result);
+                              },
+                              [&](const cancel_run& run)
+                              { m_port->cancel(run.run); }},
+                   effect);
+    }
+}
+
+void gate_keeper::count(const send_result& sent)
+{
+    const stage_result& result = sent.result;
+    ++m_metrics.count(
+        {"mangofold_submissions_total",
+         runtime::label("status", to_string(result.status)) + "," +
+             runtime::label("reason", to_string(result.why)) + "," +
+             runtime::label("replayed", result.is_replayed ? "yes" : "no")});
+}
+
+} // namespace mangofold::sidecar
--- /dev/null
+++ b/packages/sidecar/main.cpp
@@ -0,0 +1,33 @@
+#include "runtime/log.hpp"
+#include "runtime/program.hpp"
+#include "sidecar/sidecar.hpp"
+
+#include <iostream>
+
+using namespace mangofold;
+
+int main(int argc, char** argv)
+{
+    runtime::settings flags(
+        "mangofold-sidecar: takes the work of one target in");
+    sidecar::add_flags(flags);
+    sidecar::sidecar_settings values;
+    try
+    {
+        flags.read(argc, argv);
+        if (runtime::answered_information(flags, "mangofold-sidecar"))
+            return runtime::exit_ok;
+        values = sidecar::checked(flags);
+        if (!runtime::start_log("sidecar", values.target_id, values.log_level))
+            throw runtime::settings_error("--log-level is not known");
+    }
+    catch (const runtime::settings_error& fault)
+    {
+        std::cerr << "mangofold-sidecar: " << fault.what()
+                  << "\nTry --help.\n";
+        return runtime::exit_bad_settings;
+    }
+    const runtime::system_clock time;
+    return runtime::run_until_signalled(
+        [&] { return std::make_unique<sidecar::sidecar>(values, time); });
+}
--- /dev/null
+++ b/packages/sidecar/sidecar_settings.cpp
@@ -0,0 +1,62 @@
+#include "sidecar/sidecar_settings.hpp"
+
+#include <boost/program_options/value_semantic.hpp>
+
+namespace mangofold::sidecar
+{
+
+namespace po = boost::program_options;
+
+void add_flags(runtime::settings& flags)
+{
+    const sidecar_settings defaults;
+    const auto number = [](unsigned otherwise)
+    { return po::value<unsigned>()->default_value(otherwise); };
+    auto add = flags.known().add_options();
+    add("help", "print this text");
+    add("version", "print the version");
+    add("target-id", po::value<std::string>(),
+        "id of the target, as in the manifest");
+    add("zone", po::value<std::string>(), "availability zone");
+    add("listen", po::value<std::string>(), "IP:port for the entries");
+    add("admin", po::value<std::string>(),
+        "IP:port for /metrics, /healthz, /readyz and /status");
+    add("target", po::value<std::string>(), "IP:port of the target");
+    add("platform", po::value<std::string>(),
+        "IP:port of the configuration service and instance list");
+    add("target-threads", number(defaults.target_threads),
+        "calls to the target at once (1-512)");
+    add("grant-interval-ms", number(defaults.grant_interval_ms),
+        "time between two grants to an entry (50-1000)");
+    add("poll-interval-ms", number(defaults.poll_interval_ms),
+        "time between two reads of the manifest (100-3600000)");
+    add("ledger-keys", number(defaults.ledger_keys),
+        "calls that may not be repeated, remembered at most (1-10000000)");
+    add("ledger-bytes", number(defaults.ledger_bytes),
+        "bytes of remembered outcomes at most (1024-1073741824)");
+    add("drain-ms", number(defaults.drain_ms),
+        "longest wait for work in progress at a stop (0-600000)");
+    add("log-level", po::value<std::string>()->default_value("info"),
+        "trace, debug, info, warning, error or off");
+}
+
+sidecar_settings checked(const runtime::settings& flags)
+{
+    sidecar_settings value;
+    value.target_id = flags.required_text("target-id");
+    value.zone = flags.required_text("zone");
+    value.listen = runtime::address_flag(flags, "listen");
+    value.admin = runtime::address_flag(flags, "admin");
+    value.target = runtime::address_flag(flags, "target");
+    value.platform = runtime::address_flag(flags, "platform");
+    value.target_threads = flags.bounded("target-threads", 1, 512);
+    value.grant_interval_ms = flags.bounded("grant-interval-ms", 50, 1000);
+    value.poll_interval_ms = flags.bounded("poll-interval-ms", 100, 3600000);
+    value.ledger_keys = flags.bounded("ledger-keys", 1, 10'000'000);
+    value.ledger_bytes = flags.bounded("ledger-bytes", 1024, 1U << 30U);
+    value.drain_ms = flags.bounded("drain-ms", 0, 600'000);
+    value.log_level = flags.value<std::string>("log-level");
+    return value;
+}
+
+} // namespace mangofold::sidecar
--- /dev/null
+++ b/packages/wire/batch_stream.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <mutex>
+#include <utility>
+
+namespace mangofold::wire
+{
+
+/// One end of a link: sends queued messages in batches and hands on those
+/// that arrive. Works for the client's and the server's reactor alike.
+template<typename Reactor, typename Incoming, typename Outgoing>
+class batch_stream : public Reactor
+{
+public:
+    using outgoing_message =
+        std::remove_cvref_t<decltype(std::declval<Outgoing>().messages(0))>;
+    using incoming_message =
+        std::remove_cvref_t<decltype(std::declval<Incoming>().messages(0))>;
+
+    /// Queues \a message. Returns whether the stream was open.
+    bool send(outgoing_message message)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_is_closed || m_queued.messages_size() >= max_queued)
+            return false;
+        *m_queued.add_messages() = std::move(message);
+        write_queued();
+        return true;
+    }
+
+    void OnReadDone(bool is_ok) override
+    {
+        if (!is_ok)
+        {
+            close();
+            return;
+        }
+        for (const incoming_message& message : m_incoming.messages())
+            received(message);
+        m_incoming.Clear();
+        this->StartRead(&m_incoming);
+    }
+
+    void OnWriteDone(bool is_ok) override
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_is_writing = false;
+            if (is_ok && !m_is_closed)
+                write_queued();
+            if (is_ok)
+                return;
+        }
+        close();
+    }
+
+protected:
+    // A peer that reads nothing must not fill this process's memory.
+    static constexpr int max_queued = 4096;
+
+    virtual void received(const incoming_message& message) = 0;
+
+    /// Called once, when nothing can be sent any more.
+    virtual void closed() = 0;
+
+    void start_reading() { this->StartRead(&m_incoming); }
+
+    void close()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_is_closed)
+                return;
+            m_is_closed = true;
+        }
+        closed();
+    }
+
+private:
+    void write_queued()
+    {
+        if (m_is_writing || m_queued.messages_size() == 0)
+            return;
+        m_is_writing = true;
+        m_writing.Clear();
+        m_writing.Swap(&m_queued);
+        this->StartWrite(&m_writing);
+    }
+
+    std::mutex m_mutex;
+    bool m_is_closed = false;
+    bool m_is_writing = false;
+    Incoming m_incoming;
+    Outgoing m_queued;
+    Outgoing m_writing;
+};
+
+} // namespace mangofold::wire
