--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,17 @@
 	cd packages/wire && protoc -I. --cpp_out=generated \
 	--grpc_out=generated \
 	--plugin=protoc-gen-grpc=$$(which grpc_cpp_plugin) link.proto
+
+SOURCES = $$(git ls-files '*.cpp' '*.hpp' '*.ipp' | grep -v /generated/)
+
+format: install
+	clang-format -i $(SOURCES)
+
+# clang-tidy is slow on the sources that include gRPC; those that decide are
+# checked in CI, all of them with LINT=all.
+LINT ?= decision
+lint: build
+	@clang-format --dry-run -Werror $(SOURCES)
+	@git ls-files 'packages/*.cpp' | grep -v /generated/ | \
+	grep -E "$$([ $(LINT) = all ] && echo . || echo 'packages/(decision|manifest|configuration)/')" | \
+	xargs -P 8 -n 2 clang-tidy --quiet -p $(BUILD) 2>/dev/null
--- a/examples/make_manifest.py
+++ b/examples/make_manifest.py
@@ -69,7 +69,7 @@
     ports = Ports(21000)
     return {
         "generation": generation,
-        "resend_horizon_ms": 8000,
+        "resend_horizon_ms": 6000,
         "zones": zones,
         "models": MODELS,
         "pools": model_pools(ports, zones, 11) + [
@@ -101,7 +101,7 @@
     ports = Ports(24000)
     return {
         "generation": generation,
-        "resend_horizon_ms": 8000,
+        "resend_horizon_ms": 6000,
         "zones": zones,
         "models": MODELS,
         "pools": model_pools(ports, zones, 11) + [
--- a/packages/configuration/platform_reader.cpp
+++ b/packages/configuration/platform_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace mangofold::configuration
 {
 
@@ -30,7 +32,8 @@
 
 } // namespace
 
-platform_reader::platform_reader(runtime::address service, config_store& store,
+platform_reader::platform_reader(const runtime::address& service,
+                                 config_store& store,
                                  runtime::metrics& counters, mode how,
                                  intervals waits, std::uint64_t seed)
     : m_store(store), m_metrics(counters), m_mode(how), m_waits(waits),
@@ -45,8 +48,7 @@
 
 std::chrono::milliseconds platform_reader::read_manifest()
 {
-    const bool waits =
-        m_mode == mode::watch && m_store.generation() > 0;
+    const bool waits = m_mode == mode::watch && m_store.generation() > 0;
     std::string path =
         "/v1/manifest?after=" + std::to_string(m_store.generation());
     if (waits)
@@ -73,21 +75,28 @@
     return jittered(m_mode == mode::watch ? between_watches : m_waits.poll);
 }
 
-std::chrono::milliseconds platform_reader::read_instances()
+// A mark that one entry reads reaches the sidecar, and with its grants every
+// other entry. The more entries a sidecar has, the more rarely each reads.
+std::chrono::milliseconds platform_reader::read_instances(std::uint32_t readers)
 {
+    constexpr std::uint32_t readers_at_full_rate = 8;
     try
     {
         const runtime::http_answer answer =
             m_instances_client.get("/v1/instances", read_timeout);
         count_read("instances", std::to_string(answer.status));
-        if (answer.status == http_ok && m_leaving_listener)
-            m_leaving_listener(leaving_targets(answer.body));
+        if (answer.status == http_ok)
+            m_leaving = leaving_targets(answer.body);
     }
     catch (const runtime::http_error&)
     {
         count_read("instances", "no_answer");
     }
-    return jittered(m_waits.instances);
+    // While the list cannot be read, what it said last still stands.
+    if (m_leaving_listener)
+        m_leaving_listener(m_leaving);
+    return jittered(m_waits.instances *
+                    std::max(readers / readers_at_full_rate, 1U));
 }
 
 // Half to one and a half times the wait, so that processes which started
--- a/packages/configuration/platform_reader.hpp
+++ b/packages/configuration/platform_reader.hpp
@@ -31,13 +31,13 @@
         std::chrono::milliseconds watch{10'000};
         std::chrono::milliseconds poll{60'000};
         std::chrono::milliseconds after_failure{500};
-        std::chrono::milliseconds instances{500};
+        std::chrono::milliseconds instances{1'000};
     };
 
     using leaving_listener =
         std::function<void(const std::set<std::string>& targets)>;
 
-    platform_reader(runtime::address service, config_store& store,
+    platform_reader(const runtime::address& service, config_store& store,
                     runtime::metrics& counters, mode how, intervals waits,
                     std::uint64_t seed);
 
@@ -47,8 +47,9 @@
     /// Reads or watches the manifest once. Returns how long to wait then.
     std::chrono::milliseconds read_manifest();
 
-    /// Reads the instance list once. Returns how long to wait then.
-    std::chrono::milliseconds read_instances();
+    /// Reads the instance list once. Returns how long to wait then, given
+    /// that \a readers processes tell the same sidecars what they read.
+    std::chrono::milliseconds read_instances(std::uint32_t readers);
 
 private:
     std::chrono::milliseconds jittered(std::chrono::milliseconds wait);
@@ -62,6 +63,7 @@
     runtime::http_client m_manifest_client;
     runtime::http_client m_instances_client;
     leaving_listener m_leaving_listener;
+    std::set<std::string> m_leaving; ///< As last read.
 };
 
 } // namespace mangofold::configuration
--- a/packages/decision/admission_queue.cpp
+++ b/packages/decision/admission_queue.cpp
@@ -36,10 +36,9 @@
         const auto priority = static_cast<work_class>(index);
         if (own.queue.empty() || total >= capacity_of(priority, limit))
             continue;
-        const auto next =
-            std::find_if(own.queue.begin(), own.queue.end(),
-                         [&](const waiting& one)
-                         { return one.work.expires > now; });
+        const auto next = std::find_if(own.queue.begin(), own.queue.end(),
+                                       [&](const waiting& one)
+                                       { return one.work.expires > now; });
         if (next == own.queue.end())
             continue;
         const queued_work work = next->work;
@@ -112,9 +111,9 @@
     const std::size_t busy = running();
     if (ahead == 0 && busy < capacity)
         return duration::zero();
-    const double rounds = static_cast<double>(ahead + 1) /
-                          static_cast<double>(std::max<std::size_t>(
-                              capacity, 1));
+    const double rounds =
+        static_cast<double>(ahead + 1) /
+        static_cast<double>(std::max<std::size_t>(capacity, 1));
     return duration(static_cast<duration::rep>(
         rounds * static_cast<double>(service.count())));
 }
--- a/packages/decision/concurrency_limit.hpp
+++ b/packages/decision/concurrency_limit.hpp
@@ -11,13 +11,16 @@
 
 /// Says how many runs a target may have at once.
 template<typename Policy>
-concept concurrency_policy =
-    requires(Policy policy, const Policy& view, duration latency,
-             std::size_t running, std::size_t slots) {
-        { view.limit() } -> std::convertible_to<std::size_t>;
-        policy.run_ended(latency, running, true);
-        policy.set_slots(slots);
-    };
+concept concurrency_policy = requires(Policy policy, const Policy& view,
+                                      duration latency, std::size_t running,
+                                      std::size_t slots)
+{
+    {
+        view.limit()
+        } -> std::convertible_to<std::size_t>;
+    policy.run_ended(latency, running, true);
+    policy.set_slots(slots);
+};
 
 /// Keeps to the published number of slots.
 class fixed_limit
--- a/packages/decision/execution_ledger.hpp
+++ b/packages/decision/execution_ledger.hpp
@@ -27,9 +27,9 @@
 
     struct bounds
     {
-        duration horizon;            ///< How long an outcome is held.
-        std::size_t max_keys;        ///< Keys of any state.
-        std::size_t max_body_bytes;  ///< Bytes of all held outcomes.
+        duration horizon;           ///< How long an outcome is held.
+        std::size_t max_keys;       ///< Keys of any state.
+        std::size_t max_body_bytes; ///< Bytes of all held outcomes.
 
         friend bool operator==(const bounds&, const bounds&) = default;
     };
--- a/packages/decision/generation_gate.hpp
+++ b/packages/decision/generation_gate.hpp
@@ -14,11 +14,11 @@
 public:
     enum class verdict
     {
-        adopt,     ///< Newer and good.
-        known,     ///< The one in force.
-        older,     ///< Older than the one in force.
-        conflict,  ///< Another body under the generation in force.
-        refused    ///< This very body was found bad before.
+        adopt,    ///< Newer and good.
+        known,    ///< The one in force.
+        older,    ///< Older than the one in force.
+        conflict, ///< Another body under the generation in force.
+        refused   ///< This very body was found bad before.
     };
 
     std::uint64_t generation() const { return m_generation; }
--- a/packages/decision/grant_book.cpp
+++ b/packages/decision/grant_book.cpp
@@ -29,8 +29,7 @@
         return false;
     const auto& grants = found->second;
     return std::any_of(grants.begin(), grants.end(),
-                       [&](const issued& one)
-                       {
+                       [&](const issued& one) {
                            return one.serial == grant.serial &&
                                   now < one.expires;
                        });
--- a/packages/decision/owned_run.cpp
+++ b/packages/decision/owned_run.cpp
@@ -34,9 +34,8 @@
     if (now < m_not_before)
         return wait_until{std::min(m_not_before, m_deadline)};
     ++m_attempt;
-    return send_attempt{m_attempt,      owner(),
-                        {},             m_pinned,
-                        m_renounced_by, m_ticket_target.has_value()};
+    return send_attempt{m_attempt, owner(),        {},
+                        m_pinned,  m_renounced_by, m_ticket_target.has_value()};
 }
 
 void owned_run::sent(std::uint64_t incarnation)
@@ -87,8 +86,7 @@
         m_renounced_by.push_back(owner());
         if (m_ticket_target)
             m_ticket_target.reset();
-        std::erase_if(m_owners,
-                      [&](const std::string& one)
+        std::erase_if(m_owners, [&](const std::string& one)
                       { return one == m_renounced_by.back(); });
         return true;
     }
--- a/packages/decision/ownership_history.cpp
+++ b/packages/decision/ownership_history.cpp
@@ -45,13 +45,13 @@
     if (m_earlier.size() >= max_epochs &&
         m_earlier.front().ended + horizon > now)
         return true;
-    return std::any_of(
-        m_earlier.begin(), m_earlier.end(),
-        [&](const epoch& one)
-        {
-            return one.ended + horizon > now &&
-                   first_owner(key, one.targets, renounced_by) != m_self;
-        });
+    return std::any_of(m_earlier.begin(), m_earlier.end(),
+                       [&](const epoch& one)
+                       {
+                           return one.ended + horizon > now &&
+                                  first_owner(key, one.targets, renounced_by) !=
+                                      m_self;
+                       });
 }
 
 std::string
@@ -61,8 +61,7 @@
 {
     for (std::string& target : owner_order(key, targets))
     {
-        if (std::find(without.begin(), without.end(), target) ==
-            without.end())
+        if (std::find(without.begin(), without.end(), target) == without.end())
             return std::move(target);
     }
     return {};
--- a/packages/decision/pool_router.hpp
+++ b/packages/decision/pool_router.hpp
@@ -68,8 +68,7 @@
 private:
     using candidates = std::vector<const target_view*>;
 
-    candidates usable(const std::vector<std::string>& avoid,
-                      instant now) const;
+    candidates usable(const std::vector<std::string>& avoid, instant now) const;
     std::size_t aside_count(instant now) const;
     void note_failure(target_view& view, instant now);
 
--- a/packages/decision/pool_router.ipp
+++ b/packages/decision/pool_router.ipp
@@ -134,10 +134,9 @@
                view.is_probing = false;
                if (result.why == reason::target_leaving)
                    view.is_leaving = true;
-               const bool has_failed =
-                   result.status == stage_status::failed ||
-                   result.status == stage_status::unknown ||
-                   result.why == reason::target_down;
+               const bool has_failed = result.status == stage_status::failed ||
+                                       result.status == stage_status::unknown ||
+                                       result.why == reason::target_down;
                if (has_failed)
                    note_failure(view, now);
                else if (result.status == stage_status::done)
--- a/packages/decision/repeatable_run.cpp
+++ b/packages/decision/repeatable_run.cpp
@@ -85,8 +85,8 @@
     m_avoid.push_back(m_target);
     if (result.status == stage_status::refused)
     {
-        const bool is_busy = result.why == reason::queue_full ||
-                             result.why == reason::too_late;
+        const bool is_busy =
+            result.why == reason::queue_full || result.why == reason::too_late;
         m_busy += is_busy ? 1 : 0;
         m_resyncs += is_busy ? 0 : 1;
         return true;
--- a/packages/decision/repeatable_run.hpp
+++ b/packages/decision/repeatable_run.hpp
@@ -16,8 +16,7 @@
 class repeatable_run
 {
 public:
-    repeatable_run(attempt_policy policy, instant deadline,
-                   std::uint64_t seed);
+    repeatable_run(attempt_policy policy, instant deadline, std::uint64_t seed);
 
     /// Returns what to do now. \a attempt_timeout bounds one attempt.
     attempt_step next(instant now, retry_budget& budget,
--- a/packages/decision/selection_policy.cpp
+++ b/packages/decision/selection_policy.cpp
@@ -18,8 +18,8 @@
 
     std::size_t best = 0;
     double best_ns = std::numeric_limits<double>::infinity();
-    const auto consider = [&](const std::vector<std::size_t>& group,
-                              double way_ns)
+    const auto consider =
+        [&](const std::vector<std::size_t>& group, double way_ns)
     {
         constexpr int samples = 2;
         for (int sample = 0; sample < samples && !group.empty(); ++sample)
--- a/packages/decision/selection_policy.hpp
+++ b/packages/decision/selection_policy.hpp
@@ -14,13 +14,15 @@
 /// Chooses one of several targets that may all take the work. Returns its
 /// index.
 template<typename Policy>
-concept selection_policy =
-    requires(const Policy& policy, std::span<const target_view* const> targets,
-             const std::string& zone, random_source& random) {
-        {
-            policy.select(targets, zone, random)
+concept selection_policy = requires(const Policy& policy,
+                                    std::span<const target_view* const> targets,
+                                    const std::string& zone,
+                                    random_source& random)
+{
+    {
+        policy.select(targets, zone, random)
         } -> std::convertible_to<std::size_t>;
-    };
+};
 
 /// Any target, with equal chances: the plain baseline.
 struct random_selection
--- a/packages/decision/target_gate.hpp
+++ b/packages/decision/target_gate.hpp
@@ -5,6 +5,7 @@
 #include "decision/execution_ledger.hpp"
 #include "decision/grant_book.hpp"
 #include "decision/ownership_history.hpp"
+#include "decision/safeguards.hpp"
 #include "decision/stage_result.hpp"
 #include "decision/submission.hpp"
 #include "decision/target_load.hpp"
@@ -66,31 +67,19 @@
     std::vector<std::string> pool_targets;
     std::size_t slots = 1;
     class_shares shares;
+    /// From the first sending of a request to the latest start of any.
     duration horizon{};
+    /// In which every process takes a new manifest over.
+    duration adoption{};
 
     friend bool operator==(const gate_configuration&,
                            const gate_configuration&) = default;
 };
 
-/// The safeguards that the failure tests take out one at a time.
-struct gate_safeguards
-{
-    bool grants = true;
-    bool ledger = true;
-    bool quarantine = true;
-    bool moved_ownership = true;
-    bool incarnation = true;
-    bool generations = true;
-    bool leaving = true;
-
-    friend bool operator==(const gate_safeguards&,
-                           const gate_safeguards&) = default;
-};
-
 /// Everything that a sidecar decides about the work of its target. It reads
 /// no clock and does no input or output: calls return the effects to carry
 /// out, in order.
-template<concurrency_policy Limit>
+template<concurrency_policy Limit, safeguard_set Safeguards = all_safeguards>
 class target_gate
 {
 public:
@@ -108,7 +97,7 @@
         std::size_t max_ledger_bytes;
     };
 
-    target_gate(identity self, bounds limits, gate_safeguards safeguards = {});
+    target_gate(identity self, bounds limits);
 
     /// Puts a configuration in force. One that is not newer is ignored.
     gate_effects set_configuration(const gate_configuration& value,
@@ -139,9 +128,17 @@
     gate_effects advance(instant now);
 
     /// Stops new work for good.
-    gate_effects set_leaving(instant now);
+    gate_effects set_stopping(instant now);
 
-    bool is_leaving() const { return m_is_leaving; }
+    /// Stops new work until \a until, because the platform calls the target
+    /// leaving.
+    gate_effects set_leaving(instant now, instant until);
+
+    /// Whether new work is stopped.
+    bool is_leaving(instant now) const
+    {
+        return m_is_stopping || now < m_leaving_until;
+    }
 
     /// Whether neither running nor queued work is left.
     bool is_idle() const { return m_runs.empty(); }
@@ -168,6 +165,7 @@
 
     using optional_result = std::optional<stage_result>;
 
+    optional_result refuse_other_process(const submission& work) const;
     optional_result refuse_generation(const submission& work) const;
     optional_result refuse_grant(const submission& work, const digest& key,
                                  instant now);
@@ -181,6 +179,7 @@
     void admit(const submission& work, const digest& key, instant now,
                gate_effects& effects);
     void start_runs(instant now, gate_effects& effects);
+    gate_effects stop_new_work(instant now);
     void refuse_queued(const std::vector<queued_work>& queued, reason why,
                        instant now, gate_effects& effects);
     void send(const run& from, const stage_result& result,
@@ -198,7 +197,6 @@
     }
 
     identity m_self;
-    gate_safeguards m_safeguards;
     gate_configuration m_configuration;
     Limit m_limit{1};
     grant_book m_grants;
@@ -208,7 +206,8 @@
     admission_queue m_queue{class_shares{}};
     std::map<run_id, run> m_runs;
     run_id m_next_run = 1;
-    bool m_is_leaving = false;
+    bool m_is_stopping = false;
+    instant m_leaving_until{};
     std::array<duration, work_class_count> m_service{};
 };
 
--- a/packages/decision/target_gate.ipp
+++ b/packages/decision/target_gate.ipp
@@ -7,20 +7,18 @@
 namespace mangofold::decision
 {
 
-template<concurrency_policy Limit>
-target_gate<Limit>::target_gate(identity self, bounds limits,
-                                gate_safeguards safeguards)
-    : m_self(std::move(self)), m_safeguards(safeguards),
+template<concurrency_policy Limit, safeguard_set Safeguards>
+target_gate<Limit, Safeguards>::target_gate(identity self, bounds limits)
+    : m_self(std::move(self)),
       m_grants(m_self.incarnation, limits.grant_lifetime),
       m_ledger({{}, limits.max_ledger_keys, limits.max_ledger_bytes}),
       m_owners(m_self.target)
 {
 }
 
-template<concurrency_policy Limit>
-gate_effects
-target_gate<Limit>::set_configuration(const gate_configuration& value,
-                                      instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::set_configuration(
+    const gate_configuration& value, instant now)
 {
     if (value.generation <= m_configuration.generation)
         return {};
@@ -32,19 +30,19 @@
     return advance(now);
 }
 
-template<concurrency_policy Limit>
-std::optional<grant_ref> target_gate<Limit>::issue_grant(link_id link,
-                                                         instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+std::optional<grant_ref>
+target_gate<Limit, Safeguards>::issue_grant(link_id link, instant now)
 {
-    if (m_is_leaving || m_configuration.generation == 0)
+    if (is_leaving(now) || m_configuration.generation == 0)
         return std::nullopt;
     return m_grants.issue(link, now);
 }
 
-template<concurrency_policy Limit>
-std::optional<ticket> target_gate<Limit>::mint_ticket(instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+std::optional<ticket> target_gate<Limit, Safeguards>::mint_ticket(instant now)
 {
-    if (m_is_leaving || m_configuration.generation == 0)
+    if (is_leaving(now) || m_configuration.generation == 0)
         return std::nullopt;
     return ticket{m_self.target, m_self.incarnation, m_tickets.mint(now)};
 }
@@ -52,15 +50,18 @@
 // The order matters: the clock first, so that a process that wakes late sees
 // its own grants lapse before it reads what piled up; then what the ledger
 // knows, since repeating an outcome is always right; then the refusals.
-template<concurrency_policy Limit>
-gate_effects target_gate<Limit>::submit(const submission& work, instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::submit(const submission& work,
+                                                    instant now)
 {
     gate_effects effects = advance(now);
     const digest key = digest_of(work.key);
     if (!work.is_repeatable && answer_from_ledger(work, key, effects))
         return effects;
 
-    optional_result refusal = refuse_generation(work);
+    optional_result refusal = refuse_other_process(work);
+    if (!refusal)
+        refusal = refuse_generation(work);
     if (!refusal && !work.is_repeatable)
         refusal = refuse_unsafe(work, key, now);
     if (!refusal)
@@ -74,12 +75,12 @@
     return effects;
 }
 
-template<concurrency_policy Limit>
-bool target_gate<Limit>::answer_from_ledger(const submission& work,
-                                            const digest& key,
-                                            gate_effects& effects)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+bool target_gate<Limit, Safeguards>::answer_from_ledger(const submission& work,
+                                                        const digest& key,
+                                                        gate_effects& effects)
 {
-    if (!m_safeguards.ledger)
+    if (!Safeguards::has_ledger)
         return false;
     const execution_ledger::record* known = m_ledger.find(key);
     if (known == nullptr)
@@ -106,25 +107,37 @@
         reply(work, replayed, effects);
         return true;
     }
-    const auto open =
-        std::find_if(m_runs.begin(), m_runs.end(),
-                     [&](const auto& one)
-                     {
-                         return !one.second.work.is_repeatable &&
-                                one.second.key == key;
-                     });
+    const auto open = std::find_if(m_runs.begin(), m_runs.end(),
+                                   [&](const auto& one) {
+                                       return !one.second.work.is_repeatable &&
+                                              one.second.key == key;
+                                   });
     if (open != m_runs.end())
         open->second.waiters.push_back({work.ref, work.attempt});
     return true;
 }
 
-template<concurrency_policy Limit>
-typename target_gate<Limit>::optional_result
-target_gate<Limit>::refuse_generation(const submission& work) const
+// An earlier process of this target may have run the request. Any refusal by
+// this one, for whatever reason, would read as "not run" to the entry.
+template<concurrency_policy Limit, safeguard_set Safeguards>
+typename target_gate<Limit, Safeguards>::optional_result
+target_gate<Limit, Safeguards>::refuse_other_process(
+    const submission& work) const
+{
+    const bool is_other = work.pinned_incarnation != 0 &&
+                          work.pinned_incarnation != m_self.incarnation;
+    if (Safeguards::has_incarnation && !work.is_repeatable && is_other)
+        return unknown_outcome(reason::incarnation_changed);
+    return std::nullopt;
+}
+
+template<concurrency_policy Limit, safeguard_set Safeguards>
+typename target_gate<Limit, Safeguards>::optional_result
+target_gate<Limit, Safeguards>::refuse_generation(const submission& work) const
 {
     if (m_configuration.generation == 0)
         return refused(reason::not_ready);
-    if (!m_safeguards.generations)
+    if (!Safeguards::has_generations)
         return std::nullopt;
     // An entry that missed a change would run a stage as it no longer
     // stands; it gets the newer generation along with this refusal.
@@ -135,33 +148,30 @@
     return std::nullopt;
 }
 
-template<concurrency_policy Limit>
-typename target_gate<Limit>::optional_result
-target_gate<Limit>::refuse_grant(const submission& work, const digest& key,
-                                 instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+typename target_gate<Limit, Safeguards>::optional_result
+target_gate<Limit, Safeguards>::refuse_grant(const submission& work,
+                                             const digest& key, instant now)
 {
-    if (m_is_leaving && m_safeguards.leaving)
+    if (is_leaving(now) && Safeguards::has_leaving)
     {
         // The entry may now turn to the next owner of the key, so an older
         // sending that still arrives here must find the door closed.
-        if (!work.is_repeatable)
+        if (!work.is_repeatable && Safeguards::has_renouncing)
             m_ledger.renounce(key, now);
         return refused(reason::target_leaving);
     }
-    if (m_safeguards.grants &&
+    if (Safeguards::has_grants &&
         !m_grants.is_live(work.ref.link, work.grant, now))
         return refused(reason::grant_lapsed);
     return std::nullopt;
 }
 
-template<concurrency_policy Limit>
-typename target_gate<Limit>::optional_result
-target_gate<Limit>::refuse_unsafe(const submission& work, const digest& key,
-                                  instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+typename target_gate<Limit, Safeguards>::optional_result
+target_gate<Limit, Safeguards>::refuse_unsafe(const submission& work,
+                                              const digest& key, instant now)
 {
-    if (m_safeguards.incarnation && work.pinned_incarnation != 0 &&
-        work.pinned_incarnation != m_self.incarnation)
-        return unknown_outcome(reason::incarnation_changed);
     optional_result refusal = work.dated_by ? refuse_dated(work, now)
                                             : refuse_undated(work, key, now);
     if (refusal)
@@ -171,11 +181,12 @@
     return std::nullopt;
 }
 
-template<concurrency_policy Limit>
-typename target_gate<Limit>::optional_result
-target_gate<Limit>::refuse_dated(const submission& work, instant now) const
+template<concurrency_policy Limit, safeguard_set Safeguards>
+typename target_gate<Limit, Safeguards>::optional_result
+target_gate<Limit, Safeguards>::refuse_dated(const submission& work,
+                                             instant now) const
 {
-    if (!m_safeguards.incarnation)
+    if (!Safeguards::has_incarnation)
         return std::nullopt;
     // The ticket was minted before the request was first sent. Had another
     // process run it, the ticket would name that one; had this one run it,
@@ -189,30 +200,32 @@
     return std::nullopt;
 }
 
-template<concurrency_policy Limit>
-typename target_gate<Limit>::optional_result
-target_gate<Limit>::refuse_undated(const submission& work, const digest& key,
-                                   instant now) const
+template<concurrency_policy Limit, safeguard_set Safeguards>
+typename target_gate<Limit, Safeguards>::optional_result
+target_gate<Limit, Safeguards>::refuse_undated(const submission& work,
+                                               const digest& key,
+                                               instant now) const
 {
     const instant safe_from = m_self.started + m_configuration.horizon;
     // An earlier process of this target may have run the request and then
     // died with its memory. No caller resends after the horizon, so what
     // arrives later is new.
-    if (m_safeguards.quarantine && now < safe_from)
+    if (Safeguards::has_quarantine && now < safe_from)
         return unknown_outcome(reason::owner_restarted, safe_from - now);
-    if (!m_safeguards.moved_ownership)
+    if (!Safeguards::has_moved_ownership)
         return std::nullopt;
     if (!m_owners.is_owner(key, work.renounced_by) ||
         m_owners.has_moved(key, work.renounced_by, now,
-                           m_configuration.horizon))
+                           m_configuration.horizon + m_configuration.adoption))
         return unknown_outcome(reason::ownership_moved,
                                m_configuration.horizon);
     return std::nullopt;
 }
 
-template<concurrency_policy Limit>
-void target_gate<Limit>::admit(const submission& work, const digest& key,
-                               instant now, gate_effects& effects)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+void target_gate<Limit, Safeguards>::admit(const submission& work,
+                                           const digest& key, instant now,
+                                           gate_effects& effects)
 {
     const instant expires = now + work.budget;
     const run_id id = m_next_run++;
@@ -227,13 +240,14 @@
     }
     if (!work.is_repeatable)
         m_ledger.open(key, work.request, now);
-    m_runs.emplace(id, run{work, key, expires, {}, false,
-                           {{work.ref, work.attempt}}});
+    m_runs.emplace(
+        id, run{work, key, expires, {}, false, {{work.ref, work.attempt}}});
     start_runs(now, effects);
 }
 
-template<concurrency_policy Limit>
-void target_gate<Limit>::start_runs(instant now, gate_effects& effects)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+void target_gate<Limit, Safeguards>::start_runs(instant now,
+                                                gate_effects& effects)
 {
     while (auto next = m_queue.pop(now, m_limit.limit()))
     {
@@ -243,15 +257,15 @@
         m_queue.run_started(next->priority);
         effects.push_back(start_run{next->id, one.work.key, one.work.attempt,
                                     one.work.is_repeatable, next->priority,
-                                    one.work.model,
-                                    std::move(one.work.body),
+                                    one.work.model, std::move(one.work.body),
                                     one.expires - now});
     }
 }
 
-template<concurrency_policy Limit>
-gate_effects target_gate<Limit>::finish(run_id id, const stage_result& result,
-                                        instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::finish(run_id id,
+                                                    const stage_result& result,
+                                                    instant now)
 {
     gate_effects effects;
     const auto found = m_runs.find(id);
@@ -283,8 +297,9 @@
     return effects;
 }
 
-template<concurrency_policy Limit>
-gate_effects target_gate<Limit>::cancel(const submission_ref& ref, instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::cancel(const submission_ref& ref,
+                                                    instant now)
 {
     gate_effects effects = advance(now);
     for (auto& [id, one] : m_runs)
@@ -300,8 +315,9 @@
     return effects;
 }
 
-template<concurrency_policy Limit>
-gate_effects target_gate<Limit>::close_link(link_id link, instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::close_link(link_id link,
+                                                        instant now)
 {
     m_grants.revoke(link);
     gate_effects effects = advance(now);
@@ -316,9 +332,10 @@
     return effects;
 }
 
-template<concurrency_policy Limit>
-void target_gate<Limit>::drop_waiter(run_id id, const submission_ref& ref,
-                                     gate_effects& effects)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+void target_gate<Limit, Safeguards>::drop_waiter(run_id id,
+                                                 const submission_ref& ref,
+                                                 gate_effects& effects)
 {
     const auto found = m_runs.find(id);
     if (found == m_runs.end())
@@ -341,8 +358,8 @@
     m_runs.erase(found);
 }
 
-template<concurrency_policy Limit>
-gate_effects target_gate<Limit>::advance(instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::advance(instant now)
 {
     gate_effects effects;
     m_ledger.drop_old_outcomes(now);
@@ -350,22 +367,41 @@
     return effects;
 }
 
-template<concurrency_policy Limit>
-gate_effects target_gate<Limit>::set_leaving(instant now)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::set_stopping(instant now)
+{
+    m_is_stopping = true;
+    return stop_new_work(now);
+}
+
+// The platform's list lags: it can still call a target leaving whose
+// instance was replaced in the meantime. The mark therefore ends by itself
+// unless it is repeated; the replacement would otherwise refuse work for
+// ever.
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::set_leaving(instant now,
+                                                         instant until)
+{
+    const bool was_leaving = is_leaving(now);
+    m_leaving_until = std::max(m_leaving_until, until);
+    return was_leaving ? gate_effects{} : stop_new_work(now);
+}
+
+template<concurrency_policy Limit, safeguard_set Safeguards>
+gate_effects target_gate<Limit, Safeguards>::stop_new_work(instant now)
 {
     gate_effects effects;
-    m_is_leaving = true;
-    if (!m_safeguards.leaving)
+    if (!Safeguards::has_leaving)
         return effects;
     m_grants.revoke_all();
     refuse_queued(m_queue.take_all(), reason::target_leaving, now, effects);
     return effects;
 }
 
-template<concurrency_policy Limit>
-void target_gate<Limit>::refuse_queued(const std::vector<queued_work>& queued,
-                                       reason why, instant now,
-                                       gate_effects& effects)
+template<concurrency_policy Limit, safeguard_set Safeguards>
+void target_gate<Limit, Safeguards>::refuse_queued(
+    const std::vector<queued_work>& queued, reason why, instant now,
+    gate_effects& effects)
 {
     for (const queued_work& work : queued)
     {
@@ -382,17 +418,17 @@
     }
 }
 
-template<concurrency_policy Limit>
-void target_gate<Limit>::send(const run& from, const stage_result& result,
-                              gate_effects& effects) const
+template<concurrency_policy Limit, safeguard_set Safeguards>
+void target_gate<Limit, Safeguards>::send(const run& from,
+                                          const stage_result& result,
+                                          gate_effects& effects) const
 {
     for (const waiter& w : from.waiters)
-        effects.push_back(
-            send_result{w.ref, from.work.key, w.attempt, result});
+        effects.push_back(send_result{w.ref, from.work.key, w.attempt, result});
 }
 
-template<concurrency_policy Limit>
-target_load target_gate<Limit>::load() const
+template<concurrency_policy Limit, safeguard_set Safeguards>
+target_load target_gate<Limit, Safeguards>::load() const
 {
     duration sum{};
     duration::rep known = 0;
@@ -407,14 +443,16 @@
             known > 0 ? sum / known : duration::zero()};
 }
 
-template<concurrency_policy Limit>
-duration target_gate<Limit>::expected_service(work_class priority) const
+template<concurrency_policy Limit, safeguard_set Safeguards>
+duration
+target_gate<Limit, Safeguards>::expected_service(work_class priority) const
 {
     return m_service[static_cast<std::size_t>(priority)];
 }
 
-template<concurrency_policy Limit>
-duration target_gate<Limit>::come_back_after(work_class priority) const
+template<concurrency_policy Limit, safeguard_set Safeguards>
+duration
+target_gate<Limit, Safeguards>::come_back_after(work_class priority) const
 {
     constexpr duration shortest = std::chrono::milliseconds(100);
     return std::max(shortest,
--- a/packages/decision/target_view.hpp
+++ b/packages/decision/target_view.hpp
@@ -14,7 +14,7 @@
 {
     std::string id;
     std::string zone;
-    bool is_linked = false;  ///< A stream with a live grant is up.
+    bool is_linked = false; ///< A stream with a live grant is up.
     bool is_leaving = false;
     target_load report;
     std::uint32_t in_flight = 0;           ///< Own attempts under way.
@@ -42,10 +42,9 @@
 inline double target_view::expected_ns() const
 {
     constexpr double unknown_service_ns = 1e6;
-    const double service =
-        report.service > duration::zero()
-            ? static_cast<double>(report.service.count())
-            : unknown_service_ns;
+    const double service = report.service > duration::zero()
+                               ? static_cast<double>(report.service.count())
+                               : unknown_service_ns;
     const double limit = report.limit > 0 ? report.limit : 1;
     // Below its limit a target runs the work at once; the share of its slots
     // in use still breaks ties towards the emptier one.
--- a/packages/entry/caller_api.cpp
+++ b/packages/entry/caller_api.cpp
@@ -117,14 +117,14 @@
     const outcome ended = serve(from, parsed);
     const std::string pipeline =
         ended.kind == outcome_kind::malformed ? "" : parsed.pipeline;
-    ++m_metrics.count(
-        {"mangofold_requests_total",
-         runtime::label("pipeline", pipeline) + "," +
-             runtime::label("outcome", to_string(ended.kind)) + "," +
-             runtime::label("reason", to_string(ended.why))});
-    m_metrics.observe({"mangofold_request_seconds",
-                       runtime::label("pipeline", pipeline)},
-                      m_clock.now() - begun);
+    ++m_metrics.count({"mangofold_requests_total",
+                       runtime::label("pipeline", pipeline) + "," +
+                           runtime::label("outcome", to_string(ended.kind)) +
+                           "," +
+                           runtime::label("reason", to_string(ended.why))});
+    m_metrics.observe(
+        {"mangofold_request_seconds", runtime::label("pipeline", pipeline)},
+        m_clock.now() - begun);
     return to_reply(parsed, ended);
 }
 
@@ -196,8 +196,8 @@
                         malformed(reason::unknown_pipeline,
                                   "no pipeline '" + parsed.pipeline + "'"));
     if (parsed.id.empty())
-        return to_reply(parsed, malformed(reason::bad_request,
-                                          "'request_id' is missing"));
+        return to_reply(
+            parsed, malformed(reason::bad_request, "'request_id' is missing"));
     const auto ticket = m_runner.mint(parsed, *pipeline, in_force);
     if (!ticket)
         return to_reply(parsed, refusal(reason::no_target, come_back_soon));
@@ -256,8 +256,7 @@
 {
     const auto since =
         static_cast<std::uint64_t>(m_clock.now().time_since_epoch().count());
-    return "auto-" + std::to_string(since) + "-" +
-           std::to_string(m_next_id++);
+    return "auto-" + std::to_string(since) + "-" + std::to_string(m_next_id++);
 }
 
 } // namespace mangofold::entry
--- a/packages/entry/entry.cpp
+++ b/packages/entry/entry.cpp
@@ -25,13 +25,15 @@
 
 entry::entry(entry_settings values, const runtime::clock& time)
     : m_settings(std::move(values)), m_clock(time), m_store(m_metrics),
-      m_router(m_settings.zone, time, random_seed()),
-      m_context{m_settings.id, m_settings.zone, time,
-                m_metrics,     m_store,         m_router},
+      m_router(m_settings.zone, time, random_seed()), m_context{m_settings.id,
+                                                                m_settings.zone,
+                                                                time,
+                                                                m_metrics,
+                                                                m_store,
+                                                                m_router},
       m_links(m_context, m_settings.links_per_pool),
       m_runner(m_links, m_router, time, m_metrics),
-      m_callers(m_runner, m_store, time, m_metrics,
-                m_settings.max_in_progress),
+      m_callers(m_runner, m_store, time, m_metrics, m_settings.max_in_progress),
       m_platform(m_settings.platform, m_store, m_metrics,
                  configuration::platform_reader::mode::watch, {},
                  random_seed()),
@@ -45,9 +47,7 @@
 void entry::start()
 {
     m_tree.start();
-    runtime::event("started")
-        .with("listen", m_settings.listen.text())
-        .info();
+    runtime::event("started").with("listen", m_settings.listen.text()).info();
 }
 
 void entry::stop()
@@ -75,9 +75,8 @@
                          { m_links.configure(value); });
     m_store.add_listener([this](const configuration::snapshot_ptr&)
                          { m_links.announce_generation(); });
-    m_platform.set_leaving_listener(
-        [this](const std::set<std::string>& targets)
-        { m_links.note_leaving(targets); });
+    m_platform.set_leaving_listener([this](const std::set<std::string>& targets)
+                                    { m_links.note_leaving(targets); });
     for (const runtime::address& seed : m_settings.seeds)
         m_links.add_seed(seed.text());
 
@@ -92,7 +91,8 @@
     m_tree.add(std::make_unique<runtime::looping_child>(
         "manifest_reader", [this] { return m_platform.read_manifest(); }));
     m_tree.add(std::make_unique<runtime::looping_child>(
-        "instances_reader", [this] { return m_platform.read_instances(); }));
+        "instances_reader",
+        [this] { return m_platform.read_instances(m_links.entry_count()); }));
     m_tree.add(caller_server());
     m_tree.add(admin_server());
 }
@@ -112,19 +112,17 @@
     auto server = std::make_unique<runtime::http_server>(
         "admin_server", m_settings.admin,
         runtime::http_server::bounds{1, 4, 4096});
-    server->set_handler("/metrics",
-                        [this](const runtime::http_request&)
-                        {
-                            return runtime::http_reply{200, "text/plain",
-                                                       m_metrics.text(), 0};
-                        });
+    server->set_handler(
+        "/metrics",
+        [this](const runtime::http_request&) {
+            return runtime::http_reply{200, "text/plain", m_metrics.text(), 0};
+        });
     server->set_handler("/healthz", [](const runtime::http_request&)
                         { return runtime::http_reply{}; });
     server->set_handler("/readyz",
-                        [this](const runtime::http_request&)
-                        {
-                            return runtime::http_reply{
-                                is_ready() ? 200U : 503U, "text/plain", "", 0};
+                        [this](const runtime::http_request&) {
+                            return runtime::http_reply{is_ready() ? 200U : 503U,
+                                                       "text/plain", "", 0};
                         });
     server->set_handler("/status", [this](const runtime::http_request&)
                         { return status(); });
--- a/packages/entry/link_table.cpp
+++ b/packages/entry/link_table.cpp
@@ -7,8 +7,7 @@
 namespace mangofold::entry
 {
 
-link_table::link_table(const link_context& context,
-                       std::size_t links_per_pool)
+link_table::link_table(const link_context& context, std::size_t links_per_pool)
     : m_context(context), m_links_per_pool(links_per_pool)
 {
 }
@@ -76,8 +75,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const std::string name = "seed " + address;
-    m_links[name] =
-        std::make_shared<sidecar_link>(m_context, name, address);
+    m_links[name] = std::make_shared<sidecar_link>(m_context, name, address);
 }
 
 void link_table::maintain()
@@ -100,15 +98,7 @@
 
 void link_table::note_leaving(const std::set<std::string>& targets)
 {
-    std::set<std::string> news;
-    {
-        const std::lock_guard lock(m_mutex);
-        std::set_difference(targets.begin(), targets.end(),
-                            m_told_leaving.begin(), m_told_leaving.end(),
-                            std::inserter(news, news.end()));
-        m_told_leaving = targets;
-    }
-    for (const std::string& target : news)
+    for (const std::string& target : targets)
     {
         m_context.routes.target_left(target);
         if (const link_ptr link = link_to(target))
--- a/packages/entry/link_table.hpp
+++ b/packages/entry/link_table.hpp
@@ -34,7 +34,8 @@
     /// Tells every sidecar the generation in force.
     void announce_generation();
 
-    /// Notes which targets the platform calls leaving, and tells them.
+    /// Notes which targets the platform calls leaving, and tells them. To be
+    /// repeated for as long as it does.
     void note_leaving(const std::set<std::string>& targets);
 
     /// Returns the most entries that any sidecar sees.
@@ -59,7 +60,6 @@
     mutable std::mutex m_mutex;
     std::map<std::string, link_ptr> m_links;
     std::map<std::string, std::string> m_addresses;
-    std::set<std::string> m_told_leaving;
 };
 
 } // namespace mangofold::entry
--- a/packages/entry/main.cpp
+++ b/packages/entry/main.cpp
@@ -11,9 +11,8 @@
 {
     if (argc == 3 && std::string(argv[1]) == "check")
         return entry::check_manifest(argv[2]);
-    runtime::settings flags(
-        "mangofold-entry: takes callers' requests in\n"
-        "mangofold-entry check FILE: checks a manifest");
+    runtime::settings flags("mangofold-entry: takes callers' requests in\n"
+                            "mangofold-entry check FILE: checks a manifest");
     entry::add_flags(flags);
     entry::entry_settings values;
     try
--- a/packages/entry/outcome.hpp
+++ b/packages/entry/outcome.hpp
@@ -37,9 +37,9 @@
 {
     outcome_kind kind = outcome_kind::unknown;
     decision::reason why = decision::reason::none;
-    std::string stage;      ///< The stage at which it ended.
-    std::string answer;     ///< JSON.
-    std::string text;       ///< For people, where the reason needs words.
+    std::string stage;  ///< The stage at which it ended.
+    std::string answer; ///< JSON.
+    std::string text;   ///< For people, where the reason needs words.
     decision::duration retry_after{};
     bool is_replayed = false;
     std::vector<stage_cost> costs;
--- a/packages/entry/pipeline_runner.cpp
+++ b/packages/entry/pipeline_runner.cpp
@@ -25,17 +25,16 @@
     const manifest::pipeline& pipeline;
     instant deadline;
     std::shared_ptr<mailbox> replies = std::make_shared<mailbox>();
-    std::string previous;          ///< Output of the last stage, JSON.
-    bool has_run = false;          ///< Some stage may have run.
-    bool has_run_owned = false;    ///< A non-repeatable stage may have run.
+    std::string previous;       ///< Output of the last stage, JSON.
+    bool has_run = false;       ///< Some stage may have run.
+    bool has_run_owned = false; ///< A non-repeatable stage may have run.
     outcome result;
 };
 
 pipeline_runner::pipeline_runner(dispatcher& sidecars, router& routes,
                                  const runtime::clock& time,
                                  runtime::metrics& counters)
-    : m_sidecars(sidecars), m_router(routes), m_clock(time),
-      m_metrics(counters)
+    : m_sidecars(sidecars), m_router(routes), m_clock(time), m_metrics(counters)
 {
 }
 
@@ -44,10 +43,9 @@
 {
     const manifest::pipeline& pipeline =
         *in_force->document.find_pipeline(value.pipeline);
-    const duration allowed =
-        value.deadline == duration::zero()
-            ? pipeline.deadline
-            : std::min(value.deadline, pipeline.deadline);
+    const duration allowed = value.deadline == duration::zero()
+                                 ? pipeline.deadline
+                                 : std::min(value.deadline, pipeline.deadline);
     progress state(value, in_force->document, pipeline,
                    m_clock.now() + allowed);
     for (const manifest::stage& stage : pipeline.stages)
@@ -97,9 +95,8 @@
     const stage_result result = stage.is_repeatable
                                     ? run_repeatable(state, stage, cost)
                                     : run_owned(state, stage, cost);
-    const std::string labels =
-        runtime::label("pipeline", state.pipeline.id) + "," +
-        runtime::label("stage", stage.id);
+    const std::string labels = runtime::label("pipeline", state.pipeline.id) +
+                               "," + runtime::label("stage", stage.id);
     m_metrics.observe({"mangofold_stage_seconds", labels},
                       m_clock.now() - begun);
     m_metrics.count({"mangofold_stage_service_microseconds_total", labels}) +=
@@ -138,9 +135,9 @@
             withdraw();
             const auto target = m_router.pick(stage.pool, send->avoid);
             if (target)
-                out = m_sidecars.submit(
-                    *target, submission_for(state, stage, *send),
-                    state.replies);
+                out = m_sidecars.submit(*target,
+                                        submission_for(state, stage, *send),
+                                        state.replies);
             if (!out)
             {
                 attempts.not_sent(m_clock.now());
@@ -164,10 +161,10 @@
         }
         else if (const auto* came = std::get_if<result_arrived>(&*arrived))
         {
-            const bool is_own = came->request_id == state.asked.id &&
-                                came->stage == stage.id;
-            if (!is_own || !attempts.ended(came->attempt, came->result,
-                                           m_clock.now()))
+            const bool is_own =
+                came->request_id == state.asked.id && came->stage == stage.id;
+            if (!is_own ||
+                !attempts.ended(came->attempt, came->result, m_clock.now()))
             {
                 ++m_metrics.count({"mangofold_late_results_total", ""});
                 continue;
@@ -185,10 +182,9 @@
                                         stage_cost& cost)
 {
     const auto& tickets = state.asked.tickets;
-    const auto ticket =
-        std::find_if(tickets.begin(), tickets.end(),
-                     [&](const stage_ticket& one)
-                     { return one.stage == stage.id; });
+    const auto ticket = std::find_if(tickets.begin(), tickets.end(),
+                                     [&](const stage_ticket& one)
+                                     { return one.stage == stage.id; });
     std::optional<std::string> ticket_target;
     if (ticket != tickets.end())
         ticket_target = ticket->value.target;
@@ -205,8 +201,8 @@
             submission work = submission_for(state, stage, *send);
             if (send->uses_ticket)
                 work.dated_by = ticket->value;
-            const auto out = m_sidecars.submit(send->target, std::move(work),
-                                               state.replies);
+            const auto out =
+                m_sidecars.submit(send->target, std::move(work), state.replies);
             if (!out)
             {
                 attempts.not_sent(m_clock.now());
@@ -227,10 +223,10 @@
         }
         else if (const auto* came = std::get_if<result_arrived>(&*arrived))
         {
-            const bool is_own = came->request_id == state.asked.id &&
-                                came->stage == stage.id;
-            if (!is_own || !attempts.ended(came->attempt, came->result,
-                                           m_clock.now()))
+            const bool is_own =
+                came->request_id == state.asked.id && came->stage == stage.id;
+            if (!is_own ||
+                !attempts.ended(came->attempt, came->result, m_clock.now()))
             {
                 ++m_metrics.count({"mangofold_late_results_total", ""});
                 continue;
@@ -280,8 +276,7 @@
 }
 
 std::optional<std::string>
-pipeline_runner::mint(const request& value,
-                      const manifest::pipeline& pipeline,
+pipeline_runner::mint(const request& value, const manifest::pipeline& pipeline,
                       const configuration::snapshot_ptr& in_force)
 {
     constexpr duration longest_wait = std::chrono::seconds(1);
@@ -301,8 +296,7 @@
                 continue;
             const auto arrived =
                 state.replies->take(state.deadline - m_clock.now());
-            if (arrived &&
-                std::holds_alternative<ticket_arrived>(*arrived))
+            if (arrived && std::holds_alternative<ticket_arrived>(*arrived))
                 minted = std::get<ticket_arrived>(*arrived).value;
         }
         if (!minted)
--- a/packages/entry/pipeline_runner.hpp
+++ b/packages/entry/pipeline_runner.hpp
@@ -43,9 +43,8 @@
     decision::stage_result run_repeatable(progress& state,
                                           const manifest::stage& stage,
                                           stage_cost& cost);
-    decision::stage_result run_owned(progress& state,
-                                     const manifest::stage& stage,
-                                     stage_cost& cost);
+    decision::stage_result
+    run_owned(progress& state, const manifest::stage& stage, stage_cost& cost);
     decision::submission submission_for(const progress& state,
                                         const manifest::stage& stage,
                                         const decision::send_attempt& step);
--- a/packages/entry/request.cpp
+++ b/packages/entry/request.cpp
@@ -25,9 +25,9 @@
     if (!found->is_string())
         throw request_error(std::string("'") + name + "' must be a text");
     const auto& text = found->get_ref<const std::string&>();
-    const bool has_control =
-        std::any_of(text.begin(), text.end(), [](unsigned char one)
-                    { return one < 0x20 || one == 0x7f; });
+    const bool has_control = std::any_of(text.begin(), text.end(),
+                                         [](unsigned char one)
+                                         { return one < 0x20 || one == 0x7f; });
     if (text.empty() || text.size() > longest_name || has_control)
         throw request_error(std::string("'") + name +
                             "' must have 1 to 200 bytes, none of them "
@@ -58,8 +58,8 @@
     {
         std::istringstream parts(one);
         stage_ticket value;
-        parts >> value.stage >> value.value.target >>
-            value.value.incarnation >> value.value.serial;
+        parts >> value.stage >> value.value.target >> value.value.incarnation >>
+            value.value.serial;
         if (parts.fail())
             throw request_error("'ticket' was not made by this system");
         tickets.push_back(std::move(value));
--- a/packages/entry/router.cpp
+++ b/packages/entry/router.cpp
@@ -14,8 +14,7 @@
 
 } // namespace
 
-router::router(std::string zone, const runtime::clock& time,
-               std::uint64_t seed)
+router::router(std::string zone, const runtime::clock& time, std::uint64_t seed)
     : m_zone(std::move(zone)), m_clock(time), m_seed(seed)
 {
 }
@@ -52,8 +51,8 @@
 
 void router::link_opened(const std::string& target)
 {
-    change(target, [&](pool_router& pool)
-           { pool.link_opened(target, m_clock.now()); });
+    change(target,
+           [&](pool_router& pool) { pool.link_opened(target, m_clock.now()); });
 }
 
 void router::link_closed(const std::string& target)
@@ -96,9 +95,7 @@
                            const auto& targets = pool.second.targets();
                            return std::any_of(targets.begin(), targets.end(),
                                               [](const auto& one)
-                                              {
-                                                  return one.second.is_linked;
-                                              });
+                                              { return one.second.is_linked; });
                        });
 }
 
--- a/packages/entry/sidecar_link.cpp
+++ b/packages/entry/sidecar_link.cpp
@@ -120,8 +120,7 @@
         return std::nullopt;
     // A retry pinned to one process must not reach another one.
     if (work.pinned_incarnation == 0)
-        work.pinned_incarnation =
-            work.is_repeatable ? 0 : m_grant.incarnation;
+        work.pinned_incarnation = work.is_repeatable ? 0 : m_grant.incarnation;
     work.grant = m_grant;
     wire::EntryMessage message;
     message.set_generation(m_context.store.generation());
@@ -164,7 +163,10 @@
     return false;
 }
 
-void sidecar_link::announce_generation() { send({}); }
+void sidecar_link::announce_generation()
+{
+    send({});
+}
 
 void sidecar_link::announce_leaving()
 {
--- a/packages/entry/sidecar_stream.cpp
+++ b/packages/entry/sidecar_stream.cpp
@@ -19,8 +19,7 @@
     // A pool of channels shared over the process would tie a new stream to
     // the connection that the last one found dead.
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
-                     reconnect_least_ms);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnect_least_ms);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnect_most_ms);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, reconnect_most_ms);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
--- a/packages/entry/sidecar_stream.hpp
+++ b/packages/entry/sidecar_stream.hpp
@@ -23,8 +23,7 @@
     using closer = std::function<void()>;
 
     sidecar_stream(receiver on_message, closer on_closed)
-        : m_on_message(std::move(on_message)),
-          m_on_closed(std::move(on_closed))
+        : m_on_message(std::move(on_message)), m_on_closed(std::move(on_closed))
     {
     }
 
--- a/packages/manifest/check.cpp
+++ b/packages/manifest/check.cpp
@@ -11,6 +11,9 @@
 
 constexpr decision::duration longest_deadline = std::chrono::minutes(10);
 
+constexpr decision::duration shortest_horizon = std::chrono::milliseconds(100);
+constexpr decision::duration longest_horizon = std::chrono::minutes(10);
+
 class checker
 {
 public:
@@ -24,6 +27,9 @@
         check_ids("/accounts", m_value.accounts);
         if (m_value.generation == 0)
             add("/generation", "must be at least 1");
+        if (m_value.resend_horizon < shortest_horizon ||
+            m_value.resend_horizon > longest_horizon)
+            add("/resend_horizon_ms", "must be between 100 and 600000");
         check_pools();
         check_pipelines();
         return std::move(m_faults);
@@ -41,8 +47,7 @@
         std::set<std::string> seen;
         for (std::size_t index = 0; index < items.size(); ++index)
         {
-            const std::string at =
-                path + "/" + std::to_string(index) + "/id";
+            const std::string at = path + "/" + std::to_string(index) + "/id";
             if (items[index].id.empty())
                 add(at, "must not be empty");
             if (!seen.insert(items[index].id).second)
@@ -98,23 +103,10 @@
             if (one.deadline <= decision::duration::zero() ||
                 one.deadline > longest_deadline)
                 add(path + "/deadline_ms", "must be between 1 and 600000");
-            check_horizon(one, path);
             check_stages(one, path);
         }
     }
 
-    // A resend that comes after the horizon counts as a new request, so no
-    // earlier sending may still be under way by then.
-    void check_horizon(const pipeline& one, const std::string& path)
-    {
-        if (one.is_repeatable())
-            return;
-        if (m_value.resend_horizon < one.deadline + grant_lifetime)
-            add(path + "/deadline_ms",
-                "a pipeline with a stage that is not repeatable needs "
-                "resend_horizon_ms of at least its deadline_ms + 2000");
-    }
-
     void check_stages(const pipeline& one, const std::string& path)
     {
         check_ids(path + "/stages", one.stages);
@@ -132,10 +124,9 @@
     void check_model(const std::string& name, const std::string& path)
     {
         const std::string id = name.substr(0, name.find(':'));
-        const auto known = std::find_if(m_value.models.begin(),
-                                        m_value.models.end(),
-                                        [&](const model& one)
-                                        { return one.id == id; });
+        const auto known =
+            std::find_if(m_value.models.begin(), m_value.models.end(),
+                         [&](const model& one) { return one.id == id; });
         if (known == m_value.models.end())
             return add(path, "no model '" + id + "'");
         if (name.size() == id.size())
--- a/packages/manifest/manifest.cpp
+++ b/packages/manifest/manifest.cpp
@@ -25,6 +25,19 @@
                        [](const stage& one) { return one.is_repeatable; });
 }
 
+// A caller sends again within the resend horizon. That sending lives for its
+// deadline, and a submission can lie in a buffer for as long as its grant.
+decision::duration document::start_horizon() const
+{
+    decision::duration longest{};
+    for (const pipeline& one : pipelines)
+    {
+        if (!one.is_repeatable())
+            longest = std::max(longest, one.deadline);
+    }
+    return resend_horizon + longest + grant_lifetime;
+}
+
 const pool* document::find_pool(const std::string& id) const
 {
     return find_by_id(pools, id);
--- a/packages/manifest/manifest.hpp
+++ b/packages/manifest/manifest.hpp
@@ -79,6 +79,12 @@
     friend bool operator==(const model&, const model&) = default;
 };
 
+/// How long a sidecar's grant lets work start.
+constexpr decision::duration grant_lifetime = std::chrono::seconds(2);
+
+/// In which a new generation is in force in every process.
+constexpr decision::duration adoption_bound = std::chrono::seconds(16);
+
 /// One generation of everything that operators declare.
 struct document
 {
@@ -90,6 +96,10 @@
     std::vector<pipeline> pipelines;
     std::vector<account> accounts;
 
+    /// Returns the longest time between the first sending of a request that
+    /// may not be repeated and the latest start of any sending of it.
+    decision::duration start_horizon() const;
+
     const pool* find_pool(const std::string& id) const;
     const pipeline* find_pipeline(const std::string& id) const;
     const account* find_account(const std::string& id) const;
--- a/packages/manifest/parse.cpp
+++ b/packages/manifest/parse.cpp
@@ -79,8 +79,8 @@
     value.id = from.text("id");
     value.priority = read_class(from);
     value.deadline = milliseconds(from.number("deadline_ms"));
-    from.objects("stages", [&](reader& one)
-                 { value.stages.push_back(read_stage(one)); });
+    from.objects("stages",
+                 [&](reader& one) { value.stages.push_back(read_stage(one)); });
     return value;
 }
 
@@ -103,10 +103,10 @@
     value.generation = from.number("generation");
     value.resend_horizon = milliseconds(from.number("resend_horizon_ms"));
     value.zones = from.texts("zones");
-    from.objects("models", [&](reader& one)
-                 { value.models.push_back(read_model(one)); });
-    from.objects("pools", [&](reader& one)
-                 { value.pools.push_back(read_pool(one)); });
+    from.objects("models",
+                 [&](reader& one) { value.models.push_back(read_model(one)); });
+    from.objects("pools",
+                 [&](reader& one) { value.pools.push_back(read_pool(one)); });
     from.objects("pipelines", [&](reader& one)
                  { value.pipelines.push_back(read_pipeline(one)); });
     from.objects("accounts", [&](reader& one)
@@ -128,11 +128,10 @@
     if (json.is_discarded())
         throw manifest_error(std::vector<fault>{{"", "is not JSON"}});
     document value;
-    {
-        reader top(json, "", faults);
-        if (json.is_object())
-            value = read_document(top);
-    }
+    reader top(json, "", faults);
+    if (json.is_object())
+        value = read_document(top);
+    top.finish();
     if (faults.empty())
         faults = check(value);
     if (!faults.empty())
--- a/packages/manifest/reader.cpp
+++ b/packages/manifest/reader.cpp
@@ -41,7 +41,7 @@
 }
 
 // A misspelt member would silently leave a default in force.
-reader::~reader()
+void reader::finish()
 {
     if (!m_object.is_object())
         return;
@@ -91,8 +91,7 @@
     return optional_number(name, 0);
 }
 
-std::uint64_t reader::optional_number(const char* name,
-                                      std::uint64_t otherwise)
+std::uint64_t reader::optional_number(const char* name, std::uint64_t otherwise)
 {
     const nlohmann::json* value = member(name, false);
     if (value == nullptr)
@@ -161,8 +160,7 @@
     return value;
 }
 
-void reader::objects(const char* name,
-                     const std::function<void(reader&)>& read)
+void reader::objects(const char* name, const std::function<void(reader&)>& read)
 {
     const nlohmann::json* value = member(name, true);
     if (value == nullptr)
@@ -176,6 +174,7 @@
                     m_faults);
         if (one.is_object())
             read(item);
+        item.finish();
         ++index;
     }
 }
--- a/packages/manifest/reader.hpp
+++ b/packages/manifest/reader.hpp
@@ -19,9 +19,6 @@
     reader(const nlohmann::json& object, std::string path,
            std::vector<fault>& faults);
 
-    /// Notes members that nothing has read.
-    ~reader();
-
     reader(const reader&) = delete;
     reader& operator=(const reader&) = delete;
 
@@ -40,6 +37,9 @@
     /// Calls \a read with a reader for each object of the list \a name.
     void objects(const char* name, const std::function<void(reader&)>& read);
 
+    /// Notes the members that nothing has read.
+    void finish();
+
     void add_fault(const std::string& name, const std::string& text);
 
 private:
--- a/packages/runtime/http_client.cpp
+++ b/packages/runtime/http_client.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <string_view>
 
 namespace mangofold::runtime
 {
@@ -18,12 +19,19 @@
 
 cxxtools::Milliseconds milliseconds(decision::duration value)
 {
-    const auto rounded =
-        std::chrono::ceil<std::chrono::milliseconds>(value);
+    const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(value);
     return cxxtools::Milliseconds(
         static_cast<double>(std::max(rounded, shortest_timeout).count()));
 }
 
+// The library has one exception for all faults; only its text tells that the
+// connection was never made. A text that is not known counts as sent, which
+// costs a retry and never runs anything twice.
+bool is_connect_fault(std::string_view text)
+{
+    return text.find("while trying to connect") != std::string_view::npos;
+}
+
 } // namespace
 
 class http_client::connection
@@ -61,7 +69,8 @@
                                  const std::string& body,
                                  decision::duration timeout)
 {
-    if (!m_connection)
+    const bool is_fresh = !m_connection;
+    if (is_fresh)
         m_connection = std::make_unique<connection>(m_server);
     try
     {
@@ -82,7 +91,10 @@
     catch (const std::exception& fault)
     {
         m_connection.reset();
-        throw http_error(http_error::kind::no_answer, fault.what());
+        const bool is_unsent = is_fresh && is_connect_fault(fault.what());
+        throw http_error(is_unsent ? http_error::kind::not_connected
+                                   : http_error::kind::no_answer,
+                         fault.what());
     }
 }
 
--- a/packages/runtime/http_server.cpp
+++ b/packages/runtime/http_server.cpp
@@ -43,8 +43,8 @@
         {
             char block[4096];
             const auto got = buffer->sgetn(
-                block, std::min<std::streamsize>(sizeof block,
-                                                 buffer->in_avail()));
+                block,
+                std::min<std::streamsize>(sizeof block, buffer->in_avail()));
             if (got <= 0)
                 break;
             count += static_cast<std::size_t>(got);
@@ -175,9 +175,15 @@
     m_handlers[prefix] = std::move(value);
 }
 
-void http_server::start() { m_running = std::make_unique<running>(*this); }
+void http_server::start()
+{
+    m_running = std::make_unique<running>(*this);
+}
 
-void http_server::stop() noexcept { m_running.reset(); }
+void http_server::stop() noexcept
+{
+    m_running.reset();
+}
 
 bool http_server::has_failed() const
 {
--- a/packages/runtime/latency_histogram.hpp
+++ b/packages/runtime/latency_histogram.hpp
@@ -24,10 +24,11 @@
     std::string text(const std::string& name, const std::string& labels) const;
 
 private:
-    using axis = boost::histogram::axis::regular<
-        double, boost::histogram::axis::transform::log>;
-    using histogram = decltype(boost::histogram::make_histogram(
-        std::declval<axis>()));
+    using axis =
+        boost::histogram::axis::regular<double,
+                                        boost::histogram::axis::transform::log>;
+    using histogram =
+        decltype(boost::histogram::make_histogram(std::declval<axis>()));
 
     histogram m_histogram;
     std::uint64_t m_count = 0;
--- a/packages/runtime/looping_child.cpp
+++ b/packages/runtime/looping_child.cpp
@@ -13,7 +13,10 @@
 {
 }
 
-looping_child::~looping_child() { looping_child::stop(); }
+looping_child::~looping_child()
+{
+    looping_child::stop();
+}
 
 void looping_child::start()
 {
--- a/packages/runtime/program.cpp
+++ b/packages/runtime/program.cpp
@@ -12,7 +12,10 @@
 
 volatile std::sig_atomic_t stop_wanted = 0;
 
-void note_stop(int) { stop_wanted = 1; }
+void note_stop(int)
+{
+    stop_wanted = 1;
+}
 
 } // namespace
 
@@ -38,6 +41,9 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-bool is_stop_wanted() { return stop_wanted != 0; }
+bool is_stop_wanted()
+{
+    return stop_wanted != 0;
+}
 
 } // namespace mangofold::runtime
--- a/packages/runtime/settings.hpp
+++ b/packages/runtime/settings.hpp
@@ -35,10 +35,7 @@
     /// Reads flags and environment. Throws settings_error.
     void read(int argc, const char* const* argv);
 
-    bool has(const std::string& name) const
-    {
-        return m_values.count(name) > 0;
-    }
+    bool has(const std::string& name) const { return m_values.count(name) > 0; }
 
     template<typename Value>
     const Value& value(const std::string& name) const
--- a/packages/runtime/supervisor.cpp
+++ b/packages/runtime/supervisor.cpp
@@ -24,8 +24,8 @@
 void supervisor::add(std::unique_ptr<child> one)
 {
     auto* nested = dynamic_cast<supervisor*>(one.get());
-    m_slots.push_back({std::move(one), nested,
-                       decision::backoff(first_wait, longest_wait)});
+    m_slots.push_back(
+        {std::move(one), nested, decision::backoff(first_wait, longest_wait)});
 }
 
 void supervisor::start()
--- a/packages/sidecar/entry_stream.cpp
+++ b/packages/sidecar/entry_stream.cpp
@@ -37,7 +37,9 @@
                               configuration::source::peer);
         return;
     case wire::EntryMessage::kLeaving:
-        return m_owner.m_keeper.set_leaving();
+        if (m_owner.m_keeper.note_leaving())
+            m_owner.renew_grants();
+        return;
     case wire::EntryMessage::KIND_NOT_SET:
         return;
     }
--- a/packages/sidecar/gate_keeper.cpp
+++ b/packages/sidecar/gate_keeper.cpp
@@ -25,8 +25,7 @@
 } // namespace
 
 gate_keeper::gate_keeper(gate::identity self, gate::bounds limits,
-                         const runtime::clock& time,
-                         runtime::metrics& counters)
+                         const runtime::clock& time, runtime::metrics& counters)
     : m_target(self.target), m_clock(time), m_metrics(counters),
       m_gate(std::move(self), limits)
 {
@@ -53,13 +52,14 @@
             part.pool_targets.push_back(one.id);
         part.slots = pool.slots;
         part.shares = pool.shares;
-        part.horizon = document.resend_horizon;
+        part.horizon = document.start_horizon();
+        part.adoption = manifest::adoption_bound;
         const std::lock_guard lock(m_mutex);
         carry_out(m_gate.set_configuration(part, m_clock.now()));
         return;
     }
     // A target that the manifest no longer names is leaving.
-    set_leaving();
+    set_stopping();
 }
 
 grant_notice gate_keeper::renew_grant(link_id link)
@@ -67,7 +67,7 @@
     const std::lock_guard lock(m_mutex);
     const auto grant = m_gate.issue_grant(link, m_clock.now());
     return {grant.value_or(grant_ref{m_gate.incarnation(), 0}),
-            m_gate.is_leaving(), m_gate.load()};
+            m_gate.is_leaving(m_clock.now()), m_gate.load()};
 }
 
 std::optional<ticket> gate_keeper::mint_ticket()
@@ -106,19 +106,29 @@
     carry_out(m_gate.advance(m_clock.now()));
 }
 
-void gate_keeper::set_leaving()
+void gate_keeper::set_stopping()
 {
     const std::lock_guard lock(m_mutex);
-    if (m_gate.is_leaving())
-        return;
-    runtime::event("target_leaving").with("target", m_target).info();
-    carry_out(m_gate.set_leaving(m_clock.now()));
+    carry_out(m_gate.set_stopping(m_clock.now()));
+}
+
+bool gate_keeper::note_leaving()
+{
+    // Longer than the time between two marks of any entry.
+    constexpr duration leaving_lease = std::chrono::seconds(5);
+    const std::lock_guard lock(m_mutex);
+    const instant now = m_clock.now();
+    const bool is_news = !m_gate.is_leaving(now);
+    carry_out(m_gate.set_leaving(now, now + leaving_lease));
+    if (is_news)
+        runtime::event("target_leaving").with("target", m_target).info();
+    return is_news;
 }
 
 bool gate_keeper::is_leaving() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_gate.is_leaving();
+    return m_gate.is_leaving(m_clock.now());
 }
 
 bool gate_keeper::is_idle() const
--- a/packages/sidecar/gate_keeper.hpp
+++ b/packages/sidecar/gate_keeper.hpp
@@ -45,7 +45,13 @@
     void close_link(decision::link_id link);
     void finish(decision::run_id run, const decision::stage_result& result);
     void advance();
-    void set_leaving();
+
+    /// Stops new work for good.
+    void set_stopping();
+
+    /// Stops new work for as long as the mark is repeated. Returns whether
+    /// that is news.
+    bool note_leaving();
 
     bool is_leaving() const;
     bool is_idle() const;
--- a/packages/sidecar/link_server.cpp
+++ b/packages/sidecar/link_server.cpp
@@ -51,15 +51,18 @@
 {
 }
 
-link_server::~link_server() { link_server::stop(); }
+link_server::~link_server()
+{
+    link_server::stop();
+}
 
 void link_server::start()
 {
     m_service = std::make_unique<service>(*this);
     grpc::ServerBuilder builder;
     int port = 0;
-    builder.AddListeningPort(m_listen.text(),
-                             grpc::InsecureServerCredentials(), &port);
+    builder.AddListeningPort(m_listen.text(), grpc::InsecureServerCredentials(),
+                             &port);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.RegisterService(m_service.get());
     std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
--- a/packages/sidecar/main.cpp
+++ b/packages/sidecar/main.cpp
@@ -23,8 +23,7 @@
     }
     catch (const runtime::settings_error& fault)
     {
-        std::cerr << "mangofold-sidecar: " << fault.what()
-                  << "\nTry --help.\n";
+        std::cerr << "mangofold-sidecar: " << fault.what() << "\nTry --help.\n";
         return runtime::exit_bad_settings;
     }
     const runtime::system_clock time;
--- a/packages/sidecar/sidecar.cpp
+++ b/packages/sidecar/sidecar.cpp
@@ -1,6 +1,6 @@
 #include "sidecar/sidecar.hpp"
 
-#include "manifest/check.hpp"
+#include "manifest/manifest.hpp"
 #include "runtime/event.hpp"
 #include "runtime/looping_child.hpp"
 
@@ -33,11 +33,11 @@
                {manifest::grant_lifetime, m_settings.ledger_keys,
                 m_settings.ledger_bytes},
                time, m_metrics),
-      m_platform(m_settings.platform, m_store, m_metrics,
-                 configuration::platform_reader::mode::poll,
-                 {.poll = std::chrono::milliseconds(
-                      m_settings.poll_interval_ms)},
-                 new_incarnation()),
+      m_platform(
+          m_settings.platform, m_store, m_metrics,
+          configuration::platform_reader::mode::poll,
+          {.poll = std::chrono::milliseconds(m_settings.poll_interval_ms)},
+          new_incarnation()),
       m_tree("sidecar", time)
 {
     add_parts();
@@ -56,7 +56,7 @@
 
 void sidecar::stop()
 {
-    m_keeper.set_leaving();
+    m_keeper.set_stopping();
     m_links->renew_grants();
     const decision::instant latest =
         m_clock.now() + std::chrono::milliseconds(m_settings.drain_ms);
@@ -73,12 +73,11 @@
 
 void sidecar::add_parts()
 {
-    auto caller = std::make_unique<target_caller>(
-        m_settings.target, m_settings.target_threads, m_keeper, m_clock,
-        m_metrics);
-    auto links = std::make_unique<link_server>(m_settings.listen,
-                                               m_settings.target_id, m_keeper,
-                                               m_store, m_metrics);
+    auto caller = std::make_unique<target_caller>(m_settings.target,
+                                                  m_settings.target_threads,
+                                                  m_keeper, m_clock, m_metrics);
+    auto links = std::make_unique<link_server>(
+        m_settings.listen, m_settings.target_id, m_keeper, m_store, m_metrics);
     m_caller = caller.get();
     m_links = links.get();
     m_keeper.set_ports(*links, *caller);
@@ -86,10 +85,6 @@
                          { m_keeper.configure(value); });
     m_store.add_listener([this](const configuration::snapshot_ptr&)
                          { m_links->announce_generation(); });
-    m_platform.set_leaving_listener(
-        [this](const std::set<std::string>& targets)
-        { take_leaving(targets); });
-
     m_tree.add(std::move(caller));
     m_tree.add(std::move(links));
     m_tree.add(std::make_unique<runtime::looping_child>(
@@ -105,25 +100,16 @@
     m_tree.add(admin_server());
 }
 
-void sidecar::take_leaving(const std::set<std::string>& targets)
-{
-    if (!targets.contains(m_settings.target_id) || m_keeper.is_leaving())
-        return;
-    m_keeper.set_leaving();
-    m_links->renew_grants();
-}
-
 std::unique_ptr<runtime::http_server> sidecar::admin_server()
 {
     auto server = std::make_unique<runtime::http_server>(
         "admin_server", m_settings.admin,
         runtime::http_server::bounds{1, 4, 4096});
-    server->set_handler("/metrics",
-                        [this](const runtime::http_request&)
-                        {
-                            return runtime::http_reply{200, "text/plain",
-                                                       m_metrics.text(), 0};
-                        });
+    server->set_handler(
+        "/metrics",
+        [this](const runtime::http_request&) {
+            return runtime::http_reply{200, "text/plain", m_metrics.text(), 0};
+        });
     server->set_handler("/healthz", [](const runtime::http_request&)
                         { return runtime::http_reply{}; });
     server->set_handler("/readyz",
@@ -131,8 +117,8 @@
                         {
                             const bool is_ready = m_keeper.generation() > 0 &&
                                                   !m_keeper.is_leaving();
-                            return runtime::http_reply{is_ready ? 200U : 503U, "text/plain",
-                                                       "", 0};
+                            return runtime::http_reply{is_ready ? 200U : 503U,
+                                                       "text/plain", "", 0};
                         });
     server->set_handler("/status", [this](const runtime::http_request&)
                         { return status(); });
@@ -142,19 +128,18 @@
 runtime::http_reply sidecar::status() const
 {
     const decision::target_load load = m_keeper.load();
-    const nlohmann::json body{
-        {"role", "sidecar"},
-        {"target", m_settings.target_id},
-        {"zone", m_settings.zone},
-        {"generation", m_keeper.generation()},
-        {"incarnation", m_keeper.incarnation()},
-        {"leaving", m_keeper.is_leaving()},
-        {"running", load.running},
-        {"queued", load.queued},
-        {"limit", load.limit},
-        {"ledger_keys", m_keeper.ledger_size()},
-        {"links", m_links->link_count()},
-        {"restarted_parts", m_tree.restarts()}};
+    const nlohmann::json body{{"role", "sidecar"},
+                              {"target", m_settings.target_id},
+                              {"zone", m_settings.zone},
+                              {"generation", m_keeper.generation()},
+                              {"incarnation", m_keeper.incarnation()},
+                              {"leaving", m_keeper.is_leaving()},
+                              {"running", load.running},
+                              {"queued", load.queued},
+                              {"limit", load.limit},
+                              {"ledger_keys", m_keeper.ledger_size()},
+                              {"links", m_links->link_count()},
+                              {"restarted_parts", m_tree.restarts()}};
     return {200, "application/json", body.dump(), 0};
 }
 
--- a/packages/sidecar/sidecar.hpp
+++ b/packages/sidecar/sidecar.hpp
@@ -34,7 +34,6 @@
     void add_parts();
     std::unique_ptr<runtime::http_server> admin_server();
     runtime::http_reply status() const;
-    void take_leaving(const std::set<std::string>& targets);
 
     sidecar_settings m_settings;
     const runtime::clock& m_clock;
--- a/packages/sidecar/target_caller.cpp
+++ b/packages/sidecar/target_caller.cpp
@@ -16,7 +16,10 @@
 {
 }
 
-target_caller::~target_caller() { target_caller::stop(); }
+target_caller::~target_caller()
+{
+    target_caller::stop();
+}
 
 void target_caller::start()
 {
--- a/packages/wire/convert.cpp
+++ b/packages/wire/convert.cpp
@@ -27,8 +27,7 @@
 {
     std::string bytes(sizeof value.high + sizeof value.low, '\0');
     std::memcpy(bytes.data(), &value.high, sizeof value.high);
-    std::memcpy(bytes.data() + sizeof value.high, &value.low,
-                sizeof value.low);
+    std::memcpy(bytes.data() + sizeof value.high, &value.low, sizeof value.low);
     return bytes;
 }
 
@@ -38,8 +37,7 @@
     if (bytes.size() != sizeof value.high + sizeof value.low)
         return value;
     std::memcpy(&value.high, bytes.data(), sizeof value.high);
-    std::memcpy(&value.low, bytes.data() + sizeof value.high,
-                sizeof value.low);
+    std::memcpy(&value.low, bytes.data() + sizeof value.high, sizeof value.low);
     return value;
 }
 
@@ -104,10 +102,10 @@
     work.key = {message.account(), message.request_id(), message.stage()};
     work.attempt = message.attempt();
     work.is_repeatable = message.repeatable();
-    work.priority = is_known(message.work_class(), decision::work_class::bulk)
-                        ? static_cast<decision::work_class>(
-                              message.work_class())
-                        : decision::work_class::bulk;
+    work.priority =
+        is_known(message.work_class(), decision::work_class::bulk)
+            ? static_cast<decision::work_class>(message.work_class())
+            : decision::work_class::bulk;
     work.weight = message.weight();
     work.grant = {message.grant_incarnation(), message.grant_serial()};
     work.generation = generation;
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -63,8 +63,8 @@
     runtime::settings flags("standin: plays the platform or a target");
     flags.known().add_options()("kind", po::value<std::string>())(
         "id", po::value<std::string>()->default_value("platform"))(
-        "listen", po::value<std::string>())(
-        "manifest", po::value<std::string>())(
+        "listen", po::value<std::string>())("manifest",
+                                            po::value<std::string>())(
         "list-lag-ms", po::value<unsigned>()->default_value(500))(
         "service-ms", po::value<unsigned>()->default_value(0))(
         "slots", po::value<unsigned>()->default_value(8))(
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -49,8 +49,7 @@
 {
     const std::uint64_t after = query_number(request.query, "after");
     const std::uint64_t wait_ms =
-        std::min<std::uint64_t>(query_number(request.query, "wait_ms"),
-                                60'000);
+        std::min<std::uint64_t>(query_number(request.query, "wait_ms"), 60'000);
     std::unique_lock lock(m_mutex);
     ++m_reads;
     m_changed.wait_for(lock, std::chrono::milliseconds(wait_ms),
--- a/standins/target.cpp
+++ b/standins/target.cpp
@@ -13,9 +13,8 @@
 std::string key_of(const json& message)
 {
     return message.value("account", "") + "/" +
-           message.value("request_id", "") + "/" +
-           message.value("stage", "") + "/" +
-           std::to_string(message.value("attempt", 0));
+           message.value("request_id", "") + "/" + message.value("stage", "") +
+           "/" + std::to_string(message.value("attempt", 0));
 }
 
 // Output that names its request, so that a checker sees a mix-up.
@@ -61,24 +60,23 @@
     const std::string key = key_of(message);
     {
         std::unique_lock lock(m_mutex);
-        m_changed.wait(lock,
-                       [this] { return m_running < m_behaviour.slots; });
+        m_changed.wait(lock, [this] { return m_running < m_behaviour.slots; });
         ++m_running;
         const auto end = std::chrono::steady_clock::now() +
                          std::chrono::milliseconds(m_behaviour.service_ms) *
                              m_behaviour.slow_factor;
         if (!m_behaviour.is_failing)
-            record(json{{"at_ms",
-                         std::chrono::duration_cast<std::chrono::milliseconds>(
-                             std::chrono::system_clock::now()
-                                 .time_since_epoch())
-                             .count()},
-                        {"target", m_id},
-                        {"account", message.value("account", "")},
-                        {"request_id", message.value("request_id", "")},
-                        {"stage", message.value("stage", "")},
-                        {"attempt", message.value("attempt", 0)}}
-                       .dump());
+            record(
+                json{{"at_ms",
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count()},
+                     {"target", m_id},
+                     {"account", message.value("account", "")},
+                     {"request_id", message.value("request_id", "")},
+                     {"stage", message.value("stage", "")},
+                     {"attempt", message.value("attempt", 0)}}
+                    .dump());
         m_changed.wait_until(lock, end,
                              [&] { return m_cancelled.contains(key); });
         m_cancelled.erase(key);
--- /dev/null
+++ b/tests/decision/admission_queue_test.cpp
@@ -0,0 +1,87 @@
+#include "decision/admission_queue.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+queued_work work(std::uint64_t id, work_class priority,
+                 const std::string& account = "desk", std::uint32_t weight = 1)
+{
+    return {id, priority, account, weight, instant{10s}};
+}
+
+} // namespace
+
+TEST_SUITE("admission queue")
+{
+    TEST_CASE("long work leaves slots free for a seat hold")
+    {
+        // A burst of drafts fills the target. The seat hold that comes next
+        // must start at once, not after a draft.
+        admission_queue queue({2, 0, 64});
+        constexpr std::size_t slots = 4;
+        for (std::uint64_t id = 1; id <= 10; ++id)
+            queue.push(work(id, work_class::bulk), instant{}, slots, 1s);
+        std::size_t started = 0;
+        while (const auto next = queue.pop(instant{}, slots))
+        {
+            queue.run_started(next->priority);
+            ++started;
+        }
+        CHECK(started == 2);
+        queue.push(work(99, work_class::urgent), instant{}, slots, 10ms);
+        const auto next = queue.pop(instant{}, slots);
+        REQUIRE(next);
+        CHECK(next->id == 99);
+    }
+
+    TEST_CASE("accounts share a class by their weights")
+    {
+        admission_queue queue({0, 0, 64});
+        for (std::uint64_t id = 1; id <= 20; ++id)
+            queue.push(work(id, work_class::bulk, "batch", 1), instant{}, 1,
+                       1ms);
+        for (std::uint64_t id = 21; id <= 28; ++id)
+            queue.push(work(id, work_class::bulk, "desk", 4), instant{}, 1,
+                       1ms);
+        std::size_t of_desk = 0;
+        for (int taken = 0; taken < 10; ++taken)
+            of_desk += queue.pop(instant{}, 1)->account == "desk" ? 1 : 0;
+        CHECK(of_desk >= 7);
+        CHECK(of_desk <= 8);
+    }
+
+    TEST_CASE("work that cannot end in time is refused at once")
+    {
+        admission_queue queue({0, 0, 64});
+        queue.run_started(work_class::standard);
+        CHECK(queue.push(work(1, work_class::standard), instant{}, 1, 6s) ==
+              reason::too_late);
+        CHECK(queue.push(work(2, work_class::standard), instant{}, 1, 4s) ==
+              reason::none);
+    }
+
+    TEST_CASE("a full queue refuses")
+    {
+        admission_queue queue({0, 0, 1});
+        CHECK(queue.push(work(1, work_class::bulk), instant{}, 1, 0s) ==
+              reason::none);
+        CHECK(queue.push(work(2, work_class::bulk), instant{}, 1, 0s) ==
+              reason::queue_full);
+        CHECK(queue.push(work(3, work_class::urgent), instant{}, 1, 0s) ==
+              reason::none);
+    }
+
+    TEST_CASE("expired work is never started")
+    {
+        admission_queue queue({0, 0, 8});
+        queue.push(work(1, work_class::bulk), instant{}, 1, 0s);
+        CHECK_FALSE(queue.pop(instant{10s}, 1));
+        CHECK(queue.take_expired(instant{10s}).size() == 1);
+        CHECK(queue.size() == 0);
+    }
+}
--- /dev/null
+++ b/tests/entry/pipeline_runner_test.cpp
@@ -0,0 +1,163 @@
+#include "entry/pipeline_runner.hpp"
+#include "manifest/parse.hpp"
+#include "runtime/paused_clock.hpp"
+
+#include <doctest/doctest.h>
+#include <doctest/trompeloeil.hpp>
+
+using namespace mangofold;
+using namespace std::chrono_literals;
+using trompeloeil::_;
+
+namespace
+{
+
+const char* const manifest_text = R"({
+    "generation": 1, "resend_horizon_ms": 6000, "zones": ["z1"], "models": [],
+    "pools": [
+        {"id": "p", "slots": 1, "targets": [
+            {"id": "t1", "zone": "z1", "address": "127.0.0.1:1",
+             "sidecar": "127.0.0.1:2"},
+            {"id": "t2", "zone": "z1", "address": "127.0.0.1:3",
+             "sidecar": "127.0.0.1:4"}]}],
+    "pipelines": [
+        {"id": "two", "deadline_ms": 1000, "stages": [
+            {"id": "encode", "pool": "p"}, {"id": "generate", "pool": "p"}]},
+        {"id": "redeem", "deadline_ms": 1000, "stages": [
+            {"id": "redeem", "pool": "p", "repeatable": false}]}],
+    "accounts": [{"id": "desk"}]})";
+
+class mock_dispatcher : public entry::dispatcher
+{
+public:
+    MAKE_MOCK3(submit,
+               std::optional<entry::dispatched>(
+                   const std::string&, decision::submission,
+                   const std::shared_ptr<entry::mailbox>&),
+               override);
+    MAKE_MOCK1(withdraw, void(const entry::dispatched&), override);
+    MAKE_MOCK2(mint,
+               bool(const std::string&, const std::shared_ptr<entry::mailbox>&),
+               override);
+};
+
+struct fixture
+{
+    runtime::paused_clock time;
+    runtime::metrics counters;
+    configuration::snapshot_ptr in_force =
+        std::make_shared<configuration::snapshot>(configuration::snapshot{
+            manifest::parse(manifest_text), manifest_text});
+    entry::router routes{"z1", time, 1};
+    mock_dispatcher sidecars;
+    entry::pipeline_runner runner{sidecars, routes, time, counters};
+
+    fixture()
+    {
+        routes.configure(in_force);
+        routes.link_opened("t1");
+        routes.link_opened("t2");
+    }
+
+    entry::request asked(const std::string& pipeline) const
+    {
+        return {pipeline, "desk", "r1", 0s, "{\"q\":1}", {}};
+    }
+};
+
+/// Answers \a work at once, as the sidecar of \a target would.
+std::optional<entry::dispatched>
+reply(const std::string& target, const decision::submission& work,
+      const std::shared_ptr<entry::mailbox>& replies,
+      const decision::stage_result& result)
+{
+    replies->put(entry::result_arrived{target, work.key.request_id,
+                                       work.key.stage, work.attempt, result});
+    return entry::dispatched{target, 1, 11};
+}
+
+decision::stage_result done(const std::string& body)
+{
+    return {decision::stage_status::done, {}, body, 1ms, {}, false};
+}
+
+} // namespace
+
+TEST_SUITE("pipeline runner")
+{
+    TEST_CASE("each stage gets the output of the one before")
+    {
+        fixture f;
+        std::string seen;
+        REQUIRE_CALL(f.sidecars, submit(_, _, _))
+            .TIMES(2)
+            .LR_SIDE_EFFECT(seen = _2.body)
+            .LR_RETURN(reply(_1, _2, _3, done("\"" + _2.key.stage + "\"")));
+        const auto ended = f.runner.run(f.asked("two"), f.in_force);
+        CHECK(ended.kind == entry::outcome_kind::answered);
+        CHECK(ended.answer == "\"generate\"");
+        CHECK(seen == R"({"request":{"q":1},"previous":"encode"})");
+        CHECK(ended.costs.size() == 2);
+    }
+
+    TEST_CASE("an answer to another request is dropped")
+    {
+        // A result with the wrong name arrives in the place of the right
+        // one. It must not become part of this answer; the right one, which
+        // comes later, does.
+        fixture f;
+        const auto misdirect =
+            [](const std::string& target, decision::submission work,
+               const std::shared_ptr<entry::mailbox>& replies)
+        {
+            decision::submission other = work;
+            other.key.request_id = "r2";
+            reply(target, other, replies, done("\"other\""));
+            return reply(target, work, replies, done("\"own\""));
+        };
+        REQUIRE_CALL(f.sidecars, submit(_, _, _))
+            .TIMES(2)
+            .LR_RETURN(misdirect(_1, _2, _3));
+        CHECK(f.runner.run(f.asked("two"), f.in_force).answer == "\"own\"");
+    }
+
+    TEST_CASE("a refusal at a later stage is not called refused")
+    {
+        fixture f;
+        const auto second_refused = [](const decision::submission& work)
+        {
+            return work.key.stage == "encode"
+                       ? done("1")
+                       : decision::refused(decision::reason::queue_full);
+        };
+        REQUIRE_CALL(f.sidecars, submit(_, _, _))
+            .TIMES(3)
+            .LR_RETURN(reply(_1, _2, _3, second_refused(_2)));
+        const auto ended = f.runner.run(f.asked("two"), f.in_force);
+        CHECK(ended.kind == entry::outcome_kind::failed);
+    }
+
+    TEST_CASE("a redemption that may have run is unknown, not refused")
+    {
+        fixture f;
+        REQUIRE_CALL(f.sidecars, submit(_, _, _))
+            .LR_RETURN(reply(
+                _1, _2, _3,
+                decision::unknown_outcome(decision::reason::target_timeout)));
+        CHECK(f.runner.run(f.asked("redeem"), f.in_force).kind ==
+              entry::outcome_kind::unknown);
+    }
+
+    TEST_CASE("a redemption goes to the same owner through every entry")
+    {
+        fixture f;
+        std::vector<std::string> targets;
+        REQUIRE_CALL(f.sidecars, submit(_, _, _))
+            .TIMES(3)
+            .LR_SIDE_EFFECT(targets.push_back(_1))
+            .LR_RETURN(reply(_1, _2, _3, done("1")));
+        for (int turn = 0; turn < 3; ++turn)
+            f.runner.run(f.asked("redeem"), f.in_force);
+        CHECK(targets == std::vector<std::string>(3, targets[0]));
+    }
+}
--- /dev/null
+++ b/tests/runtime/http_test.cpp
@@ -0,0 +1,77 @@
+#include "runtime/http_client.hpp"
+#include "runtime/http_server.hpp"
+#include "support/one_shot_server.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::runtime;
+using namespace std::chrono_literals;
+using mangofold::tests::one_shot_server;
+
+TEST_SUITE("http client")
+{
+    TEST_CASE("a call on a connection of its own is sent once")
+    {
+        // The target takes a redemption and dies before it answers. The HTTP
+        // library must not connect again and send it a second time: the
+        // target may have run it.
+        const one_shot_server server(0);
+        http_client client({"127.0.0.1", server.port()});
+        CHECK_THROWS_AS(client.post("/v1/run", "{}", 5s), http_error);
+        CHECK(server.requests() == 1);
+    }
+
+    TEST_CASE("a call that got no answer is not called unsent")
+    {
+        const one_shot_server server(0);
+        http_client client({"127.0.0.1", server.port()});
+        try
+        {
+            client.post("/v1/run", "{}", 5s);
+            FAIL("no error");
+        }
+        catch (const http_error& fault)
+        {
+            CHECK(fault.what_failed() == http_error::kind::no_answer);
+        }
+    }
+
+    TEST_CASE("a call to a closed port is known to be unsent")
+    {
+        std::uint16_t port = 0;
+        {
+            const one_shot_server server(0);
+            port = server.port();
+        }
+        http_client client({"127.0.0.1", port});
+        try
+        {
+            client.post("/v1/run", "{}", 5s);
+            FAIL("no error");
+        }
+        catch (const http_error& fault)
+        {
+            CHECK(fault.what_failed() == http_error::kind::not_connected);
+        }
+    }
+}
+
+TEST_SUITE("http server")
+{
+    TEST_CASE("hands a request to the longest matching path")
+    {
+        http_server server("test", {"127.0.0.1", 1}, {1, 2, 16});
+        server.set_handler("/v1",
+                           [](const http_request&) {
+                               return http_reply{200, "", "one", 0};
+                           });
+        server.set_handler("/v1/deep",
+                           [](const http_request&) {
+                               return http_reply{200, "", "two", 0};
+                           });
+        CHECK(server.reply_to({"GET", "/v1/x", "", "", false}).body == "one");
+        CHECK(server.reply_to({"GET", "/v1/deep", "", "", false}).body ==
+              "two");
+        CHECK(server.reply_to({"GET", "/", "", "", false}).status == 404);
+    }
+}
--- /dev/null
+++ b/tests/support/gate_fixture.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "decision/concurrency_limit.hpp"
+#include "decision/target_gate.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangofold::tests
+{
+
+using namespace decision;
+using namespace std::chrono_literals;
+
+/// A configured gate of target "booking-1" with one stream, and a clock that
+/// the test advances.
+template<safeguard_set Safeguards = all_safeguards>
+struct gate_fixture
+{
+    using gate = target_gate<fixed_limit, Safeguards>;
+
+    static constexpr std::uint64_t incarnation = 11;
+    static constexpr link_id entry = 1;
+
+    instant now{1h};
+    gate decisions{{"booking-1", incarnation, instant{}},
+                   {2s, 1000, 1U << 20U}};
+    grant_ref grant;
+    std::uint64_t next_number = 1;
+
+    explicit gate_fixture(std::size_t slots = 1, std::size_t queued = 8)
+    {
+        configure(1, {"booking-1"}, slots, queued);
+        // Long enough for the first list to be the only one remembered.
+        now += 1h;
+        grant = *decisions.issue_grant(entry, now);
+    }
+
+    gate_effects configure(std::uint64_t generation,
+                           std::vector<std::string> targets,
+                           std::size_t slots = 1, std::size_t queued = 8)
+    {
+        gate_configuration value;
+        value.generation = generation;
+        value.pool_targets = std::move(targets);
+        value.slots = slots;
+        value.shares = {0, 0, queued};
+        value.horizon = 10s;
+        value.adoption = 16s;
+        return decisions.set_configuration(value, now);
+    }
+
+    submission work(const std::string& id, bool is_repeatable = false)
+    {
+        submission value;
+        value.ref = {entry, next_number++};
+        value.key = {"desk", id, "redeem"};
+        value.attempt = 1;
+        value.is_repeatable = is_repeatable;
+        value.grant = grant;
+        value.generation = decisions.generation();
+        value.budget = 2s;
+        value.body = "{}";
+        value.request = digest_of(id);
+        return value;
+    }
+
+    gate_effects submit(const submission& value)
+    {
+        return decisions.submit(value, now);
+    }
+};
+
+template<typename Effect>
+std::vector<Effect> all_of(const gate_effects& effects)
+{
+    std::vector<Effect> found;
+    for (const gate_effect& effect : effects)
+        if (const auto* one = std::get_if<Effect>(&effect))
+            found.push_back(*one);
+    return found;
+}
+
+/// Returns the reason of the only result among \a effects.
+inline std::optional<reason> reason_in(const gate_effects& effects)
+{
+    const auto results = all_of<send_result>(effects);
+    if (results.size() != 1)
+        return std::nullopt;
+    return results.front().result.why;
+}
+
+inline stage_result answer(const std::string& body)
+{
+    return {stage_status::done, reason::none, body, {}, {}, false};
+}
+
+} // namespace mangofold::tests
