--- /dev/null
+++ b/bench/load.cpp
@@ -0,0 +1,255 @@
+// Sends an open-loop load to the entries and writes one JSON line for each
+// request: what the caller was told at each sending.
+
+#include "decision/random_source.hpp"
+#include "runtime/http_client.hpp"
+#include "runtime/settings.hpp"
+
+#include <boost/program_options/value_semantic.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <sstream>
+#include <thread>
+
+using namespace mangofold;
+using nlohmann::json;
+namespace po = boost::program_options;
+
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+/// One kind of request in the mix.
+struct kind
+{
+    std::string pipeline;
+    std::string account;
+    double rate_per_s = 1;
+    double from_s = 0;
+    double until_s = 1e9;
+    unsigned deadline_ms = 2000;
+    bool has_ticket = false;
+};
+
+struct arrival
+{
+    double at_s = 0;
+    const kind* what = nullptr;
+    std::string id;
+};
+
+std::vector<kind> read_mix(const std::string& text)
+{
+    std::vector<kind> mix;
+    for (const json& one : json::parse(text))
+        mix.push_back({one.at("pipeline"), one.at("account"),
+                       one.at("rate_per_s"), one.value("from_s", 0.0),
+                       one.value("until_s", 1e9),
+                       one.value("deadline_ms", 2000U),
+                       one.value("ticket", false)});
+    return mix;
+}
+
+std::vector<arrival> plan(const std::vector<kind>& mix, double seconds,
+                          std::uint64_t seed)
+{
+    decision::random_source random(seed);
+    std::vector<arrival> all;
+    for (const kind& one : mix)
+    {
+        double at = one.from_s;
+        while (true)
+        {
+            at -= std::log(1 - random.fraction()) / one.rate_per_s;
+            if (at >= std::min(seconds, one.until_s))
+                break;
+            all.push_back({at, &one,
+                           one.pipeline + "-" + std::to_string(all.size())});
+        }
+    }
+    std::sort(all.begin(), all.end(), [](const arrival& a, const arrival& b)
+              { return a.at_s < b.at_s; });
+    return all;
+}
+
+/// One caller: has a connection to each entry.
+class caller
+{
+public:
+    explicit caller(const std::vector<std::string>& entries)
+    {
+        for (const std::string& one : entries)
+            m_entries.push_back(std::make_unique<runtime::http_client>(
+                runtime::address::parse(one)));
+    }
+
+    /// Sends the request, again elsewhere where there is no answer.
+    json serve(const arrival& one, std::size_t first)
+    {
+        const auto begun = steady::now();
+        const auto limit = std::chrono::milliseconds(one.what->deadline_ms);
+        constexpr int most_sendings = 3;
+        json sendings = json::array();
+        json body{{"pipeline", one.what->pipeline},
+                  {"account", one.what->account},
+                  {"request_id", one.id},
+                  {"deadline_ms", one.what->deadline_ms},
+                  {"input", {{"note", one.id}}}};
+        if (one.what->has_ticket)
+            take_ticket(body, first, limit);
+        for (int turn = 0; turn < most_sendings; ++turn)
+        {
+            const auto left = limit - (steady::now() - begun);
+            if (left <= std::chrono::milliseconds(1))
+                break;
+            const json said = send(body, first + turn, left);
+            sendings.push_back(said);
+            if (said.at("outcome") != "no_answer")
+                break;
+        }
+        const double ms =
+            std::chrono::duration<double, std::milli>(steady::now() - begun)
+                .count();
+        return {{"id", one.id},
+                {"pipeline", one.what->pipeline},
+                {"at_s", one.at_s},
+                {"ms", ms},
+                {"in_time", ms <= one.what->deadline_ms},
+                {"sendings", sendings}};
+    }
+
+private:
+    json send(const json& body, std::size_t entry, steady::duration left)
+    {
+        runtime::http_client& client = *m_entries[entry % m_entries.size()];
+        try
+        {
+            const auto answer = client.post("/v1/requests", body.dump(), left);
+            const json told = json::parse(answer.body, nullptr, false);
+            if (!told.is_object())
+                return {{"outcome", "no_answer"}};
+            const std::string id = body.at("request_id");
+            const std::string text = told.value("answer", json()).dump();
+            const bool is_answered = told.value("outcome", "") == "answered";
+            return {{"outcome", told.value("outcome", "")},
+                    {"ran", told.value("ran", "")},
+                    {"reason", told.value("reason", "")},
+                    {"own", !is_answered ||
+                                text.find(id + "\"") != std::string::npos}};
+        }
+        catch (const runtime::http_error&)
+        {
+            return {{"outcome", "no_answer"}};
+        }
+    }
+
+    void take_ticket(json& body, std::size_t entry, steady::duration limit)
+    {
+        try
+        {
+            const auto answer =
+                m_entries[entry % m_entries.size()]->post(
+                    "/v1/tickets", body.dump(), limit / 4);
+            const json told = json::parse(answer.body, nullptr, false);
+            if (told.is_object() && told.contains("ticket"))
+                body["ticket"] = told["ticket"];
+        }
+        catch (const runtime::http_error&)
+        {
+            return;
+        }
+    }
+
+    std::vector<std::unique_ptr<runtime::http_client>> m_entries;
+};
+
+/// Hands the arrivals out to the callers, each at its time.
+class load
+{
+public:
+    load(std::vector<arrival> arrivals, std::vector<std::string> entries,
+         const std::string& file)
+        : m_arrivals(std::move(arrivals)), m_entries(std::move(entries)),
+          m_out(file)
+    {
+    }
+
+    void run(unsigned callers)
+    {
+        m_begun = steady::now();
+        std::vector<std::thread> threads;
+        for (unsigned index = 0; index < callers; ++index)
+            threads.emplace_back([this] { work(); });
+        for (std::thread& one : threads)
+            one.join();
+    }
+
+private:
+    void work()
+    {
+        caller self(m_entries);
+        while (true)
+        {
+            const std::size_t index = m_next++;
+            if (index >= m_arrivals.size())
+                return;
+            const arrival& one = m_arrivals[index];
+            std::this_thread::sleep_until(
+                m_begun + std::chrono::duration_cast<steady::duration>(
+                              std::chrono::duration<double>(one.at_s)));
+            const std::string line = self.serve(one, index).dump();
+            const std::lock_guard lock(m_mutex);
+            m_out << line << '\n';
+        }
+    }
+
+    std::vector<arrival> m_arrivals;
+    std::vector<std::string> m_entries;
+    std::ofstream m_out;
+    std::mutex m_mutex;
+    std::atomic<std::size_t> m_next{0};
+    steady::time_point m_begun;
+};
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream all(text);
+    std::string one;
+    while (std::getline(all, one, ','))
+        parts.push_back(one);
+    return parts;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    runtime::settings flags("load: sends requests to the entries");
+    flags.known().add_options()("entries", po::value<std::string>())(
+        "mix", po::value<std::string>())("out", po::value<std::string>())(
+        "seconds", po::value<double>()->default_value(5))(
+        "seed", po::value<std::uint64_t>()->default_value(1))(
+        "callers", po::value<unsigned>()->default_value(192));
+    try
+    {
+        flags.read(argc, argv);
+        const auto mix = read_mix(flags.required_text("mix"));
+        load work(plan(mix, flags.value<double>("seconds"),
+                       flags.value<std::uint64_t>("seed")),
+                  split(flags.required_text("entries")),
+                  flags.required_text("out"));
+        work.run(flags.value<unsigned>("callers"));
+        return runtime::exit_ok;
+    }
+    catch (const std::exception& fault)
+    {
+        std::cerr << "load: " << fault.what() << '\n';
+        return runtime::exit_bad_settings;
+    }
+}
--- /dev/null
+++ b/bench/up.py
@@ -0,0 +1,42 @@
+#!/usr/bin/env python3
+"""Keeps an example deployment up until interrupted, on fixed ports.
+
+Usage: up.py [kowhai|clubs]
+"""
+
+import json
+import sys
+import tempfile
+import time
+
+from fleet import ROOT, Fleet
+
+
+def main():
+    name = sys.argv[1] if len(sys.argv) > 1 else "kowhai"
+    path = ROOT / "examples" / name / "manifest.json"
+    fleet = Fleet(json.loads(path.read_text()),
+                  tempfile.mkdtemp(prefix=f"mangofold-{name}-"))
+    try:
+        fleet.start()
+        print(f"platform        {fleet.platform}  "
+              f"process {fleet.processes['platform'].pid}")
+        for entry, (address, admin, zone) in fleet.entries.items():
+            print(f"{entry:16}{address}  admin {admin}  zone {zone}  "
+                  f"process {fleet.processes[entry].pid}")
+        for target, (one, _) in fleet.targets.items():
+            print(f"{target:16}{one['address']}  "
+                  f"process {fleet.processes['target ' + target].pid}  "
+                  f"sidecar {one['sidecar']}  admin {fleet.admin[target]}  "
+                  f"process {fleet.processes['sidecar ' + target].pid}")
+        print(f"logs in {fleet.folder}; Ctrl-C stops the fleet", flush=True)
+        while True:
+            time.sleep(1)
+    except KeyboardInterrupt:
+        pass
+    finally:
+        fleet.stop()
+
+
+if __name__ == "__main__":
+    main()
