--- a/packages/configuration/platform_reader.cpp
+++ b/packages/configuration/platform_reader.cpp
@@ -1,5 +1,7 @@
 #include "configuration/platform_reader.hpp"
 
+#include "runtime/http_watch.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -37,7 +39,8 @@
                                  runtime::metrics& counters, mode how,
                                  intervals waits, std::uint64_t seed)
     : m_store(store), m_metrics(counters), m_mode(how), m_waits(waits),
-      m_random(seed), m_manifest_client(service), m_instances_client(service)
+      m_random(seed), m_service(service), m_manifest_client(service),
+      m_instances_client(service)
 {
 }
 
@@ -57,7 +60,9 @@
     try
     {
         const runtime::http_answer answer =
-            m_manifest_client.get(path, timeout);
+            waits ? runtime::watch(m_service, path, timeout,
+                                   [this] { return !m_is_stopping; })
+                  : m_manifest_client.get(path, timeout);
         count_read("manifest", std::to_string(answer.status));
         if (answer.status == http_ok)
             m_store.offer(answer.body, source::service);
--- a/packages/configuration/platform_reader.hpp
+++ b/packages/configuration/platform_reader.hpp
@@ -5,6 +5,7 @@
 #include "runtime/http_client.hpp"
 #include "runtime/metrics.hpp"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -44,6 +45,9 @@
     /// Sets who is told which targets the platform calls leaving.
     void set_leaving_listener(leaving_listener value);
 
+    /// Makes a watch that waits end soon, for a process that stops.
+    void set_stopping() { m_is_stopping = true; }
+
     /// Reads or watches the manifest once. Returns how long to wait then.
     std::chrono::milliseconds read_manifest();
 
@@ -60,6 +64,8 @@
     mode m_mode;
     intervals m_waits;
     decision::random_source m_random;
+    runtime::address m_service;
+    std::atomic<bool> m_is_stopping{false};
     runtime::http_client m_manifest_client;
     runtime::http_client m_instances_client;
     leaving_listener m_leaving_listener;
--- a/packages/entry/entry.cpp
+++ b/packages/entry/entry.cpp
@@ -63,6 +63,7 @@
         .info();
     // Answers that were just written need a moment to leave.
     std::this_thread::sleep_for(step);
+    m_platform.set_stopping();
     m_links.close();
     m_tree.stop();
 }
--- a/packages/entry/pipeline_runner.cpp
+++ b/packages/entry/pipeline_runner.cpp
@@ -294,8 +294,8 @@
                 break;
             if (!m_sidecars.mint(owner, state.replies))
                 continue;
-            const auto arrived =
-                state.replies->take(state.deadline - m_clock.now());
+            const instant patience = m_clock.now() + longest_wait / 4;
+            const auto arrived = state.replies->take(patience - m_clock.now());
             if (arrived && std::holds_alternative<ticket_arrived>(*arrived))
                 minted = std::get<ticket_arrived>(*arrived).value;
         }
