Decision: an attempt that is silent for long is given up for another one

Ruled out: the choice of targets, which avoids the paused one after three failures, and the silence of the stream, noticed only after 1.5 s. Change: each entry learns the 99th percentile of every stage's attempts; an attempt may take three times that, less where a shorter one leaves room for another attempt; it costs a retry of the budget, and without one the attempt is kept. This is the attempt timeout of the fast-failover paper without its heartbeats: at these stage times a heartbeat would tell no earlier.

--- a/packages/decision/repeatable_run.cpp
+++ b/packages/decision/repeatable_run.cpp
@@ -22,11 +22,15 @@
     if (m_is_out)
     {
         const instant attempt_end = m_sent_at + attempt_timeout;
-        if (now < attempt_end || m_ran >= m_policy.max_attempts)
-            return wait_until{std::min(
-                m_deadline, now < attempt_end ? attempt_end : m_deadline)};
-        // The silent attempt may still end; its answer is then dropped.
+        if (now < attempt_end)
+            return wait_until{std::min(m_deadline, attempt_end)};
+        // Without a retry to spend, the silent attempt is the best hope.
+        if (m_ran + 1 >= m_policy.max_attempts || !budget.take())
+            return wait_until{m_deadline};
+        // It may still end; its answer is then dropped.
         ended(m_attempt, unknown_outcome(reason::target_timeout), now);
+        m_needs_budget = false;
+        m_not_before = now;
     }
     if (m_ran >= m_policy.max_attempts)
         return give_up(m_last->why);
--- a/packages/decision/repeatable_run.hpp
+++ b/packages/decision/repeatable_run.hpp
@@ -18,7 +18,8 @@
 public:
     repeatable_run(attempt_policy policy, instant deadline, std::uint64_t seed);
 
-    /// Returns what to do now. \a attempt_timeout bounds one attempt.
+    /// Returns what to do now. An attempt that is silent for longer than
+    /// \a attempt_timeout is given up for another one.
     attempt_step next(instant now, retry_budget& budget,
                       duration attempt_timeout);
 
--- a/packages/entry/pipeline_runner.cpp
+++ b/packages/entry/pipeline_runner.cpp
@@ -112,6 +112,9 @@
                                              stage_cost& cost)
 {
     repeatable_run attempts(m_policy, state.deadline, m_seed++);
+    const std::string timed = state.pipeline.id + "/" + stage.id;
+    const duration usual = m_timing.usual(timed);
+    instant sent_at{};
     std::optional<dispatched> out;
     const auto withdraw = [&]
     {
@@ -123,8 +126,13 @@
     {
         const instant now = m_clock.now();
         const attempt_step step = m_router.with_budget(
-            stage.pool, [&](retry_budget& budget)
-            { return attempts.next(now, budget, duration::max() / 4); });
+            stage.pool,
+            [&](retry_budget& budget)
+            {
+                return attempts.next(
+                    now, budget,
+                    attempt_timeout(usual, state.deadline - sent_at));
+            });
         if (const auto* ended = std::get_if<finish_stage>(&step))
         {
             withdraw();
@@ -144,7 +152,8 @@
                 continue;
             }
             ++cost.attempts;
-            attempts.sent(*target, m_clock.now());
+            sent_at = m_clock.now();
+            attempts.sent(*target, sent_at);
             continue;
         }
         const instant until = std::get<wait_until>(step).until;
@@ -171,7 +180,9 @@
             }
             out.reset();
             cost.service += came->result.service;
-            if (came->result.status != stage_status::done)
+            if (came->result.status == stage_status::done)
+                m_timing.add(timed, m_clock.now() - sent_at);
+            else
                 count_retry(stage, came->result.why);
         }
     }
--- a/packages/entry/pipeline_runner.hpp
+++ b/packages/entry/pipeline_runner.hpp
@@ -7,6 +7,7 @@
 #include "entry/outcome.hpp"
 #include "entry/request.hpp"
 #include "entry/router.hpp"
+#include "entry/stage_timing.hpp"
 #include "runtime/clock.hpp"
 #include "runtime/metrics.hpp"
 
@@ -59,6 +60,7 @@
     router& m_router;
     const runtime::clock& m_clock;
     runtime::metrics& m_metrics;
+    stage_timing m_timing;
     decision::attempt_policy m_policy;
     std::atomic<std::uint64_t> m_seed{1};
 };
