Decision: refuse early by class, from what a target's queue really does

Ruled out: the targets' queues (urgent first, as meant). Change: places in progress by class; each target reports the expected time of new work of each class, taken from how fast that class left its queue; entries correct it by what they sent since and refuse before the first stage what cannot end in three quarters of its deadline, with a spread Retry-After; reserved slots count only what less urgent work holds; results carry the load. Found: a resend refused by the entry was called not run although the first sending had run stages; entries now remember what they began.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -77,21 +77,20 @@
     return all;
 }
 
-/// One caller: has a connection to each entry.
+/// One caller. Each sending has a connection of its own: on a kept one the
+/// HTTP library sends again by itself after a timeout.
 class caller
 {
 public:
     explicit caller(const std::vector<std::string>& entries)
     {
         for (const std::string& one : entries)
-            m_entries.push_back(std::make_unique<runtime::http_client>(
-                runtime::address::parse(one)));
+            m_entries.push_back(runtime::address::parse(one));
     }
 
     /// Sends the request, again elsewhere where there is no answer.
-    json serve(const arrival& one, std::size_t first)
+    json serve(const arrival& one, std::size_t first, steady::time_point begun)
     {
-        const auto begun = steady::now();
         const auto limit = std::chrono::milliseconds(one.what->deadline_ms);
         constexpr int most_sendings = 3;
         json sendings = json::array();
@@ -133,7 +132,7 @@
 private:
     json send(const json& body, std::size_t entry, steady::duration left)
     {
-        runtime::http_client& client = *m_entries[entry % m_entries.size()];
+        runtime::http_client client(m_entries[entry % m_entries.size()]);
         try
         {
             const auto answer = client.post("/v1/requests", body.dump(), left);
@@ -167,8 +166,8 @@
         {
             try
             {
-                runtime::http_client& client =
-                    *m_entries[(first + turn) % m_entries.size()];
+                runtime::http_client client(
+                    m_entries[(first + turn) % m_entries.size()]);
                 const auto answer =
                     client.post("/v1/tickets", body.dump(), limit / 4);
                 const json told = json::parse(answer.body, nullptr, false);
@@ -186,7 +185,7 @@
         return false;
     }
 
-    std::vector<std::unique_ptr<runtime::http_client>> m_entries;
+    std::vector<runtime::address> m_entries;
 };
 
 /// Hands the arrivals out to the callers, each at its time.
@@ -220,10 +219,12 @@
             if (index >= m_arrivals.size())
                 return;
             const arrival& one = m_arrivals[index];
-            std::this_thread::sleep_until(
+            // Late callers count against the system: the load is open.
+            const auto begins =
                 m_begun + std::chrono::duration_cast<steady::duration>(
-                              std::chrono::duration<double>(one.at_s)));
-            const std::string line = self.serve(one, index).dump();
+                              std::chrono::duration<double>(one.at_s));
+            std::this_thread::sleep_until(begins);
+            const std::string line = self.serve(one, index, begins).dump();
             const std::lock_guard lock(m_mutex);
             m_out << line << '\n';
         }
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -279,7 +279,7 @@
         load = subprocess.Popen(
             [BIN / "load", "--entries", entries, "--mix", json.dumps(mix),
              "--seconds", str(SECONDS), "--out", out, "--seed",
-             str(index + 1), "--callers", "400"])
+             str(index + 1), "--callers", "1500"])
         trouble = threading.Thread(target=fault, args=(fleet,))
         trouble.start()
         load.wait(timeout=90)
--- a/packages/decision/admission_queue.cpp
+++ b/packages/decision/admission_queue.cpp
@@ -29,12 +29,11 @@
 
 std::optional<queued_work> admission_queue::pop(instant now, std::size_t limit)
 {
-    const std::size_t total = running();
     for (std::size_t index = 0; index < m_lanes.size(); ++index)
     {
         lane& own = m_lanes[index];
         const auto priority = static_cast<work_class>(index);
-        if (own.queue.empty() || total >= capacity_of(priority, limit))
+        if (own.queue.empty() || !has_slot(priority, limit))
             continue;
         const auto next = std::find_if(own.queue.begin(), own.queue.end(),
                                        [&](const waiting& one)
@@ -44,6 +43,7 @@
         const queued_work work = next->work;
         own.virtual_time = std::max(own.virtual_time, next->start_tag);
         own.queue.erase(next);
+        note_taken(own, now);
         if (own.queue.empty())
             own.finish_tags.clear();
         return work;
@@ -103,32 +103,54 @@
 duration admission_queue::expected_wait(work_class priority, std::size_t limit,
                                         duration service) const
 {
+    const lane& own = lane_of(priority);
+    if (own.queue.empty() && has_slot(priority, limit))
+        return duration::zero();
+    // How fast the class really moves is known where it waited before: it
+    // counts what more urgent work takes and what the model leaves out.
+    if (own.last_taken && own.interval > duration::zero())
+        return own.interval * static_cast<duration::rep>(own.queue.size() + 1);
     std::size_t ahead = 0;
     for (std::size_t index = 0; index <= static_cast<std::size_t>(priority);
          ++index)
         ahead += m_lanes[index].queue.size();
-    const std::size_t capacity = capacity_of(priority, limit);
-    const std::size_t busy = running();
-    if (ahead == 0 && busy < capacity)
-        return duration::zero();
-    const double rounds =
-        static_cast<double>(ahead + 1) /
-        static_cast<double>(std::max<std::size_t>(capacity, 1));
-    return duration(static_cast<duration::rep>(
-        rounds * static_cast<double>(service.count())));
+    const std::size_t capacity =
+        std::max<std::size_t>(capacity_of(priority, limit), 1);
+    return service * static_cast<duration::rep>(ahead + 1) /
+           static_cast<duration::rep>(capacity);
+}
+
+void admission_queue::note_taken(lane& own, instant now)
+{
+    constexpr int share = 8;
+    if (own.last_taken)
+    {
+        const duration sample = now - *own.last_taken;
+        own.interval = own.interval == duration::zero()
+                           ? sample
+                           : own.interval + (sample - own.interval) / share;
+    }
+    own.last_taken = now;
+    if (own.queue.empty())
+        own.last_taken.reset();
+}
+
+bool admission_queue::has_slot(work_class priority, std::size_t limit) const
+{
+    std::size_t held = 0;
+    for (std::size_t index = static_cast<std::size_t>(priority);
+         index < m_lanes.size(); ++index)
+        held += m_lanes[index].running;
+    return running() < limit && held < capacity_of(priority, limit);
 }
 
 // Long work may never hold every slot: a burst of it would make a seat hold
-// wait for a whole draft. Reserved slots stay free for shorter classes
-// because running work cannot be taken back.
+// wait for a whole draft, because running work cannot be taken back. What
+// it may not hold is for the more urgent classes alone.
 std::size_t admission_queue::capacity_of(work_class priority,
                                          std::size_t limit) const
 {
-    std::size_t reserve = 0;
-    if (priority == work_class::standard)
-        reserve = m_shares.standard_reserve;
-    if (priority == work_class::bulk)
-        reserve = m_shares.bulk_reserve;
+    const std::size_t reserve = m_shares.reserve_for(priority);
     return limit > reserve ? limit - reserve : 1;
 }
 
--- a/packages/decision/admission_queue.hpp
+++ b/packages/decision/admission_queue.hpp
@@ -29,9 +29,18 @@
 /// How many runs of a target each class may hold.
 struct class_shares
 {
-    std::size_t bulk_reserve = 0;     ///< Slots that bulk work leaves free.
-    std::size_t standard_reserve = 0; ///< Slots that standard work leaves.
-    std::size_t max_queued = 64;      ///< Queued work of each class.
+    std::size_t bulk_reserve = 0;     ///< Slots that bulk work never holds.
+    std::size_t standard_reserve = 0; ///< Slots that neither bulk nor
+                                      ///< standard work holds.
+    std::size_t max_queued = 512;     ///< Queued work of each class.
+
+    /// Returns the slots that work of class \a priority never holds.
+    std::size_t reserve_for(work_class priority) const
+    {
+        if (priority == work_class::bulk)
+            return bulk_reserve;
+        return priority == work_class::standard ? standard_reserve : 0;
+    }
 
     friend bool operator==(const class_shares&, const class_shares&) = default;
 };
@@ -67,6 +76,10 @@
     bool remove(std::uint64_t id);
 
     std::size_t size() const;
+    std::size_t size(work_class priority) const
+    {
+        return lane_of(priority).queue.size();
+    }
     std::size_t running() const;
 
     /// Returns the expected wait of new work of class \a priority.
@@ -86,6 +99,9 @@
         std::map<std::string, double> finish_tags;
         double virtual_time = 0;
         std::size_t running = 0;
+        /// When work was last taken out while more was waiting.
+        std::optional<instant> last_taken;
+        duration interval{}; ///< Moving average between two such moments.
     };
 
     lane& lane_of(work_class priority)
@@ -101,6 +117,8 @@
         return lane_of(priority).running;
     }
     std::size_t capacity_of(work_class priority, std::size_t limit) const;
+    bool has_slot(work_class priority, std::size_t limit) const;
+    static void note_taken(lane& own, instant now);
 
     class_shares m_shares;
     std::array<lane, work_class_count> m_lanes;
--- a/packages/decision/pool_router.hpp
+++ b/packages/decision/pool_router.hpp
@@ -49,16 +49,19 @@
     void set_targets(const std::vector<target_place>& targets);
 
     /// Returns a target for new work, or nothing where none may take it.
-    std::optional<std::string> pick(const std::vector<std::string>& avoid,
-                                    instant now);
+    std::optional<std::string>
+    pick(work_class work, const std::vector<std::string>& avoid, instant now);
+
+    /// Returns the shortest expected time of new work at any target.
+    duration expected(work_class work, instant now) const;
 
     void link_opened(const std::string& target, instant now);
     void link_closed(const std::string& target);
     void target_left(const std::string& target);
     void load_reported(const std::string& target, const target_load& load);
-    void attempt_sent(const std::string& target);
-    void attempt_ended(const std::string& target, const stage_result& result,
-                       instant now);
+    void attempt_sent(const std::string& target, work_class priority);
+    void attempt_ended(const std::string& target, work_class priority,
+                       const stage_result& result, instant now);
 
     const std::map<std::string, target_view>& targets() const
     {
--- a/packages/decision/pool_router.ipp
+++ b/packages/decision/pool_router.ipp
@@ -25,7 +25,8 @@
 
 template<selection_policy Selection>
 std::optional<std::string>
-pool_router<Selection>::pick(const std::vector<std::string>& avoid, instant now)
+pool_router<Selection>::pick(work_class work,
+                             const std::vector<std::string>& avoid, instant now)
 {
     candidates choice = usable(avoid, now);
     // Rather a target that already failed this request than none.
@@ -33,7 +34,8 @@
         choice = usable({}, now);
     if (choice.empty())
         return std::nullopt;
-    const std::size_t index = m_selection.select(choice, m_zone, m_random);
+    const std::size_t index =
+        m_selection.select(choice, m_zone, work, m_random);
     const std::string id = choice[index]->id;
     target_view& view = m_targets.at(id);
     if (view.failures >= m_aside.failures)
@@ -68,6 +70,18 @@
     return good;
 }
 
+template<selection_policy Selection>
+duration pool_router<Selection>::expected(work_class work, instant now) const
+{
+    double shortest = 0;
+    for (const target_view* one : usable({}, now))
+    {
+        const double ns = one->expected_ns(work);
+        shortest = shortest == 0 ? ns : std::min(shortest, ns);
+    }
+    return duration(static_cast<duration::rep>(shortest));
+}
+
 template<selection_policy Selection>
 std::size_t pool_router<Selection>::aside_count(instant now) const
 {
@@ -117,20 +131,25 @@
 }
 
 template<selection_policy Selection>
-void pool_router<Selection>::attempt_sent(const std::string& target)
+void pool_router<Selection>::attempt_sent(const std::string& target,
+                                          work_class priority)
 {
-    change(target, [](target_view& view) { ++view.in_flight; });
+    change(target, [&](target_view& view)
+           { ++view.in_flight.at(static_cast<std::size_t>(priority)); });
 }
 
 template<selection_policy Selection>
 void pool_router<Selection>::attempt_ended(const std::string& target,
+                                           work_class priority,
                                            const stage_result& result,
                                            instant now)
 {
     change(target,
            [&](target_view& view)
            {
-               view.in_flight -= view.in_flight > 0 ? 1 : 0;
+               std::uint32_t& count =
+                   view.in_flight.at(static_cast<std::size_t>(priority));
+               count -= count > 0 ? 1 : 0;
                view.is_probing = false;
                if (result.why == reason::target_leaving)
                    view.is_leaving = true;
--- a/packages/decision/selection_policy.cpp
+++ b/packages/decision/selection_policy.cpp
@@ -8,7 +8,7 @@
 
 std::size_t
 least_expected_of_few::select(std::span<const target_view* const> targets,
-                              const std::string& zone,
+                              const std::string& zone, work_class work,
                               random_source& random) const
 {
     std::vector<std::size_t> near;
@@ -25,7 +25,7 @@
         for (int sample = 0; sample < samples && !group.empty(); ++sample)
         {
             const std::size_t index = group[random.below(group.size())];
-            const double cost_ns = targets[index]->expected_ns() + way_ns;
+            const double cost_ns = targets[index]->expected_ns(work) + way_ns;
             if (cost_ns < best_ns)
             {
                 best = index;
--- a/packages/decision/selection_policy.hpp
+++ b/packages/decision/selection_policy.hpp
@@ -16,11 +16,11 @@
 template<typename Policy>
 concept selection_policy = requires(const Policy& policy,
                                     std::span<const target_view* const> targets,
-                                    const std::string& zone,
+                                    const std::string& zone, work_class work,
                                     random_source& random)
 {
     {
-        policy.select(targets, zone, random)
+        policy.select(targets, zone, work, random)
         } -> std::convertible_to<std::size_t>;
 };
 
@@ -28,7 +28,8 @@
 struct random_selection
 {
     std::size_t select(std::span<const target_view* const> targets,
-                       const std::string&, random_source& random) const
+                       const std::string&, work_class,
+                       random_source& random) const
     {
         return random.below(targets.size());
     }
@@ -46,7 +47,8 @@
     }
 
     std::size_t select(std::span<const target_view* const> targets,
-                       const std::string& zone, random_source& random) const;
+                       const std::string& zone, work_class work,
+                       random_source& random) const;
 
 private:
     duration m_way_to_other_zone;
--- a/packages/decision/target_gate.ipp
+++ b/packages/decision/target_gate.ipp
@@ -430,17 +430,24 @@
 template<concurrency_policy Limit, safeguard_set Safeguards>
 target_load target_gate<Limit, Safeguards>::load() const
 {
-    duration sum{};
+    target_load value;
+    value.running = static_cast<std::uint32_t>(m_queue.running());
+    value.limit = static_cast<std::uint32_t>(m_limit.limit());
     duration::rep known = 0;
-    for (const duration& one : m_service)
+    for (std::size_t index = 0; index < work_class_count; ++index)
     {
-        sum += one;
-        known += one != duration::zero() ? 1 : 0;
+        const auto priority = static_cast<work_class>(index);
+        value.queued[index] =
+            static_cast<std::uint32_t>(m_queue.size(priority));
+        value.expected[index] =
+            m_service[index] +
+            m_queue.expected_wait(priority, m_limit.limit(), m_service[index]);
+        value.service += m_service[index];
+        known += m_service[index] != duration::zero() ? 1 : 0;
     }
-    return {static_cast<std::uint32_t>(m_queue.running()),
-            static_cast<std::uint32_t>(m_queue.size()),
-            static_cast<std::uint32_t>(m_limit.limit()),
-            known > 0 ? sum / known : duration::zero()};
+    if (known > 0)
+        value.service /= known;
+    return value;
 }
 
 template<concurrency_policy Limit, safeguard_set Safeguards>
--- a/packages/decision/target_view.hpp
+++ b/packages/decision/target_view.hpp
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "decision/reason.hpp"
 #include "decision/target_load.hpp"
 #include "decision/time.hpp"
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -12,45 +16,58 @@
 /// What an entry believes of one target.
 struct target_view
 {
+    using counts = std::array<std::uint32_t, work_class_count>;
+
     std::string id;
     std::string zone;
     bool is_linked = false; ///< A stream with a live grant is up.
     bool is_leaving = false;
     target_load report;
-    std::uint32_t in_flight = 0;           ///< Own attempts under way.
-    std::uint32_t in_flight_at_report = 0; ///< The same when it reported.
-    std::uint32_t failures = 0;            ///< In a row.
-    instant aside_until{};                 ///< Set aside before this.
-    bool is_probing = false;               ///< One attempt tries it again.
+    counts in_flight{};           ///< Own attempts under way, by class.
+    counts in_flight_at_report{}; ///< The same when it reported.
+    std::uint32_t failures = 0;   ///< In a row.
+    instant aside_until{};        ///< Set aside before this.
+    bool is_probing = false;      ///< One attempt tries it again.
     instant linked_at{};
 
-    /// Returns the expected runs at the target: its last report corrected by
-    /// what this entry sent and got back since.
-    double occupancy() const;
+    /// Returns the attempts of class \a priority, or more urgent ones, that
+    /// this entry has under way beyond those that the last report counts.
+    double sent_since(work_class priority) const;
 
-    /// Returns the expected time until new work would end there.
-    double expected_ns() const;
+    /// Returns the expected time until new work of class \a priority would
+    /// end there.
+    double expected_ns(work_class priority) const;
 };
 
-inline double target_view::occupancy() const
+inline double target_view::sent_since(work_class priority) const
 {
-    const double reported = report.running + report.queued;
-    const double corrected = reported + in_flight - in_flight_at_report;
-    return corrected > in_flight ? corrected : in_flight;
+    double since = 0;
+    for (std::size_t index = 0; index <= static_cast<std::size_t>(priority);
+         ++index)
+    {
+        since += in_flight[index];
+        since -= in_flight_at_report[index];
+    }
+    return since;
 }
 
-inline double target_view::expected_ns() const
+inline double target_view::expected_ns(work_class priority) const
 {
     constexpr double unknown_service_ns = 1e6;
     const double service = report.service > duration::zero()
                                ? static_cast<double>(report.service.count())
                                : unknown_service_ns;
     const double limit = report.limit > 0 ? report.limit : 1;
+    const auto reported = static_cast<double>(
+        report.expected.at(static_cast<std::size_t>(priority)).count());
+    const double since = sent_since(priority);
+    const double busy = report.running + since;
     // Below its limit a target runs the work at once; the share of its slots
     // in use still breaks ties towards the emptier one.
-    const double waiting = occupancy() + 1 - limit;
-    const double rounds = waiting > 0 ? 1 + waiting / limit : 1;
-    return service * (rounds + 0.1 * occupancy() / limit);
+    const double rounds = std::max(busy + 1 - limit, 0.0) / limit;
+    const double queued = std::min(std::max(since, 0.0) / limit, rounds);
+    return std::max(reported, service) +
+           service * (queued + 0.1 * std::max(busy, 0.0) / limit);
 }
 
 } // namespace mangofold::decision
--- a/packages/entry/caller_api.cpp
+++ b/packages/entry/caller_api.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr decision::duration come_back_soon = std::chrono::seconds(1);
+constexpr std::size_t most_begun = 50'000;
 
 outcome refusal(reason why, decision::duration retry_after = {})
 {
@@ -34,6 +35,15 @@
     return ended;
 }
 
+// This sending was refused; an earlier one of the same request may have run
+// here, or still run, so "not run" would be false. Had it come through
+// another entry it would not be known: "refused" speaks of this sending.
+outcome_kind kind_of_refused_resend(const manifest::pipeline& pipeline)
+{
+    return pipeline.is_repeatable() ? outcome_kind::failed
+                                    : outcome_kind::unknown;
+}
+
 unsigned http_status(const outcome& ended)
 {
     switch (ended.kind)
@@ -72,25 +82,6 @@
     return "unknown";
 }
 
-/// Counts one request in progress for as long as it lives.
-class in_progress_count
-{
-public:
-    explicit in_progress_count(std::atomic<unsigned>& count) : m_count(count)
-    {
-        m_before = m_count++;
-    }
-    ~in_progress_count() { --m_count; }
-    in_progress_count(const in_progress_count&) = delete;
-    in_progress_count& operator=(const in_progress_count&) = delete;
-
-    unsigned before() const { return m_before; }
-
-private:
-    std::atomic<unsigned>& m_count;
-    unsigned m_before = 0;
-};
-
 } // namespace
 
 caller_api::caller_api(pipeline_runner& runner,
@@ -98,7 +89,7 @@
                        const runtime::clock& time, runtime::metrics& counters,
                        unsigned max_in_progress)
     : m_runner(runner), m_store(store), m_clock(time), m_metrics(counters),
-      m_max_in_progress(max_in_progress)
+      m_in_progress(max_in_progress), m_begun(most_begun)
 {
 }
 
@@ -142,11 +133,6 @@
     {
         return malformed(reason::bad_request, fault.what());
     }
-    const in_progress_count count(m_in_progress);
-    if (m_is_draining)
-        return refusal(reason::entry_draining, come_back_soon);
-    if (count.before() >= m_max_in_progress)
-        return refusal(reason::entry_busy, come_back_soon);
     return check_and_run(parsed);
 }
 
@@ -172,7 +158,46 @@
                              "stage that may not be repeated");
         parsed.id = new_request_id();
     }
-    return m_runner.run(parsed, in_force);
+    return run_in_bounds(parsed, *pipeline, in_force);
+}
+
+// Whether it drains is looked at under the lock that counts the request in:
+// an entry that stops then waits for every request that it did not refuse.
+outcome caller_api::run_in_bounds(const request& parsed,
+                                  const manifest::pipeline& pipeline,
+                                  const configuration::snapshot_ptr& in_force)
+{
+    const decision::digest key = decision::digest_of(parsed.account, parsed.id);
+    bool is_first = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        const decision::instant now = m_clock.now();
+        is_first = !m_begun.may_have_begun(key, now);
+        outcome busy =
+            refusal(m_is_draining ? reason::entry_draining : reason::entry_busy,
+                    come_back_soon);
+        if (!is_first)
+            busy.kind = kind_of_refused_resend(pipeline);
+        if (m_is_draining || !m_in_progress.take(pipeline.priority))
+            return busy;
+        m_begun.note(key, now,
+                     in_force->document.start_horizon() + pipeline.deadline);
+    }
+    outcome ended = m_runner.run(parsed, in_force);
+    const bool is_refused = ended.kind == outcome_kind::refused;
+    const std::lock_guard lock(m_mutex);
+    m_in_progress.give_back(pipeline.priority);
+    if (is_refused && is_first)
+        m_begun.forget(key);
+    else if (is_refused)
+        ended.kind = kind_of_refused_resend(pipeline);
+    return ended;
+}
+
+std::size_t caller_api::in_progress() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_in_progress.count();
 }
 
 http_reply caller_api::answer_ticket(const http_request& from)
--- a/packages/entry/caller_api.hpp
+++ b/packages/entry/caller_api.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "configuration/config_store.hpp"
+#include "decision/in_progress_limit.hpp"
+#include "decision/recent_requests.hpp"
 #include "entry/outcome.hpp"
 #include "entry/pipeline_runner.hpp"
 #include "entry/request.hpp"
@@ -8,6 +10,7 @@
 #include "runtime/metrics.hpp"
 
 #include <atomic>
+#include <mutex>
 #include <string>
 
 namespace mangofold::entry
@@ -25,16 +28,23 @@
     void add_to(runtime::http_server& server);
 
     /// Refuses new requests from now on.
-    void set_draining() { m_is_draining = true; }
+    void set_draining()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_is_draining = true;
+    }
 
     bool is_draining() const { return m_is_draining; }
-    unsigned in_progress() const { return m_in_progress; }
+    std::size_t in_progress() const;
 
 private:
     runtime::http_reply answer_request(const runtime::http_request& from);
     runtime::http_reply answer_ticket(const runtime::http_request& from);
     outcome serve(const runtime::http_request& from, request& parsed);
     outcome check_and_run(request& parsed);
+    outcome run_in_bounds(const request& parsed,
+                          const manifest::pipeline& pipeline,
+                          const configuration::snapshot_ptr& in_force);
     runtime::http_reply to_reply(const request& parsed,
                                  const outcome& ended) const;
     std::string new_request_id();
@@ -43,9 +53,10 @@
     configuration::config_store& m_store;
     const runtime::clock& m_clock;
     runtime::metrics& m_metrics;
-    unsigned m_max_in_progress;
     std::atomic<bool> m_is_draining{false};
-    std::atomic<unsigned> m_in_progress{0};
+    mutable std::mutex m_mutex;
+    decision::in_progress_limit m_in_progress;
+    decision::recent_requests m_begun;
     std::atomic<std::uint64_t> m_next_id{1};
 };
 
--- a/packages/entry/entry_settings.hpp
+++ b/packages/entry/entry_settings.hpp
@@ -18,8 +18,8 @@
     runtime::address admin;
     runtime::address platform;
     std::vector<runtime::address> seeds;
-    unsigned http_threads = 256;
-    unsigned max_in_progress = 192;
+    unsigned http_threads = 512;
+    unsigned max_in_progress = 448;
     unsigned max_body_bytes = 1U << 20U;
     unsigned links_per_pool = 32;
     unsigned drain_ms = 30'000;
--- a/packages/entry/pipeline_runner.cpp
+++ b/packages/entry/pipeline_runner.cpp
@@ -48,6 +48,8 @@
                                  : std::min(value.deadline, pipeline.deadline);
     progress state(value, in_force->document, pipeline,
                    m_clock.now() + allowed);
+    if (is_hopeless(state, allowed))
+        return state.result;
     for (const manifest::stage& stage : pipeline.stages)
     {
         const stage_result result = run_stage(state, stage);
@@ -66,6 +68,30 @@
     return state.result;
 }
 
+// A request that cannot end in time is refused before its first stage: run
+// in part, it would take the time of targets from requests that can, and its
+// caller would learn so only at its deadline.
+bool pipeline_runner::is_hopeless(progress& state, duration allowed)
+{
+    const duration expected = m_router.expected(state.pipeline);
+    // What is expected is an average; close to the deadline, half of the
+    // requests would miss it after most of their work was done.
+    constexpr double hopeful_share = 0.75;
+    const auto hopeful =
+        std::chrono::duration_cast<duration>(allowed * hopeful_share);
+    if (expected <= hopeful)
+        return false;
+    random_source random(m_seed++);
+    state.result.kind = outcome_kind::refused;
+    state.result.why = reason::too_late;
+    // Spread over the time that the work ahead takes, so that those who are
+    // sent away now do not all come back together.
+    state.result.retry_after =
+        (expected - hopeful) +
+        duration(random.below(static_cast<std::uint64_t>(expected.count())));
+    return true;
+}
+
 // "Refused" is said only where no stage of this sending ran at all. A
 // refusal at the third stage is a failure to the caller: two stages ran.
 void pipeline_runner::conclude(progress& state, const manifest::stage& stage,
@@ -114,6 +140,7 @@
     repeatable_run attempts(m_policy, state.deadline, m_seed++);
     const std::string timed = state.pipeline.id + "/" + stage.id;
     const duration usual = m_timing.usual(timed);
+    const work_class work = state.pipeline.priority;
     instant sent_at{};
     std::optional<dispatched> out;
     const auto withdraw = [&]
@@ -141,7 +168,7 @@
         if (const auto* send = std::get_if<send_attempt>(&step))
         {
             withdraw();
-            const auto target = m_router.pick(stage.pool, send->avoid);
+            const auto target = m_router.pick(stage.pool, work, send->avoid);
             if (target)
                 out = m_sidecars.submit(*target,
                                         submission_for(state, stage, *send),
--- a/packages/entry/pipeline_runner.hpp
+++ b/packages/entry/pipeline_runner.hpp
@@ -39,6 +39,7 @@
 private:
     struct progress;
 
+    bool is_hopeless(progress& state, decision::duration allowed);
     decision::stage_result run_stage(progress& state,
                                      const manifest::stage& stage);
     decision::stage_result run_repeatable(progress& state,
--- a/packages/entry/router.cpp
+++ b/packages/entry/router.cpp
@@ -40,13 +40,26 @@
 }
 
 std::optional<std::string> router::pick(const std::string& pool,
+                                        decision::work_class work,
                                         const std::vector<std::string>& avoid)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_pools.find(pool);
     if (found == m_pools.end())
         return std::nullopt;
-    return found->second.pick(avoid, m_clock.now());
+    return found->second.pick(work, avoid, m_clock.now());
+}
+
+decision::duration router::expected(const manifest::pipeline& pipeline)
+{
+    const decision::instant now = m_clock.now();
+    decision::duration sum{};
+    const std::lock_guard lock(m_mutex);
+    for (const manifest::stage& stage : pipeline.stages)
+    {
+        sum += m_pools.at(stage.pool).expected(pipeline.priority, now);
+    }
+    return sum;
 }
 
 void router::link_opened(const std::string& target)
@@ -72,16 +85,19 @@
            [&](pool_router& pool) { pool.load_reported(target, load); });
 }
 
-void router::attempt_sent(const std::string& target)
+void router::attempt_sent(const std::string& target,
+                          decision::work_class priority)
 {
-    change(target, [&](pool_router& pool) { pool.attempt_sent(target); });
+    change(target,
+           [&](pool_router& pool) { pool.attempt_sent(target, priority); });
 }
 
 void router::attempt_ended(const std::string& target,
+                           decision::work_class priority,
                            const decision::stage_result& result)
 {
     change(target, [&](pool_router& pool)
-           { pool.attempt_ended(target, result, m_clock.now()); });
+           { pool.attempt_ended(target, priority, result, m_clock.now()); });
 }
 
 bool router::is_complete() const
--- a/packages/entry/router.hpp
+++ b/packages/entry/router.hpp
@@ -25,14 +25,19 @@
     void configure(const configuration::snapshot_ptr& value);
 
     std::optional<std::string> pick(const std::string& pool,
+                                    decision::work_class work,
                                     const std::vector<std::string>& avoid);
+    /// Returns the expected time of a request through all stages of
+    /// \a pipeline.
+    decision::duration expected(const manifest::pipeline& pipeline);
+
     void link_opened(const std::string& target);
     void link_closed(const std::string& target);
     void target_left(const std::string& target);
     void load_reported(const std::string& target,
                        const decision::target_load& load);
-    void attempt_sent(const std::string& target);
-    void attempt_ended(const std::string& target,
+    void attempt_sent(const std::string& target, decision::work_class priority);
+    void attempt_ended(const std::string& target, decision::work_class priority,
                        const decision::stage_result& result);
 
     /// Calls \a use with the retry budget of \a pool.
--- a/packages/entry/sidecar_link.cpp
+++ b/packages/entry/sidecar_link.cpp
@@ -106,7 +106,7 @@
             one.replies->put(ticket_arrived{});
             continue;
         }
-        m_context.routes.attempt_ended(m_target, result);
+        m_context.routes.attempt_ended(m_target, one.priority, result);
         one.replies->put(link_broke{m_target, one.attempt});
     }
 }
@@ -129,17 +129,19 @@
     message.mutable_submit()->set_number(number);
     if (!m_stream->send(std::move(message)))
         return std::nullopt;
-    m_pending.emplace(number, pending{replies, work.attempt});
-    m_context.routes.attempt_sent(m_target);
+    m_pending.emplace(number, pending{replies, work.attempt, work.priority});
+    m_context.routes.attempt_sent(m_target, work.priority);
     return dispatched{m_target, number, m_grant.incarnation};
 }
 
 void sidecar_link::withdraw(std::uint64_t number)
 {
-    if (!take_pending(number))
+    const std::optional<pending> withdrawn = take_pending(number);
+    if (!withdrawn)
         return;
     m_context.routes.attempt_ended(
-        m_target, decision::unknown_outcome(decision::reason::target_timeout));
+        m_target, withdrawn->priority,
+        decision::unknown_outcome(decision::reason::target_timeout));
     wire::EntryMessage message;
     message.mutable_cancel()->set_number(number);
     send(std::move(message));
@@ -153,7 +155,7 @@
         if (!m_is_up)
             return false;
         number = m_next_number++;
-        m_pending.emplace(number, pending{replies, 0});
+        m_pending.emplace(number, pending{replies, 0, {}});
     }
     wire::EntryMessage message;
     message.mutable_mint()->set_number(number);
@@ -252,7 +254,8 @@
         return;
     }
     const decision::stage_result result = wire::from_wire(message);
-    m_context.routes.attempt_ended(m_target, result);
+    m_context.routes.attempt_ended(m_target, waiting->priority, result);
+    m_context.routes.load_reported(m_target, wire::from_wire(message.load()));
     waiting->replies->put(result_arrived{m_target, message.request_id(),
                                          message.stage(), message.attempt(),
                                          result});
--- a/packages/entry/sidecar_link.hpp
+++ b/packages/entry/sidecar_link.hpp
@@ -72,6 +72,7 @@
     {
         std::shared_ptr<mailbox> replies;
         std::uint32_t attempt = 0; ///< 0 for the wish for a ticket.
+        decision::work_class priority = decision::work_class::urgent;
     };
 
     using stream_ptr = std::shared_ptr<sidecar_stream>;
--- a/packages/entry/sidecar_stream.cpp
+++ b/packages/entry/sidecar_stream.cpp
@@ -1,5 +1,7 @@
 #include "entry/sidecar_stream.hpp"
 
+#include "wire/callback_keeper.hpp"
+
 #include <grpcpp/grpcpp.h>
 
 namespace mangofold::entry
@@ -15,6 +17,7 @@
 
 void sidecar_stream::open(const std::string& address)
 {
+    wire::keep_callback_threads();
     grpc::ChannelArguments arguments;
     // A pool of channels shared over the process would tie a new stream to
     // the connection that the last one found dead.
--- a/packages/manifest/parse.cpp
+++ b/packages/manifest/parse.cpp
@@ -60,7 +60,8 @@
         from.optional_number("bulk_reserve", value.slots / 4);
     value.shares.standard_reserve =
         from.optional_number("standard_reserve", value.slots / 8);
-    value.shares.max_queued = from.optional_number("max_queued", 64);
+    value.shares.max_queued =
+        from.optional_number("max_queued", value.shares.max_queued);
     value.checks_orders = from.optional_flag("checks_orders", false);
     from.objects("targets", [&](reader& one)
                  { value.targets.push_back(read_target(one)); });
--- a/packages/sidecar/gate_keeper.cpp
+++ b/packages/sidecar/gate_keeper.cpp
@@ -171,7 +171,7 @@
                               [&](const send_result& result)
                               {
                                   count(result);
-                                  m_results->send(result);
+                                  m_results->send(result, m_gate.load());
                               },
                               [&](const cancel_run& run)
                               { m_port->cancel(run.run); }},
--- a/packages/sidecar/link_server.cpp
+++ b/packages/sidecar/link_server.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/event.hpp"
 #include "sidecar/entry_stream.hpp"
+#include "wire/callback_keeper.hpp"
 #include "wire/convert.hpp"
 
 #include <grpcpp/grpcpp.h>
@@ -58,6 +59,7 @@
 
 void link_server::start()
 {
+    wire::keep_callback_threads();
     m_service = std::make_unique<service>(*this);
     grpc::ServerBuilder builder;
     int port = 0;
@@ -131,7 +133,8 @@
     m_keeper.close_link(stream.link());
 }
 
-void link_server::send(const decision::send_result& result)
+void link_server::send(const decision::send_result& result,
+                       const decision::target_load& load)
 {
     stream_ptr stream;
     {
@@ -148,6 +151,7 @@
     body.set_request_id(result.key.request_id);
     body.set_stage(result.key.stage);
     body.set_attempt(result.attempt);
+    *body.mutable_load() = wire::to_wire(load);
     stream->send_stamped(std::move(message));
 }
 
--- a/packages/sidecar/link_server.hpp
+++ b/packages/sidecar/link_server.hpp
@@ -30,7 +30,8 @@
     void stop() noexcept override;
     bool has_failed() const override { return false; }
 
-    void send(const decision::send_result& result) override;
+    void send(const decision::send_result& result,
+              const decision::target_load& load) override;
 
     /// Sends a fresh grant, with the load, to every entry.
     void renew_grants();
--- a/packages/sidecar/result_sink.hpp
+++ b/packages/sidecar/result_sink.hpp
@@ -11,7 +11,9 @@
 public:
     virtual ~result_sink() = default;
 
-    virtual void send(const decision::send_result& result) = 0;
+    /// \a load is that of the target at this moment.
+    virtual void send(const decision::send_result& result,
+                      const decision::target_load& load) = 0;
 };
 
 } // namespace mangofold::sidecar
--- a/packages/wire/convert.cpp
+++ b/packages/wire/convert.cpp
@@ -60,7 +60,10 @@
 {
     Load message;
     message.set_running(load.running);
-    message.set_queued(load.queued);
+    for (const std::uint32_t queued : load.queued)
+        message.add_queued(queued);
+    for (const duration& expected : load.expected)
+        message.add_expected_us(to_us(expected));
     message.set_limit(load.limit);
     message.set_service_us(to_us(load.service));
     return message;
@@ -68,8 +71,15 @@
 
 decision::target_load from_wire(const Load& load)
 {
-    return {load.running(), load.queued(), load.limit(),
-            std::chrono::microseconds(load.service_us())};
+    decision::target_load value;
+    value.running = load.running();
+    value.limit = load.limit();
+    value.service = std::chrono::microseconds(load.service_us());
+    const auto known = std::min<std::size_t>(
+        value.queued.size(), static_cast<std::size_t>(load.queued_size()));
+    for (std::size_t index = 0; index < known; ++index)
+        value.queued[index] = load.queued(static_cast<int>(index));
+    return value;
 }
 
 void to_wire(const decision::submission& work, Submit& message)
--- a/tests/decision/admission_queue_test.cpp
+++ b/tests/decision/admission_queue_test.cpp
@@ -1,4 +1,5 @@
 #include "decision/admission_queue.hpp"
+#include "decision/in_progress_limit.hpp"
 
 #include <doctest/doctest.h>
 
@@ -85,3 +86,23 @@
         CHECK(queue.size() == 0);
     }
 }
+
+TEST_SUITE("in progress limit")
+{
+    TEST_CASE("a burst of long requests leaves room for a voucher check")
+    {
+        in_progress_limit limit(10);
+        int taken = 0;
+        while (limit.take(work_class::bulk))
+            ++taken;
+        CHECK(taken == 6);
+        CHECK(limit.take(work_class::standard));
+        CHECK(limit.take(work_class::standard));
+        CHECK_FALSE(limit.take(work_class::standard));
+        CHECK(limit.take(work_class::urgent));
+        CHECK(limit.take(work_class::urgent));
+        CHECK_FALSE(limit.take(work_class::urgent));
+        limit.give_back(work_class::bulk);
+        CHECK(limit.take(work_class::urgent));
+    }
+}
--- a/tests/decision/execution_ledger_test.cpp
+++ b/tests/decision/execution_ledger_test.cpp
@@ -1,4 +1,5 @@
 #include "decision/execution_ledger.hpp"
+#include "decision/recent_requests.hpp"
 
 #include <doctest/doctest.h>
 
@@ -48,3 +49,28 @@
         CHECK(ledger.has_room(instant{10s}));
     }
 }
+
+TEST_SUITE("recent requests")
+{
+    TEST_CASE("a refused resend of a begun request is not called not run")
+    {
+        // The first sending runs in part; its caller loses patience and
+        // sends again. That sending is refused for lack of time. "Not run"
+        // would be false: stages of the request ran.
+        recent_requests recent(2);
+        recent.note(key, instant{}, 10s);
+        CHECK(recent.may_have_begun(key, instant{9s}));
+        CHECK_FALSE(recent.may_have_begun(digest_of("r2"), instant{9s}));
+        CHECK_FALSE(recent.may_have_begun(key, instant{10s}));
+    }
+
+    TEST_CASE("what had to be dropped early counts as begun")
+    {
+        recent_requests recent(1);
+        recent.note(key, instant{}, 10s);
+        recent.note(digest_of("r2"), instant{1s}, 10s);
+        CHECK(recent.size() == 1);
+        CHECK(recent.may_have_begun(key, instant{2s}));
+        CHECK_FALSE(recent.may_have_begun(key, instant{11s}));
+    }
+}
--- a/tests/decision/pool_router_test.cpp
+++ b/tests/decision/pool_router_test.cpp
@@ -20,7 +20,7 @@
     for (const target_place& one : places)
     {
         made.link_opened(one.id, instant{});
-        made.load_reported(one.id, {0, 0, 4, 10ms});
+        made.load_reported(one.id, {0, {}, 4, 10ms, {}});
     }
     return made;
 }
@@ -29,7 +29,7 @@
 {
     std::map<std::string, int> taken;
     for (int turn = 0; turn < count; ++turn)
-        ++taken[from.pick({}, now).value_or("none")];
+        ++taken[from.pick(work_class::urgent, {}, now).value_or("none")];
     return taken;
 }
 
@@ -42,7 +42,7 @@
         router from = make_router({{"a", "z1"}, {"b", "z2"}});
         CHECK(picks(from, 20, instant{})["a"] == 20);
         for (int sent = 0; sent < 12; ++sent)
-            from.attempt_sent("a");
+            from.attempt_sent("a", work_class::urgent);
         CHECK(picks(from, 20, instant{})["b"] == 20);
     }
 
@@ -52,20 +52,32 @@
         // own count the entry would send all of them to the same target.
         router from = make_router({{"a", "z1"}, {"b", "z1"}});
         for (int sent = 0; sent < 10; ++sent)
-            from.attempt_sent(*from.pick({}, instant{}));
-        CHECK(from.targets().at("a").in_flight >= 4);
-        CHECK(from.targets().at("b").in_flight >= 4);
+            from.attempt_sent(*from.pick(work_class::urgent, {}, instant{}),
+                              work_class::urgent);
+        CHECK(from.targets().at("a").in_flight[0] >= 4);
+        CHECK(from.targets().at("b").in_flight[0] >= 4);
+    }
+
+    TEST_CASE("a queue of drafts does not count for a seat hold")
+    {
+        // A hundred drafts wait at the only target. They wait behind a seat
+        // hold, so the expected time of the seat hold stays short.
+        router from = make_router({{"a", "z1"}});
+        from.load_reported("a", {4, {0, 0, 100}, 4, 10ms, {12ms, 12ms, 400ms}});
+        CHECK(from.expected(work_class::urgent, instant{}) < 30ms);
+        CHECK(from.expected(work_class::bulk, instant{}) > 300ms);
     }
 
     TEST_CASE("a failing target is set aside and tried again later")
     {
         router from = make_router({{"a", "z1"}, {"b", "z1"}, {"c", "z1"}});
         for (int turn = 0; turn < 3; ++turn)
-            from.attempt_ended("a", failure, instant{});
+            from.attempt_ended("a", work_class::urgent, failure, instant{});
         CHECK(picks(from, 30, instant{})["a"] == 0);
         // One attempt probes it; until that ended, no second one does.
         CHECK(picks(from, 60, instant{1s})["a"] == 1);
-        from.attempt_ended("a", {stage_status::done, {}, {}, {}, {}, false},
+        from.attempt_ended("a", work_class::urgent,
+                           {stage_status::done, {}, {}, {}, {}, false},
                            instant{1s});
         CHECK(picks(from, 60, instant{1s})["a"] > 5);
     }
@@ -77,8 +89,8 @@
         router from = make_router({{"a", "z1"}, {"b", "z1"}, {"c", "z1"}});
         for (int turn = 0; turn < 3; ++turn)
         {
-            from.attempt_ended("a", failure, instant{});
-            from.attempt_ended("b", failure, instant{});
+            from.attempt_ended("a", work_class::urgent, failure, instant{});
+            from.attempt_ended("b", work_class::urgent, failure, instant{});
         }
         const auto taken = picks(from, 90, instant{});
         CHECK(taken.at("a") > 10);
@@ -92,6 +104,6 @@
         from.link_closed("a");
         CHECK(picks(from, 10, instant{})["b"] == 10);
         from.target_left("b");
-        CHECK_FALSE(from.pick({}, instant{}));
+        CHECK_FALSE(from.pick(work_class::urgent, {}, instant{}));
     }
 }
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -49,7 +49,7 @@
     TEST_CASE("bad ones are refused before anything starts")
     {
         using runtime::settings_error;
-        CHECK_THROWS_AS(read_entry({"--max-in-progress=256"}), settings_error);
+        CHECK_THROWS_AS(read_entry({"--max-in-progress=512"}), settings_error);
         CHECK_THROWS_AS(read_entry({"--http-threads=0"}), settings_error);
         CHECK_THROWS_AS(read_entry({"--seeds=localhost:1"}), settings_error);
         CHECK_THROWS_AS(read_entry({"--no-such-flag=1"}), settings_error);
