Limits: client accounts keep their rate over all entries without a counter

Cause: the manifest's rate_per_s was read and not enforced. Open: a balancer that is uneven leaves a share unused; not yet measured.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -61,7 +61,8 @@
              "stages": [{"id": "redeem", "pool": "booking",
                          "repeatable": False}]}],
         "accounts": [{"id": "desk", "weight": 4}, {"id": "online"},
-                     {"id": "batch"}]}
+                     {"id": "batch"},
+                     {"id": "partner", "rate_per_s": 50, "burst": 10}]}
 
 
 def kind(pipeline, rate, deadline_ms, account="desk", **more):
@@ -76,6 +77,9 @@
 TWICE = [kind("chat", 100, 2000), kind("itinerary", 440, 4000, "online"),
          kind("lookup", 100, 1000), kind("redeem", 60, 1500, ticket=True)]
 
+# Four times what the account may send, through both entries.
+PARTNER = STEADY + [kind("lookup", 200, 1000, "partner")]
+
 
 def stop_and_go(fleet, name, seconds):
     fleet.signal(name, signal.SIGSTOP)
@@ -202,6 +206,7 @@
     "service_stale": (STEADY, service_stale),
     "rolling_restart": (STEADY, rolling_restart),
     "overload": (TWICE, nothing),
+    "account_limit": (PARTNER, nothing),
 }
 
 
--- a/packages/entry/caller_api.cpp
+++ b/packages/entry/caller_api.cpp
@@ -86,10 +86,10 @@
 
 caller_api::caller_api(pipeline_runner& runner,
                        configuration::config_store& store,
-                       const runtime::clock& time, runtime::metrics& counters,
-                       unsigned max_in_progress)
-    : m_runner(runner), m_store(store), m_clock(time), m_metrics(counters),
-      m_in_progress(max_in_progress), m_begun(most_begun)
+                       const link_table& links, const runtime::clock& time,
+                       runtime::metrics& counters, unsigned max_in_progress)
+    : m_runner(runner), m_store(store), m_links(links), m_clock(time),
+      m_metrics(counters), m_in_progress(max_in_progress), m_begun(most_begun)
 {
 }
 
@@ -147,7 +147,8 @@
     if (pipeline == nullptr)
         return malformed(reason::unknown_pipeline,
                          "no pipeline '" + parsed.pipeline + "'");
-    if (document.find_account(parsed.account) == nullptr)
+    const manifest::account* account = document.find_account(parsed.account);
+    if (account == nullptr)
         return malformed(reason::unknown_account,
                          "no client account '" + parsed.account + "'");
     if (parsed.id.empty())
@@ -158,37 +159,54 @@
                              "stage that may not be repeated");
         parsed.id = new_request_id();
     }
-    return run_in_bounds(parsed, *pipeline, in_force);
+    const decision::digest key = decision::digest_of(parsed.account, parsed.id);
+    bool is_first = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        is_first = !m_begun.may_have_begun(key, m_clock.now());
+    }
+    std::optional<outcome> ended = refuse_first(parsed, *pipeline, *account);
+    if (!ended)
+        return run_in_bounds(parsed, *pipeline, in_force, is_first);
+    if (!is_first)
+        ended->kind = kind_of_refused_resend(*pipeline);
+    return *ended;
 }
 
 // Whether it drains is looked at under the lock that counts the request in:
 // an entry that stops then waits for every request that it did not refuse.
+std::optional<outcome>
+caller_api::refuse_first(const request& parsed,
+                         const manifest::pipeline& pipeline,
+                         const manifest::account& account)
+{
+    const double entries = m_links.entry_count();
+    const std::lock_guard lock(m_mutex);
+    const decision::instant now = m_clock.now();
+    if (m_is_draining)
+        return refusal(reason::entry_draining, come_back_soon);
+    if (const auto wait = m_accounts.take(
+            parsed.account, {account.rate_per_s, account.burst}, entries, now))
+        return refusal(reason::account_limit, *wait);
+    if (!m_in_progress.take(pipeline.priority))
+        return refusal(reason::entry_busy, come_back_soon);
+    m_begun.note(decision::digest_of(parsed.account, parsed.id), now,
+                 m_store.current()->document.start_horizon() +
+                     pipeline.deadline);
+    return std::nullopt;
+}
+
 outcome caller_api::run_in_bounds(const request& parsed,
                                   const manifest::pipeline& pipeline,
-                                  const configuration::snapshot_ptr& in_force)
+                                  const configuration::snapshot_ptr& in_force,
+                                  bool is_first)
 {
-    const decision::digest key = decision::digest_of(parsed.account, parsed.id);
-    bool is_first = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        const decision::instant now = m_clock.now();
-        is_first = !m_begun.may_have_begun(key, now);
-        outcome busy =
-            refusal(m_is_draining ? reason::entry_draining : reason::entry_busy,
-                    come_back_soon);
-        if (!is_first)
-            busy.kind = kind_of_refused_resend(pipeline);
-        if (m_is_draining || !m_in_progress.take(pipeline.priority))
-            return busy;
-        m_begun.note(key, now,
-                     in_force->document.start_horizon() + pipeline.deadline);
-    }
     outcome ended = m_runner.run(parsed, in_force);
     const bool is_refused = ended.kind == outcome_kind::refused;
     const std::lock_guard lock(m_mutex);
     m_in_progress.give_back(pipeline.priority);
     if (is_refused && is_first)
-        m_begun.forget(key);
+        m_begun.forget(decision::digest_of(parsed.account, parsed.id));
     else if (is_refused)
         ended.kind = kind_of_refused_resend(pipeline);
     return ended;
--- a/packages/entry/entry.cpp
+++ b/packages/entry/entry.cpp
@@ -33,7 +33,8 @@
                                                                 m_router},
       m_links(m_context, m_settings.links_per_pool),
       m_runner(m_links, m_router, time, m_metrics),
-      m_callers(m_runner, m_store, time, m_metrics, m_settings.max_in_progress),
+      m_callers(m_runner, m_store, m_links, time, m_metrics,
+                m_settings.max_in_progress),
       m_platform(m_settings.platform, m_store, m_metrics,
                  configuration::platform_reader::mode::watch, {},
                  random_seed()),
@@ -93,7 +94,11 @@
         "manifest_reader", [this] { return m_platform.read_manifest(); }));
     m_tree.add(std::make_unique<runtime::looping_child>(
         "instances_reader",
-        [this] { return m_platform.read_instances(m_links.entry_count()); }));
+        [this]
+        {
+            return m_platform.read_instances(
+                static_cast<std::uint32_t>(m_links.entries_per_sidecar()));
+        }));
     m_tree.add(caller_server());
     m_tree.add(admin_server());
 }
@@ -145,7 +150,7 @@
                               {"ready", is_ready()},
                               {"draining", m_callers.is_draining()},
                               {"in_progress", m_callers.in_progress()},
-                              {"entries_seen", m_links.entry_count()},
+                              {"entries", m_links.entry_count()},
                               {"restarted_parts", m_tree.restarts()}};
     return {200, "application/json", body.dump(), 0};
 }
--- a/packages/entry/link_table.cpp
+++ b/packages/entry/link_table.cpp
@@ -1,5 +1,6 @@
 #include "entry/link_table.hpp"
 
+#include "decision/account_limiter.hpp"
 #include "decision/owner_order.hpp"
 
 #include <algorithm>
@@ -106,12 +107,21 @@
     }
 }
 
-std::uint32_t link_table::entry_count() const
+double link_table::entries_per_sidecar() const
 {
-    std::uint32_t most = 1;
-    for (const auto& [target, link] : links())
-        most = std::max(most, link->entry_count());
-    return most;
+    const auto all = links();
+    double sum = 0;
+    for (const auto& [target, link] : all)
+        sum += link->entry_count();
+    return all.empty() ? 1 : sum / static_cast<double>(all.size());
+}
+
+double link_table::entry_count() const
+{
+    const double seen = entries_per_sidecar();
+    const std::lock_guard lock(m_mutex);
+    return decision::estimated_entries(seen, m_addresses.size(),
+                                       m_links.size());
 }
 
 std::optional<dispatched>
--- a/packages/entry/link_table.hpp
+++ b/packages/entry/link_table.hpp
@@ -38,8 +38,11 @@
     /// repeated for as long as it does.
     void note_leaving(const std::set<std::string>& targets);
 
-    /// Returns the most entries that any sidecar sees.
-    std::uint32_t entry_count() const;
+    /// Returns how many entries one sidecar sees on average.
+    double entries_per_sidecar() const;
+
+    /// Returns how many entries there are, as estimated from that.
+    double entry_count() const;
 
     std::optional<dispatched>
     submit(const std::string& target, decision::submission work,
