Entry: only the owner's word makes a request that may not be repeated "not run"

Cause: reading as a newcomer: an entry that is busy, draining, over a rate or cannot reach the owner said refused, not run, also to a resend whose first sending had run through another entry. Seen failing: the new test's first half ended as refused. Ruled out: remembering begun requests, which holds for one entry only. Change: for such pipelines an entry's own refusal is unknown; refused is said on the owner's word alone, and no early refusal stands before its ledger. The two loops over attempts share the binding of results to their request.

--- a/packages/decision/reason.hpp
+++ b/packages/decision/reason.hpp
@@ -54,6 +54,12 @@
 /// Returns the name used in replies, metrics and logs.
 std::string_view to_string(reason value);
 
+/// Whether a sidecar, not an entry, gives \a value as a reason.
+constexpr bool is_said_by_sidecar(reason value)
+{
+    return value < reason::link_lost;
+}
+
 /// How one stage, or one sending of it, ended.
 enum class stage_status : std::uint8_t
 {
--- a/packages/decision/repeatable_run.hpp
+++ b/packages/decision/repeatable_run.hpp
@@ -29,6 +29,12 @@
     /// Notes that no target could take the attempt just asked for.
     void not_sent(instant now);
 
+    /// Notes that the stream ended while \a attempt was under way.
+    void link_lost(std::uint32_t attempt, instant now)
+    {
+        ended(attempt, unknown_outcome(reason::link_lost), now);
+    }
+
     /// Notes how \a attempt ended. Returns whether it was the newest one.
     bool ended(std::uint32_t attempt, const stage_result& result, instant now);
 
--- a/packages/entry/caller_api.cpp
+++ b/packages/entry/caller_api.cpp
@@ -35,9 +35,8 @@
     return ended;
 }
 
-// This sending was refused; an earlier one of the same request may have run
-// here, or still run, so "not run" would be false. Had it come through
-// another entry it would not be known: "refused" speaks of this sending.
+// This sending was refused here; an earlier one of the same request may have
+// run, or still run, so "not run" would be false.
 outcome_kind kind_of_refused_resend(const manifest::pipeline& pipeline)
 {
     return pipeline.is_repeatable() ? outcome_kind::failed
@@ -168,7 +167,9 @@
     std::optional<outcome> ended = refuse_first(parsed, *pipeline, *account);
     if (!ended)
         return run_in_bounds(parsed, *pipeline, in_force, is_first);
-    if (!is_first)
+    // Whether an earlier sending ran that may not be repeated, only the owner
+    // knows, and nobody asked it.
+    if (!is_first || !pipeline->is_repeatable())
         ended->kind = kind_of_refused_resend(*pipeline);
     return *ended;
 }
--- a/packages/entry/pipeline_runner.cpp
+++ b/packages/entry/pipeline_runner.cpp
@@ -25,9 +25,8 @@
     const manifest::pipeline& pipeline;
     instant deadline;
     std::shared_ptr<mailbox> replies = std::make_shared<mailbox>();
-    std::string previous;       ///< Output of the last stage, JSON.
-    bool has_run = false;       ///< Some stage may have run.
-    bool has_run_owned = false; ///< A non-repeatable stage may have run.
+    std::string previous; ///< Output of the last stage, JSON.
+    bool has_run = false; ///< Some stage may have run.
     outcome result;
 };
 
@@ -48,7 +47,7 @@
                                  : std::min(value.deadline, pipeline.deadline);
     progress state(value, in_force->document, pipeline,
                    m_clock.now() + allowed);
-    if (is_hopeless(state, allowed))
+    if (pipeline.is_repeatable() && is_hopeless(state, allowed))
         return state.result;
     for (const manifest::stage& stage : pipeline.stages)
     {
@@ -59,7 +58,6 @@
             return state.result;
         }
         state.has_run = true;
-        state.has_run_owned = state.has_run_owned || !stage.is_repeatable;
         state.result.is_replayed = result.is_replayed;
         state.previous = result.body;
     }
@@ -92,8 +90,9 @@
     return true;
 }
 
-// "Refused" is said only where no stage of this sending ran at all. A
-// refusal at the third stage is a failure to the caller: two stages ran.
+// "Refused" is said only where no stage ran at all: a refusal at the third
+// stage is a failure to the caller. Where a stage may not be repeated, an
+// earlier sending may have run it; then only its owner can say "not run".
 void pipeline_runner::conclude(progress& state, const manifest::stage& stage,
                                const stage_result& result)
 {
@@ -102,11 +101,13 @@
     ended.stage = stage.id;
     ended.retry_after = result.retry_after;
     const bool is_over = result.why == reason::deadline_passed;
-    if (result.status == stage_status::unknown && !stage.is_repeatable)
-        ended.kind = outcome_kind::unknown;
-    else if (result.status == stage_status::refused && !state.has_run)
+    const bool is_owners_word =
+        !stage.is_repeatable && is_said_by_sidecar(result.why);
+    const bool is_refused = result.status == stage_status::refused;
+    if (is_refused && !state.has_run &&
+        (is_owners_word || state.pipeline.is_repeatable()))
         ended.kind = outcome_kind::refused;
-    else if (state.has_run_owned)
+    else if (!state.pipeline.is_repeatable())
         ended.kind = outcome_kind::unknown;
     else
         ended.kind =
@@ -183,35 +184,14 @@
             attempts.sent(*target, sent_at);
             continue;
         }
-        const instant until = std::get<wait_until>(step).until;
-        const auto arrived = state.replies->take(until - now);
-        if (!arrived)
+        const auto result = next_result(state, stage, attempts,
+                                        std::get<wait_until>(step).until);
+        if (!result)
             continue;
-        if (const auto* lost = std::get_if<link_broke>(&*arrived))
-        {
-            if (attempts.ended(lost->attempt,
-                               unknown_outcome(reason::link_lost),
-                               m_clock.now()))
-                count_retry(stage, reason::link_lost);
-            out.reset();
-        }
-        else if (const auto* came = std::get_if<result_arrived>(&*arrived))
-        {
-            const bool is_own =
-                came->request_id == state.asked.id && came->stage == stage.id;
-            if (!is_own ||
-                !attempts.ended(came->attempt, came->result, m_clock.now()))
-            {
-                ++m_metrics.count({"mangofold_late_results_total", ""});
-                continue;
-            }
-            out.reset();
-            cost.service += came->result.service;
-            if (came->result.status == stage_status::done)
-                m_timing.add(timed, m_clock.now() - sent_at);
-            else
-                count_retry(stage, came->result.why);
-        }
+        out.reset();
+        cost.service += result->service;
+        if (result->status == stage_status::done)
+            m_timing.add(timed, m_clock.now() - sent_at);
     }
 }
 
@@ -250,31 +230,44 @@
             attempts.sent(out->incarnation);
             continue;
         }
-        const instant until = std::get<wait_until>(step).until;
-        const auto arrived = state.replies->take(until - now);
-        if (!arrived)
-            continue;
-        if (const auto* lost = std::get_if<link_broke>(&*arrived))
-        {
-            attempts.link_lost(lost->attempt, m_clock.now());
-            count_retry(stage, reason::link_lost);
-        }
-        else if (const auto* came = std::get_if<result_arrived>(&*arrived))
-        {
-            const bool is_own =
-                came->request_id == state.asked.id && came->stage == stage.id;
-            if (!is_own ||
-                !attempts.ended(came->attempt, came->result, m_clock.now()))
-            {
-                ++m_metrics.count({"mangofold_late_results_total", ""});
-                continue;
-            }
-            if (!came->result.is_replayed)
-                cost.service += came->result.service;
-            if (came->result.status == stage_status::refused)
-                count_retry(stage, came->result.why);
-        }
+        const auto result = next_result(state, stage, attempts,
+                                        std::get<wait_until>(step).until);
+        if (result && !result->is_replayed)
+            cost.service += result->service;
+    }
+}
+
+// What arrives is bound to its request, stage and attempt. Anything else is
+// an answer that was given up or went astray; it must not become part of
+// this request's.
+template<typename Attempts>
+std::optional<stage_result>
+pipeline_runner::next_result(progress& state, const manifest::stage& stage,
+                             Attempts& attempts, instant until)
+{
+    const auto arrived = state.replies->take(until - m_clock.now());
+    if (!arrived)
+        return std::nullopt;
+    const instant now = m_clock.now();
+    if (const auto* lost = std::get_if<link_broke>(&*arrived))
+    {
+        attempts.link_lost(lost->attempt, now);
+        count_retry(stage, reason::link_lost);
+        return std::nullopt;
+    }
+    const auto* came = std::get_if<result_arrived>(&*arrived);
+    if (came == nullptr)
+        return std::nullopt;
+    const bool is_own =
+        came->request_id == state.asked.id && came->stage == stage.id;
+    if (!is_own || !attempts.ended(came->attempt, came->result, now))
+    {
+        ++m_metrics.count({"mangofold_late_results_total", ""});
+        return std::nullopt;
     }
+    if (came->result.status != stage_status::done)
+        count_retry(stage, came->result.why);
+    return came->result;
 }
 
 submission pipeline_runner::submission_for(const progress& state,
--- a/packages/entry/pipeline_runner.hpp
+++ b/packages/entry/pipeline_runner.hpp
@@ -47,6 +47,10 @@
                                           stage_cost& cost);
     decision::stage_result
     run_owned(progress& state, const manifest::stage& stage, stage_cost& cost);
+    template<typename Attempts>
+    std::optional<decision::stage_result>
+    next_result(progress& state, const manifest::stage& stage,
+                Attempts& attempts, decision::instant until);
     decision::submission submission_for(const progress& state,
                                         const manifest::stage& stage,
                                         const decision::send_attempt& step);
--- a/tests/entry/pipeline_runner_test.cpp
+++ b/tests/entry/pipeline_runner_test.cpp
@@ -148,6 +148,24 @@
               entry::outcome_kind::unknown);
     }
 
+    TEST_CASE("only the owner's word makes a redemption not run")
+    {
+        // The redemption ran through another entry; its caller sends it again
+        // here, and this entry cannot reach the owner. "Not run" would make
+        // the caller redeem under a new id. The owner's own refusal may.
+        fixture f;
+        ALLOW_CALL(f.sidecars, submit(_, _, _))
+            .LR_SIDE_EFFECT(f.time.advance(2s))
+            .RETURN(std::nullopt);
+        CHECK(f.runner.run(f.asked("redeem"), f.in_force).kind ==
+              entry::outcome_kind::unknown);
+        REQUIRE_CALL(f.sidecars, submit(_, _, _))
+            .LR_RETURN(reply(_1, _2, _3,
+                             decision::refused(decision::reason::queue_full)));
+        CHECK(f.runner.run(f.asked("redeem"), f.in_force).kind ==
+              entry::outcome_kind::refused);
+    }
+
     TEST_CASE("a redemption goes to the same owner through every entry")
     {
         fixture f;
