Runtime: one set of admin handlers for both programs

Cause: the entry and the sidecar each wrote /metrics, /healthz, /readyz and /status out. Change: runtime/admin_handlers serves both.

--- a/packages/sidecar/sidecar.cpp
+++ b/packages/sidecar/sidecar.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/sidecar.hpp"
 
 #include "manifest/manifest.hpp"
+#include "runtime/admin_handlers.hpp"
 #include "runtime/event.hpp"
 #include "runtime/looping_child.hpp"
 
@@ -107,23 +108,10 @@
     auto server = std::make_unique<runtime::http_server>(
         "admin_server", m_settings.admin,
         runtime::http_server::bounds{1, 4, 4096});
-    server->set_handler(
-        "/metrics",
-        [this](const runtime::http_request&) {
-            return runtime::http_reply{200, "text/plain", m_metrics.text(), 0};
-        });
-    server->set_handler("/healthz", [](const runtime::http_request&)
-                        { return runtime::http_reply{}; });
-    server->set_handler("/readyz",
-                        [this](const runtime::http_request&)
-                        {
-                            const bool is_ready = m_keeper.generation() > 0 &&
-                                                  !m_keeper.is_leaving();
-                            return runtime::http_reply{is_ready ? 200U : 503U,
-                                                       "text/plain", "", 0};
-                        });
-    server->set_handler("/status", [this](const runtime::http_request&)
-                        { return status(); });
+    runtime::add_admin_handlers(
+        *server, m_metrics,
+        [this] { return m_keeper.generation() > 0 && !m_keeper.is_leaving(); },
+        [this] { return status(); });
     return server;
 }
 
