Serving: an event-driven path and the platform's adapter, the whole path thin

Cause: a request held a thread from start to end and its answer came whole, which a fifth of a core with hundreds of streams can't bear; and nothing spoke the platform's protocol.

Change: packages/serving (one thread, Asio coroutines, Beast's parsers), packages/catalog, new decisions (target_directory, call_planner, sending_record, target_standing, engine_choice), platform/ with names, formats and calls only, deploy/system.toml. Boost 1.81 for the coroutines.

Ruled out while bringing it up: calls without a Host header (the store answered nothing); fields assigned after the request line, which they hold too (targets answered 400); results read from a temporary that was gone (every piece counted as lost).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build
 PACKAGES = g++ cmake ninja-build pkg-config python3 \
 	libcxxtools-dev libgrpc++-dev libprotobuf-dev protobuf-compiler \
-	protobuf-compiler-grpc libboost-dev libboost-program-options-dev \
+	protobuf-compiler-grpc libboost1.81-dev libboost-program-options1.81-dev libtomlplusplus-dev \
 	libspdlog-dev doctest-dev libtrompeloeil-cpp-dev librapidcheck-dev \
 	nlohmann-json3-dev libxxhash-dev spin clang-format clang-tidy
 SEED ?= 7
--- /dev/null
+++ b/packages/decision/call_planner.cpp
@@ -0,0 +1,350 @@
+#include "decision/call_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace mangofold::decision
+{
+
+namespace
+{
+
+/// How long a target that refused or failed is left alone at first, and at
+/// most: a call's fixed time is the least after which it can be free again.
+constexpr double most_rests = 8;
+
+/// Weight of the newest call in a target's slowness. Half forgets a slow
+/// spell within three calls, about a second.
+constexpr double newest_weight = 0.5;
+
+/// A target that looks this much slower than it should is used only where
+/// waiting for another one takes longer.
+constexpr double is_slow = 1.5;
+
+/// The share of its room that is filled on purpose; the rest is for results
+/// whose size is only roughly known.
+constexpr double room_share = 0.97;
+
+} // namespace
+
+void call_planner::set_targets(const std::map<std::string, std::string>& zones)
+{
+    for (auto one = m_targets.begin(); one != m_targets.end();)
+        one = zones.contains(one->first) ? std::next(one)
+                                         : m_targets.erase(one);
+    for (const auto& [id, zone] : zones)
+    {
+        stage_target& target = m_targets[id];
+        target.id = id;
+        target.zone = zone;
+    }
+}
+
+void call_planner::add(piece_job job)
+{
+    job_state state;
+    const std::uint64_t number = job.number;
+    for (std::uint32_t piece = 0; piece < job.pieces; ++piece)
+        state.waiting.push_back(piece);
+    m_waiting_pieces += state.waiting.size();
+    state.job = std::move(job);
+    m_jobs.insert_or_assign(number, std::move(state));
+}
+
+call_planner::finished_job
+call_planner::taken(std::map<std::uint64_t, job_state>::iterator one)
+{
+    m_waiting_pieces -= one->second.waiting.size();
+    finished_job job{std::move(one->second.job), {}};
+    for (auto& [piece, handle] : one->second.made)
+        job.handles.push_back(std::move(handle));
+    m_jobs.erase(one);
+    return job;
+}
+
+std::optional<call_planner::finished_job>
+call_planner::take(std::uint64_t number)
+{
+    const auto found = m_jobs.find(number);
+    if (found == m_jobs.end())
+        return std::nullopt;
+    return taken(found);
+}
+
+void call_planner::cancel(std::uint64_t number)
+{
+    take(number);
+}
+
+const piece_job* call_planner::find(std::uint64_t number) const
+{
+    const auto found = m_jobs.find(number);
+    return found == m_jobs.end() ? nullptr : &found->second.job;
+}
+
+duration call_planner::expected_time(const stage_target& target,
+                                     std::size_t pieces) const
+{
+    const double nominal =
+        static_cast<double>(m_shape.per_call.count()) +
+        static_cast<double>(m_shape.per_piece.count()) *
+            static_cast<double>(pieces);
+    return duration(static_cast<duration::rep>(nominal * target.slowness));
+}
+
+// A slow target ties up its pieces for several calls' time: they are better
+// off waiting for a quick one to be free, unless that takes longer still.
+bool call_planner::is_worth_waiting(const stage_target& target,
+                                    instant now) const
+{
+    if (target.slowness < is_slow)
+        return false;
+    const instant own = now + expected_time(target, m_shape.most_pieces);
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [&](const auto& one)
+                       {
+                           const stage_target& other = one.second;
+                           if (other.id == target.id ||
+                               other.aside_until > now)
+                               return false;
+                           const instant free = std::max(other.free_at, now);
+                           return free + expected_time(
+                                             other, m_shape.most_pieces) <
+                                  own;
+                       });
+}
+
+stage_target* call_planner::best_target(instant now)
+{
+    stage_target* best = nullptr;
+    for (auto& [id, target] : m_targets)
+    {
+        if (target.running >= m_shape.slots || target.aside_until > now ||
+            is_worth_waiting(target, now))
+            continue;
+        target.drop_ended(now);
+        const auto rank = [](const stage_target& one)
+        { return std::pair(one.slowness, one.kept_bytes); };
+        if (best == nullptr || rank(target) < rank(*best))
+            best = &target;
+    }
+    return best;
+}
+
+// What can still be useful in full goes first, the earliest due first; what
+// is late already waits behind it, so that one late request does not make
+// all others late too.
+std::vector<call_planner::job_state*> call_planner::in_order(instant now)
+{
+    std::vector<job_state*> order;
+    for (auto& [number, state] : m_jobs)
+        if (!state.waiting.empty())
+            order.push_back(&state);
+    const instant soonest = now + m_shape.per_call;
+    std::stable_sort(order.begin(), order.end(),
+                     [soonest](const job_state* left, const job_state* right)
+                     {
+                         const bool left_late = left->job.due < soonest;
+                         const bool right_late = right->job.due < soonest;
+                         if (left_late != right_late)
+                             return right_late;
+                         return left->job.due < right->job.due;
+                     });
+    return order;
+}
+
+void call_planner::fill(planned_call& call, stage_target& target, instant now)
+{
+    const auto room = static_cast<std::uint64_t>(
+        static_cast<double>(m_shape.room_bytes) * room_share);
+    std::uint64_t used = target.kept_bytes + target.reserved_bytes;
+    std::size_t space = m_shape.most_pieces;
+    for (job_state* state : in_order(now))
+    {
+        if (space == 0)
+            break;
+        const std::uint64_t bytes = state->job.result_bytes;
+        const std::uint64_t fits =
+            bytes == 0 ? space : (room > used ? (room - used) / bytes : 0);
+        const std::size_t wanted = state->waiting.size();
+        std::size_t some = std::min<std::size_t>(
+            {wanted, space, static_cast<std::size_t>(fits)});
+        // A job is made in one call where it can be: in two it would wait
+        // for the later one. Only one that no call could hold is split.
+        if (some < wanted && wanted <= m_shape.most_pieces &&
+            wanted * bytes <= room)
+            continue;
+        for (; some > 0; --some)
+        {
+            call.pieces.push_back({state->job.number, state->waiting.back()});
+            state->waiting.pop_back();
+            used += bytes;
+            target.reserved_bytes += bytes;
+            --space;
+            --m_waiting_pieces;
+        }
+    }
+}
+
+std::optional<planned_call> call_planner::next_call(instant now)
+{
+    if (m_waiting_pieces == 0)
+        return std::nullopt;
+    stage_target* target = best_target(now);
+    if (target == nullptr)
+        return std::nullopt;
+    planned_call call;
+    call.target = target->id;
+    fill(call, *target, now);
+    if (call.pieces.empty())
+        return std::nullopt;
+    call.expected = expected_time(*target, call.pieces.size());
+    ++target->running;
+    target->free_at = now + call.expected;
+    return call;
+}
+
+void call_planner::call_done(const std::string& target, std::size_t pieces,
+                             duration took, instant now)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    stage_target& one = found->second;
+    one.running -= one.running > 0 ? 1 : 0;
+    one.reserved_bytes = 0;
+    one.failures = 0;
+    one.free_at = now;
+    const auto nominal = static_cast<double>(
+        (m_shape.per_call +
+         m_shape.per_piece * static_cast<duration::rep>(pieces))
+            .count());
+    const double seen = static_cast<double>(took.count()) / nominal;
+    one.slowness = std::max(
+        1.0, one.slowness * (1 - newest_weight) + newest_weight * seen);
+}
+
+void call_planner::call_failed(const std::string& target, bool is_full,
+                               instant now)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    stage_target& one = found->second;
+    one.running -= one.running > 0 ? 1 : 0;
+    one.reserved_bytes = 0;
+    ++one.failures;
+    const double rests =
+        is_full ? 0.5 : std::min<double>(one.failures, most_rests);
+    one.aside_until =
+        now + duration(static_cast<duration::rep>(
+                  rests * static_cast<double>(m_shape.per_call.count())));
+    one.free_at = one.aside_until;
+}
+
+void call_planner::piece_made(const piece_ref& piece, const std::string& target,
+                              const std::string& handle, instant now)
+{
+    const auto job = m_jobs.find(piece.job);
+    const std::uint64_t bytes =
+        job == m_jobs.end() ? 0 : job->second.job.result_bytes;
+    const auto maker = m_targets.find(target);
+    if (maker != m_targets.end())
+        maker->second.keep(handle, bytes, now + m_shape.result_lifetime);
+    if (job == m_jobs.end())
+        return;
+    job->second.made[piece.piece] = handle;
+    if (job->second.made.size() == job->second.job.pieces)
+        m_finished.push_back(piece.job);
+}
+
+void call_planner::piece_lost(const piece_ref& piece)
+{
+    const auto job = m_jobs.find(piece.job);
+    if (job == m_jobs.end() || job->second.made.contains(piece.piece))
+        return;
+    job->second.waiting.push_back(piece.piece);
+    ++m_waiting_pieces;
+}
+
+void call_planner::no_room(const std::string& target, instant now)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.aside_until = now + m_shape.per_call / 2;
+}
+
+void call_planner::released(const std::string& handle)
+{
+    for (auto& [id, target] : m_targets)
+        target.release(handle);
+}
+
+std::vector<call_planner::finished_job> call_planner::take_finished()
+{
+    std::vector<finished_job> jobs;
+    for (const std::uint64_t number : m_finished)
+        if (auto job = take(number))
+            jobs.push_back(std::move(*job));
+    m_finished.clear();
+    return jobs;
+}
+
+std::vector<call_planner::finished_job>
+call_planner::take_expired(instant now)
+{
+    std::vector<finished_job> jobs;
+    for (auto one = m_jobs.begin(); one != m_jobs.end();)
+    {
+        const auto next = std::next(one);
+        const job_state& state = one->second;
+        const bool is_under_way =
+            state.waiting.size() + state.made.size() < state.job.pieces;
+        if (!is_under_way && state.job.expires < now + m_shape.per_call)
+            jobs.push_back(taken(one));
+        one = next;
+    }
+    return jobs;
+}
+
+std::optional<instant> call_planner::next_change(instant now) const
+{
+    if (m_waiting_pieces == 0)
+        return std::nullopt;
+    std::optional<instant> soonest;
+    for (const auto& [id, target] : m_targets)
+    {
+        const instant then = std::max(target.aside_until,
+                                      target.running > 0 ? target.free_at
+                                                         : instant{});
+        if (then > now && (!soonest || then < *soonest))
+            soonest = then;
+    }
+    return soonest;
+}
+
+duration call_planner::expected_wait(instant now) const
+{
+    double pieces_per_ns = 0;
+    instant first_free = instant::max();
+    for (const auto& [id, target] : m_targets)
+    {
+        if (target.aside_until > now)
+            continue;
+        const auto time = expected_time(target, m_shape.most_pieces);
+        pieces_per_ns += static_cast<double>(m_shape.most_pieces) *
+                         m_shape.slots / static_cast<double>(time.count());
+        first_free = std::min(
+            first_free,
+            target.running >= m_shape.slots ? std::max(target.free_at, now)
+                                            : now);
+    }
+    if (pieces_per_ns <= 0)
+        return m_shape.per_call * 4;
+    const double ahead =
+        static_cast<double>(m_waiting_pieces) / pieces_per_ns;
+    return duration(static_cast<duration::rep>(ahead)) + (first_free - now);
+}
+
+} // namespace mangofold::decision
--- /dev/null
+++ b/packages/decision/call_planner.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "catalog/catalog.hpp"
+#include "decision/piece_job.hpp"
+#include "decision/stage_target.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangofold::decision
+{
+
+/// One call to make: at most as many pieces as the service allows.
+struct planned_call
+{
+    std::string target;
+    std::vector<piece_ref> pieces;
+    duration expected{};
+
+    friend bool operator==(const planned_call&, const planned_call&) = default;
+};
+
+/// Forms the calls of one stage service from the pieces of all requests.
+///
+/// A call costs its fixed time whatever it holds, so capacity is a matter of
+/// full calls: none is sent to wait behind another, and each is formed when
+/// its target is free, from whatever is most urgent then.
+class call_planner
+{
+public:
+    explicit call_planner(catalog::call_shape shape) : m_shape(shape) {}
+
+    void set_shape(const catalog::call_shape& shape) { m_shape = shape; }
+    const catalog::call_shape& shape() const { return m_shape; }
+
+    /// Sets which targets may get calls, with their zones.
+    void set_targets(const std::map<std::string, std::string>& zones);
+
+    /// Adds a job. Its number must be new.
+    void add(piece_job job);
+
+    /// Takes a job out that nobody waits for any more.
+    void cancel(std::uint64_t number);
+
+    /// Returns the next call to make now, if there is one.
+    std::optional<planned_call> next_call(instant now);
+
+    /// Notes how a call of \a pieces ended at \a target: answered after
+    /// \a took, ...
+    void call_done(const std::string& target, std::size_t pieces, duration took,
+                   instant now);
+    /// ... refused since its queue is full, or without an answer, ...
+    void call_failed(const std::string& target, bool is_full, instant now);
+
+    /// ... and each of its pieces: made, ...
+    void piece_made(const piece_ref& piece, const std::string& target,
+                    const std::string& handle, instant now);
+    /// ... or to be made again.
+    void piece_lost(const piece_ref& piece);
+    /// Notes that \a target had no room for a result.
+    void no_room(const std::string& target, instant now);
+
+    /// Notes that a result no longer takes room at its maker.
+    void released(const std::string& handle);
+
+    /// Takes the jobs whose results are all there, with the results in the
+    /// order of the pieces.
+    struct finished_job
+    {
+        piece_job job;
+        std::vector<std::string> handles;
+    };
+    std::vector<finished_job> take_finished();
+
+    /// Takes the jobs whose time is over, with what was made of them.
+    std::vector<finished_job> take_expired(instant now);
+
+    /// Takes a job out with what was made of it.
+    std::optional<finished_job> take(std::uint64_t number);
+
+    /// Returns the job numbered \a number, or nothing.
+    const piece_job* find(std::uint64_t number) const;
+
+    /// Returns when a target may be free again, at the latest.
+    std::optional<instant> next_change(instant now) const;
+
+    /// Returns the expected time until a new job would be made.
+    duration expected_wait(instant now) const;
+
+    std::size_t waiting_pieces() const { return m_waiting_pieces; }
+    std::size_t waiting_jobs() const { return m_jobs.size(); }
+
+private:
+    struct job_state
+    {
+        piece_job job;
+        std::vector<std::uint32_t> waiting; ///< Pieces not under way.
+        std::map<std::uint32_t, std::string> made;
+    };
+
+    duration expected_time(const stage_target& target,
+                           std::size_t pieces) const;
+    stage_target* best_target(instant now);
+    bool is_worth_waiting(const stage_target& target, instant now) const;
+    std::vector<job_state*> in_order(instant now);
+    void fill(planned_call& call, stage_target& target, instant now);
+    finished_job taken(std::map<std::uint64_t, job_state>::iterator one);
+
+    catalog::call_shape m_shape;
+    std::map<std::string, stage_target> m_targets;
+    std::map<std::uint64_t, job_state> m_jobs;
+    std::vector<std::uint64_t> m_finished;
+    std::size_t m_waiting_pieces = 0;
+};
+
+} // namespace mangofold::decision
--- a/packages/decision/retry_budget.hpp
+++ b/packages/decision/retry_budget.hpp
@@ -18,6 +18,9 @@
     /// Notes a first attempt, which earns a share of a retry.
     void first_sent() { m_tokens = std::min(m_tokens + m_share, m_reserve); }
 
+    /// Whether a retry can be taken.
+    bool has_one() const { return m_tokens >= 1; }
+
     /// Takes one retry. Returns whether there was one.
     bool take();
 
@@ -29,7 +32,7 @@
 
 inline bool retry_budget::take()
 {
-    if (m_tokens < 1)
+    if (!has_one())
         return false;
     m_tokens -= 1;
     return true;
--- /dev/null
+++ b/packages/decision/target_directory.cpp
@@ -0,0 +1,128 @@
+#include "decision/target_directory.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace mangofold::decision
+{
+
+bool target_directory::note(const listed_target& one)
+{
+    record& known = m_records[one.id];
+    if (one.revision <= known.value.revision)
+        return false;
+    // A target that was seen leaving never serves again under its id, even
+    // where a stale source lists it as serving with a newer number.
+    const bool was_leaving = known.value.is_leaving;
+    known.value = one;
+    known.value.is_leaving = one.is_leaving || was_leaving;
+    known.is_removed = false;
+    known.lapsed_at.reset();
+    m_newest = std::max(m_newest, one.revision);
+    ++m_changes;
+    return true;
+}
+
+bool target_directory::note_removed(const std::string& id,
+                                    std::uint64_t revision, instant now)
+{
+    record& known = m_records[id];
+    if (revision <= known.value.revision)
+        return false;
+    known.value.id = id;
+    known.value.revision = revision;
+    m_newest = std::max(m_newest, revision);
+    ++m_changes;
+    // While the list is away its entries run out although the targets live.
+    // Dropping them at once would leave a whole service without targets;
+    // those that live are listed again within the return time.
+    const bool may_be_lapse = is_unsettled(now) && !known.is_removed &&
+                              !known.value.is_leaving &&
+                              !known.value.address.empty();
+    if (may_be_lapse)
+        known.lapsed_at = now;
+    else
+        known.is_removed = true;
+    return true;
+}
+
+void target_directory::note_all(const std::vector<listed_target>& list,
+                                std::uint64_t revision, instant now)
+{
+    std::set<std::string> present;
+    for (const listed_target& one : list)
+    {
+        note(one);
+        present.insert(one.id);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, known] : m_records)
+        if (!known.is_removed && !known.lapsed_at && !present.contains(id) &&
+            known.value.revision < revision)
+            missing.push_back(id);
+    for (const std::string& id : missing)
+        note_removed(id, revision, now);
+    m_newest = std::max(m_newest, revision);
+}
+
+void target_directory::set_source(bool is_there, instant now)
+{
+    if (is_there == m_is_source_there)
+        return;
+    m_is_source_there = is_there;
+    (is_there ? m_back_at : m_lost_at) = now;
+}
+
+bool target_directory::is_unsettled(instant now) const
+{
+    if (!m_is_source_there)
+        return true;
+    return m_lost_at && m_back_at && now < *m_back_at + return_time;
+}
+
+void target_directory::expire(instant now)
+{
+    if (!m_is_source_there || !m_back_at)
+        return;
+    for (auto& [id, known] : m_records)
+    {
+        if (!known.lapsed_at ||
+            now < std::max(*known.lapsed_at, *m_back_at) + return_time)
+            continue;
+        known.lapsed_at.reset();
+        known.is_removed = true;
+        ++m_changes;
+    }
+}
+
+std::vector<const listed_target*>
+target_directory::serving(const std::string& service) const
+{
+    std::vector<const listed_target*> found;
+    for (const auto& [id, known] : m_records)
+        if (may_serve(known) && known.value.service == service)
+            found.push_back(&known.value);
+    return found;
+}
+
+const listed_target* target_directory::find(const std::string& id) const
+{
+    const auto found = m_records.find(id);
+    if (found == m_records.end() || !may_serve(found->second))
+        return nullptr;
+    return &found->second.value;
+}
+
+std::vector<listed_target> target_directory::all() const
+{
+    std::vector<listed_target> found;
+    for (const auto& [id, known] : m_records)
+    {
+        found.push_back(known.value);
+        if (known.is_removed)
+            found.back().address.clear();
+    }
+    return found;
+}
+
+} // namespace mangofold::decision
--- /dev/null
+++ b/packages/decision/target_directory.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "decision/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangofold::decision
+{
+
+/// A target as its own entry in the published list describes it.
+struct listed_target
+{
+    std::string id;
+    std::string service;
+    std::string address; ///< "IP:port"; may name another target later.
+    std::string zone;
+    std::uint32_t slots = 1;
+    bool is_leaving = false;
+    std::uint64_t revision = 0; ///< Of the list, when this was written.
+
+    friend bool operator==(const listed_target&,
+                           const listed_target&) = default;
+};
+
+/// The targets that may get new work, from a published list that can be
+/// stale, away or in pieces, and from peers that read it too.
+///
+/// Every change carries the list's revision, so the newest one about a target
+/// wins, whoever brings it and in whatever order.
+class target_directory
+{
+public:
+    /// How long an entry that lapsed while the list was away may take to come
+    /// back after the list's return: two seconds as published, and half a
+    /// second for the way here.
+    static constexpr duration return_time = std::chrono::milliseconds(2500);
+
+    /// Notes what the list says of a target. Returns whether it was news.
+    bool note(const listed_target& one);
+
+    /// Notes that the list no longer holds \a id as of \a revision.
+    bool note_removed(const std::string& id, std::uint64_t revision,
+                      instant now);
+
+    /// Notes the whole list, read no earlier than \a revision: targets that
+    /// it lacks are removed as of then.
+    void note_all(const std::vector<listed_target>& list,
+                  std::uint64_t revision, instant now);
+
+    /// Notes whether the list can be read.
+    void set_source(bool is_there, instant now);
+
+    /// Forgets the targets that did not come back in time.
+    void expire(instant now);
+
+    /// Returns the targets of \a service that may get new work.
+    std::vector<const listed_target*>
+    serving(const std::string& service) const;
+
+    /// Returns the target with \a id that may get new work, or nothing.
+    const listed_target* find(const std::string& id) const;
+
+    /// Returns everything known, removed targets with their revision only.
+    std::vector<listed_target> all() const;
+
+    std::uint64_t newest_revision() const { return m_newest; }
+
+    /// Rises with each change.
+    std::uint64_t changes() const { return m_changes; }
+
+private:
+    struct record
+    {
+        listed_target value;
+        bool is_removed = false;
+        std::optional<instant> lapsed_at; ///< Removed, but may come back.
+    };
+
+    bool may_serve(const record& one) const
+    {
+        return !one.is_removed && !one.value.is_leaving;
+    }
+    bool is_unsettled(instant now) const;
+
+    std::map<std::string, record> m_records;
+    bool m_is_source_there = false;
+    std::optional<instant> m_lost_at;
+    std::optional<instant> m_back_at;
+    std::uint64_t m_newest = 0;
+    std::uint64_t m_changes = 0;
+};
+
+} // namespace mangofold::decision
--- /dev/null
+++ b/packages/decision/target_standing.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "decision/random_source.hpp"
+#include "decision/target_directory.hpp"
+#include "decision/time.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mangofold::decision
+{
+
+/// What one process has seen of the targets that it sends requests to, and
+/// which of them it prefers.
+class target_standing
+{
+public:
+    explicit target_standing(std::uint64_t seed) : m_random(seed) {}
+
+    void note_sent(const std::string& id) { ++m_seen[id].in_flight; }
+
+    /// Notes that a send to \a id ended well after \a took, or with the
+    /// target's own failure.
+    void note_answered(const std::string& id, duration took, bool is_failure);
+
+    /// Notes that \a id refused without running anything.
+    void note_refused(const std::string& id, instant now);
+
+    /// Notes that a send to \a id got no answer.
+    void note_silent(const std::string& id, instant now);
+
+    /// Notes that a send to \a id was given up by the caller.
+    void note_left(const std::string& id);
+
+    /// Returns the target among \a candidates where a request should go, by
+    /// expected time; nothing where there is none left out of \a tried.
+    const listed_target*
+    choose(const std::vector<const listed_target*>& candidates,
+           const std::set<std::string>& tried, const std::string& zone,
+           instant now);
+
+    std::uint32_t in_flight(const std::string& id) const;
+
+    /// Returns the time in which nearly all answers come, or nothing before
+    /// enough came.
+    std::optional<duration> usual_longest() const;
+
+    /// Whether \a id is set aside after failures.
+    bool is_aside(const std::string& id, instant now) const;
+
+private:
+    struct sight
+    {
+        std::uint32_t in_flight = 0;
+        double took_ns = 0;  ///< Moving average; 0 before the first.
+        double failing = 0;  ///< Moving share of failures.
+        std::uint32_t silences = 0; ///< In a row.
+        instant aside_until{};
+    };
+
+    double expected_ns(const listed_target& target, const std::string& zone,
+                       instant now) const;
+    double usual_ns() const;
+
+    std::unordered_map<std::string, sight> m_seen;
+    random_source m_random;
+    double m_mean_ns = 0;
+    double m_deviation_ns = 0;
+    std::uint64_t m_answers = 0;
+};
+
+} // namespace mangofold::decision
--- /dev/null
+++ b/packages/serving/asio.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "decision/time.hpp"
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace mangofold::serving
+{
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using decision::duration;
+using decision::instant;
+
+/// Returns a completion token that stores an error instead of throwing it.
+inline auto into(error_code& fault)
+{
+    return asio::redirect_error(asio::use_awaitable, fault);
+}
+
+/// Starts \a work on its own.
+template<typename Awaitable>
+void start(asio::io_context& loop, Awaitable&& work)
+{
+    asio::co_spawn(loop, std::forward<Awaitable>(work), asio::detached);
+}
+
+/// Returns the time from \a now until \a then, never negative.
+inline duration until(instant then, instant now)
+{
+    return std::max(then - now, duration::zero());
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/entry_context.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "catalog/catalog_index.hpp"
+#include "decision/engine_choice.hpp"
+#include "decision/random_source.hpp"
+#include "decision/retry_budget.hpp"
+#include "decision/target_directory.hpp"
+#include "decision/target_standing.hpp"
+#include "runtime/clock.hpp"
+#include "runtime/metrics.hpp"
+#include "serving/dialect.hpp"
+#include "serving/node_settings.hpp"
+#include "serving/piece_maker.hpp"
+#include "serving/target_links.hpp"
+
+#include <map>
+#include <string>
+
+namespace mangofold::serving
+{
+
+/// What the parts of one entry process share. Used on its one thread only.
+struct entry_context
+{
+    entry_context(asio::io_context& its_loop, const runtime::clock& its_time,
+                  const dialect& its_speech, node_settings its_settings,
+                  std::uint64_t seed)
+        : loop(its_loop), time(its_time), speech(its_speech),
+          settings(std::move(its_settings)), links(its_loop, its_time),
+          standing(seed), random(seed + 1)
+    {
+    }
+
+    instant now() const { return time.now(); }
+
+    /// Returns the retry budget of \a service.
+    decision::retry_budget& retries_of(const std::string& service);
+
+    /// Counts an event with a label.
+    void count(const std::string& name, const std::string& of,
+               std::string_view value)
+    {
+        ++metrics.count({name, runtime::label(of, value)});
+    }
+
+    asio::io_context& loop;
+    const runtime::clock& time;
+    const dialect& speech;
+    node_settings settings;
+    runtime::metrics metrics;
+    catalog::catalog_ptr catalog; ///< Nothing before the first is known.
+    decision::target_directory directory;
+    bool knows_targets = false; ///< The list was read once, or relayed.
+    target_links links;
+    decision::target_standing standing;
+    decision::engine_choice engines;
+    decision::random_source random;
+    piece_maker* pieces = nullptr;
+    std::map<std::string, decision::retry_budget> retries;
+    std::size_t entries_known = 1; ///< Entries that answer, and this one.
+    bool is_stopping = false;
+};
+
+inline decision::retry_budget&
+entry_context::retries_of(const std::string& service)
+{
+    const auto found = retries.find(service);
+    if (found != retries.end())
+        return found->second;
+    // All entries draw on one budget. Each keeps to its own part of the
+    // fixed reserve: half of it is left for entries that start again with a
+    // full part, or are not known yet.
+    const double reserve = settings.retry_reserve / 2 /
+                           static_cast<double>(std::max<std::size_t>(
+                               entries_known, settings.seeds.size()));
+    return retries
+        .try_emplace(service, settings.retry_share * 0.9,
+                     std::max(1.0, reserve))
+        .first->second;
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/entry_process.cpp
@@ -0,0 +1,113 @@
+#include "serving/entry_process.hpp"
+
+#include "runtime/event.hpp"
+
+#include <csignal>
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+/// How much of the grace is kept back for the end of the process itself.
+constexpr duration end_margin = std::chrono::milliseconds(300);
+
+/// How often a stopping process looks whether its work is done.
+constexpr duration stop_tick = std::chrono::milliseconds(50);
+
+/// How long a stopping process goes on at least: the balancer notices within
+/// two seconds that it is not ready, and callers still arrive until then.
+constexpr duration least_stop = std::chrono::milliseconds(3000);
+
+constexpr duration tidy_interval = std::chrono::seconds(1);
+
+constexpr unsigned ok = 200;
+constexpr unsigned unavailable = 503;
+
+} // namespace
+
+entry_process::entry_process(asio::io_context& loop, const runtime::clock& time,
+                             const dialect& speech,
+                             const source_dialect& source,
+                             node_settings settings, std::uint64_t seed)
+    : m_context(loop, time, speech, std::move(settings), seed),
+      m_gatherer(m_context), m_maker(m_context, m_gatherer),
+      m_source(m_context, source), m_requests(m_context),
+      m_status(m_context, m_context.settings.readiness,
+               [this](const std::string& path) { return answer_status(path); }),
+      m_signals(loop, SIGTERM, SIGINT)
+{
+    m_context.pieces = &m_maker;
+}
+
+status_server::reply
+entry_process::answer_status(const std::string& path) const
+{
+    if (path == "/metrics")
+        return {ok, m_context.metrics.text()};
+    const bool is_ready = m_context.catalog && m_context.knows_targets &&
+                          !m_context.is_stopping;
+    return {is_ready ? ok : unavailable, {}};
+}
+
+awaitable<void> entry_process::watch_signals()
+{
+    error_code fault;
+    co_await m_signals.async_wait(into(fault));
+    if (!fault)
+        co_await stop();
+}
+
+// Callers with open connections go on using them until the end; each answer
+// from now on tells its caller to close.
+awaitable<void> entry_process::stop()
+{
+    const instant began = m_context.now();
+    m_context.is_stopping = true;
+    runtime::event("stopping")
+        .with("requests", m_requests.requests_in_progress())
+        .info();
+    asio::steady_timer timer(m_context.loop);
+    for (;;)
+    {
+        const duration gone = m_context.now() - began;
+        const bool is_idle = m_requests.connections() == 0;
+        if (gone + end_margin >= m_context.settings.grace ||
+            (gone >= least_stop && is_idle))
+            break;
+        error_code ignored; // Nobody cancels it.
+        timer.expires_after(stop_tick);
+        co_await timer.async_wait(into(ignored));
+    }
+    runtime::event("stopped")
+        .with("requests", m_requests.requests_in_progress())
+        .info();
+    m_context.loop.stop();
+}
+
+awaitable<void> entry_process::tidy()
+{
+    asio::steady_timer timer(m_context.loop);
+    for (;;)
+    {
+        error_code ignored; // Nobody cancels it.
+        timer.expires_after(tidy_interval);
+        co_await timer.async_wait(into(ignored));
+        m_context.links.drop_old();
+    }
+}
+
+void entry_process::run()
+{
+    start(m_context.loop, watch_signals());
+    start(m_context.loop, m_source.run());
+    start(m_context.loop, m_gatherer.run());
+    start(m_context.loop, m_requests.run());
+    start(m_context.loop, m_status.run());
+    start(m_context.loop, tidy());
+    runtime::event("started").with("zone", m_context.settings.zone).info();
+    m_context.loop.run();
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/entry_process.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "serving/elected_maker.hpp"
+#include "serving/entry_context.hpp"
+#include "serving/gatherer.hpp"
+#include "serving/request_server.hpp"
+#include "serving/source_reader.hpp"
+#include "serving/status_server.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace mangofold::serving
+{
+
+/// One entry process: everything it runs on its one thread.
+class entry_process
+{
+public:
+    entry_process(asio::io_context& loop, const runtime::clock& time,
+                  const dialect& speech, const source_dialect& source,
+                  node_settings settings, std::uint64_t seed);
+
+    /// Runs until a signal asks it to stop and its work is done.
+    void run();
+
+private:
+    awaitable<void> watch_signals();
+    awaitable<void> stop();
+    awaitable<void> tidy();
+    status_server::reply answer_status(const std::string& path) const;
+
+    entry_context m_context;
+    gatherer m_gatherer;
+    elected_maker m_maker;
+    source_reader m_source;
+    request_server m_requests;
+    status_server m_status;
+    asio::signal_set m_signals;
+};
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/exchange.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "catalog/catalog_index.hpp"
+#include "decision/sending_record.hpp"
+#include "serving/caller_session.hpp"
+#include "serving/entry_context.hpp"
+#include "serving/stage_runner.hpp"
+#include "serving/target_call.hpp"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace mangofold::serving
+{
+
+/// Why a request ends with an answer of this process, not of a target.
+enum class refusal : std::uint8_t
+{
+    none,
+    malformed,
+    no_catalog,
+    no_route,
+    unknown_key,
+    no_target,
+    targets_full,
+    too_late,
+    stages_late,
+    stages_failed,
+    retries_spent,
+    target_lost,
+    target_silent,
+    answer_spoiled,
+    timed_out
+};
+
+std::string_view to_string(refusal value);
+
+/// One request of a caller, from its head to its final answer.
+class exchange
+{
+public:
+    exchange(entry_context& context, std::shared_ptr<caller_session> session,
+             http_request request);
+
+    awaitable<void> run();
+
+private:
+    enum class attempt_end : std::uint8_t
+    {
+        answered,   ///< The caller has its answer, whole or broken off.
+        try_again,  ///< Another target may serve it.
+        restart,    ///< The stages' results are gone.
+        given_up    ///< m_refusal says why.
+    };
+
+    bool admit();
+    const std::string& choose_service();
+    awaitable<void> serve();
+    awaitable<bool> make_stages();
+    awaitable<attempt_end> attempt();
+    awaitable<attempt_end> pass_on(target_call& call);
+    awaitable<attempt_end> pass_whole(target_call& call);
+    awaitable<attempt_end> pass_events(target_call& call);
+    awaitable<bool> send_events(target_call& call, std::string events);
+    attempt_end failed(target_call::state how, const std::string& target);
+    attempt_end not_run(const target_call& call);
+    const decision::listed_target* choose_target();
+    send_marks marks_for(const decision::listed_target& target);
+    duration patience() const;
+    void note_begun(const std::string& target);
+    void note_ended(const std::string& target);
+    awaitable<void> refuse();
+    unsigned refusal_status() const;
+    void log_end(unsigned status) const;
+    duration left() const;
+    bool is_over() const { return left() <= duration::zero(); }
+    bool is_engine() const;
+    decision::generation generation() const;
+
+    entry_context& m_context;
+    std::shared_ptr<caller_session> m_session;
+    http_request m_request;
+    request_facts m_facts;
+    catalog::catalog_ptr m_catalog;
+    const catalog::route* m_route = nullptr;
+    const catalog::account* m_account = nullptr;
+    std::string m_service;
+    instant m_began;
+    instant m_deadline{};
+    refusal m_refusal = refusal::none;
+    std::optional<decision::sending_record> m_sends;
+    std::set<std::string> m_tried;
+    std::unique_ptr<stage_runner> m_stages;
+    std::shared_ptr<target_call> m_call;
+    std::optional<std::uint64_t> m_last_event;
+    bool m_is_head_sent = false;
+    bool m_is_first_read = false; ///< The engine has read the prompt.
+    bool m_is_noted = false; ///< How the newest send ended was noted.
+    double m_tokens_ahead = 0;
+    std::string m_last_target;
+};
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/gatherer.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "decision/call_planner.hpp"
+#include "serving/entry_context.hpp"
+#include "serving/piece_maker.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangofold::serving
+{
+
+/// Makes the pieces of all requests of stage services in full calls.
+class gatherer
+{
+public:
+    /// Takes the outcome of a job. Returns whether somebody still wants it.
+    using outcome_sink = std::function<bool(piece_outcome)>;
+    /// Whether anybody still waits for a job.
+    using interest = std::function<bool()>;
+
+    explicit gatherer(entry_context& context);
+
+    /// Has \a job made. Exactly one outcome goes to \a done.
+    void add(const std::string& service, decision::piece_job job,
+             outcome_sink done, interest wanted);
+
+    void release(const std::string& service,
+                 const std::vector<std::string>& handles);
+
+    /// Drives what depends on time only. Never returns.
+    awaitable<void> run();
+
+private:
+    struct asked_job
+    {
+        outcome_sink done;
+        interest wanted;
+        std::uint32_t losses = 0; ///< Calls lost with pieces of it.
+        std::optional<decision::job_end> given_up; ///< A target said so.
+    };
+
+    struct line
+    {
+        explicit line(const catalog::call_shape& shape) : planner(shape) {}
+        decision::call_planner planner;
+        std::map<std::uint64_t, asked_job> asked;
+        std::map<std::string, std::vector<std::string>> to_release;
+        std::uint64_t seen_changes = 0;
+    };
+
+    line* line_of(const std::string& service);
+    void update_targets(const std::string& service, line& one);
+    void pump(const std::string& service, line& one);
+    awaitable<void> call(std::string service, decision::planned_call plan);
+    void take_results(line& one, const decision::planned_call& plan,
+                      const std::vector<piece_result>& results);
+    static void give_up(line& one, const decision::piece_ref& piece,
+                        decision::job_end end);
+    void let_go(line& one, const std::string& handle);
+    static void lose(line& one, const decision::planned_call& plan);
+    void end_job(const std::string& service, line& one, std::uint64_t number,
+                 decision::job_end end, std::vector<std::string> handles);
+    void end_finished(const std::string& service, line& one);
+    void end_unwanted(const std::string& service, line& one);
+    std::vector<piece_order> orders(const line& one,
+                                    const decision::planned_call& plan) const;
+    awaitable<void> send_releases(std::string service);
+
+    entry_context& m_context;
+    std::map<std::string, std::unique_ptr<line>> m_lines;
+    std::uint64_t m_next_number = 1;
+};
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/http.cpp
@@ -0,0 +1,84 @@
+#include "serving/http.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+void append(std::string& out, std::string_view text)
+{
+    out.append(text);
+}
+
+void append_fields(std::string& out, const http_fields& fields)
+{
+    for (const auto& one : fields)
+    {
+        append(out, view(one.name_string()));
+        append(out, ": ");
+        append(out, view(one.value()));
+        append(out, "\r\n");
+    }
+}
+
+} // namespace
+
+std::string to_bytes(const http_request& request, const std::string& host)
+{
+    std::string out;
+    constexpr std::size_t usual_head = 1024;
+    out.reserve(usual_head + request.body().size());
+    append(out, view(request.method_string()));
+    append(out, " ");
+    append(out, view(request.target()));
+    append(out, " HTTP/1.1\r\n");
+    append_fields(out, request);
+    if (request.count(http::field::host) == 0)
+        append(out, "Host: " + host + "\r\n");
+    const bool has_body = !request.body().empty() ||
+                          request.method() == http::verb::post ||
+                          request.method() == http::verb::put ||
+                          request.method() == http::verb::patch;
+    if (has_body)
+        append(out, "Content-Length: " +
+                        std::to_string(request.body().size()) + "\r\n");
+    append(out, "\r\n");
+    append(out, request.body());
+    return out;
+}
+
+std::string head_bytes(unsigned status, const http_fields& fields)
+{
+    std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+    append(out, view(http::obsolete_reason(http::int_to_status(status))));
+    append(out, "\r\n");
+    append_fields(out, fields);
+    append(out, "\r\n");
+    return out;
+}
+
+bool is_of_connection(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> names{
+        "connection",        "keep-alive",          "proxy-connection",
+        "transfer-encoding", "content-length",      "te",
+        "trailer",           "upgrade",             "expect",
+        "proxy-authenticate"};
+    const std::string low = lower(name);
+    return std::find(names.begin(), names.end(), low) != names.end();
+}
+
+std::string lower(std::string_view text)
+{
+    std::string low(text);
+    std::transform(low.begin(), low.end(), low.begin(),
+                   [](unsigned char one) { return std::tolower(one); });
+    return low;
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/piece_maker.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "decision/piece_job.hpp"
+#include "serving/signal_point.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mangofold::serving
+{
+
+/// How a job ended, with its results in the order of the pieces.
+struct piece_outcome
+{
+    decision::job_end end = decision::job_end::failed;
+    std::vector<std::string> handles;
+
+    friend bool operator==(const piece_outcome&,
+                           const piece_outcome&) = default;
+};
+
+/// Where a request waits for one of its jobs.
+class piece_wait
+{
+public:
+    explicit piece_wait(std::shared_ptr<signal_point> changed)
+        : m_changed(std::move(changed))
+    {
+    }
+
+    void set_outcome(piece_outcome value)
+    {
+        if (m_is_dropped || m_outcome)
+            return;
+        m_outcome = std::move(value);
+        m_changed->raise();
+    }
+
+    const std::optional<piece_outcome>& outcome() const { return m_outcome; }
+
+    /// Notes that nobody waits any more.
+    void drop() { m_is_dropped = true; }
+    bool is_dropped() const { return m_is_dropped; }
+
+private:
+    std::shared_ptr<signal_point> m_changed;
+    std::optional<piece_outcome> m_outcome;
+    bool m_is_dropped = false;
+};
+
+using piece_wait_ptr = std::shared_ptr<piece_wait>;
+
+/// Makes the pieces of stages, here or at another entry.
+class piece_maker
+{
+public:
+    virtual ~piece_maker() = default;
+
+    /// Has \a job made by targets of \a service. The outcome goes to \a wait;
+    /// it always comes, at the latest soon after the job's time is over.
+    virtual void make(const std::string& service, decision::piece_job job,
+                      piece_wait_ptr wait) = 0;
+
+    /// Lets go of results of \a service.
+    virtual void release(const std::string& service,
+                         std::vector<std::string> handles) = 0;
+};
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/source_reader.cpp
@@ -0,0 +1,247 @@
+#include "serving/source_reader.hpp"
+
+#include "runtime/event.hpp"
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+/// How long a plain read may take before it is asked again.
+constexpr duration read_time = std::chrono::milliseconds(700);
+
+/// How long a watch waits. A watch can be cut without a word, so this and
+/// the slack must stay well within the time in which a configuration has to
+/// be in force; a third of it.
+constexpr int waits_per_bound = 3;
+constexpr duration least_wait = std::chrono::milliseconds(300);
+constexpr duration most_wait = std::chrono::seconds(5);
+constexpr duration watch_slack = std::chrono::milliseconds(400);
+
+/// The pause after a failure, doubled up to the longest.
+constexpr duration first_pause = std::chrono::milliseconds(50);
+constexpr std::uint32_t most_doublings = 3;
+
+constexpr unsigned ok = 200;
+constexpr unsigned gone = 410;
+constexpr unsigned not_found = 404;
+
+} // namespace
+
+source_reader::source_reader(entry_context& context,
+                             const source_dialect& speech)
+    : m_context(context), m_dialect(speech)
+{
+}
+
+void source_reader::adopt(const std::string& text, std::string_view from)
+{
+    try
+    {
+        catalog::document read = m_dialect.parse_catalog(text);
+        const std::uint64_t present =
+            m_context.catalog ? m_context.catalog->version() : 0;
+        // Sources and peers can be behind. A version that was once in force
+        // never comes back, or keys that were taken away would work again.
+        if (m_context.catalog && read.version <= present)
+            return;
+        runtime::event("catalog_in_force")
+            .with("version", read.version)
+            .with("before", present)
+            .with("from", from)
+            .info();
+        m_catalog_text = text;
+        m_context.catalog =
+            std::make_shared<catalog::catalog_index>(std::move(read));
+    }
+    catch (const facts_error& fault)
+    {
+        runtime::event("catalog_unreadable")
+            .with("from", from)
+            .with("fault", fault.what())
+            .error();
+    }
+}
+
+awaitable<std::optional<std::string>>
+source_reader::ask(http_request request, duration most, unsigned& status)
+{
+    status = 0;
+    const auto sent = std::make_shared<target_call>(
+        m_context.links, m_context.speech,
+        call_target{"source", m_context.settings.source});
+    const instant end = m_context.now() + most;
+    auto got = co_await sent->begin(request, {}, most);
+    while (got == target_call::state::good && !sent->is_complete())
+        got = co_await sent->more(
+            std::max(until(end, m_context.now()), duration(1)));
+    m_last_status = 0;
+    if (got != target_call::state::good)
+    {
+        sent->abort();
+        co_return std::nullopt;
+    }
+    status = sent->head().result_int();
+    m_last_status = status;
+    std::string body = sent->take_body();
+    sent->finish();
+    co_return body;
+}
+
+void source_reader::apply(const source_page& page)
+{
+    const instant now = m_context.now();
+    for (const source_change& one : page.changes)
+    {
+        switch (one.what)
+        {
+        case source_change::kind::catalog:
+            adopt(one.catalog, "source");
+            break;
+        case source_change::kind::target:
+            if (m_context.directory.note(one.target))
+                runtime::event("target_listed")
+                    .with("target", one.target.id)
+                    .with("state", one.target.is_leaving ? "leaving" : "serving")
+                    .with("revision", one.target.revision)
+                    .info();
+            break;
+        case source_change::kind::target_removed:
+            if (m_context.directory.note_removed(one.target.id, one.revision,
+                                                 now))
+                runtime::event("target_removed")
+                    .with("target", one.target.id)
+                    .with("revision", one.revision)
+                    .info();
+            break;
+        case source_change::kind::other:
+            break;
+        }
+    }
+}
+
+void source_reader::note_source(bool is_there)
+{
+    m_failures = is_there ? 0 : m_failures + 1;
+    m_context.directory.set_source(is_there, m_context.now());
+    if (is_there == m_is_there)
+        return;
+    m_is_there = is_there;
+    runtime::event(is_there ? "source_regained" : "source_lost")
+        .with("revision", m_revision)
+        .with("last_status", m_last_status)
+        .info();
+}
+
+awaitable<bool> source_reader::read_catalog()
+{
+    unsigned status = 0;
+    const auto body =
+        co_await ask(m_dialect.read_catalog(), read_time, status);
+    if (!body || (status != ok && status != not_found))
+        co_return false;
+    if (status == ok)
+        apply(m_dialect.catalog_page(*body));
+    co_return true;
+}
+
+awaitable<bool> source_reader::read_targets()
+{
+    std::vector<decision::listed_target> list;
+    std::string after;
+    std::uint64_t first = 0;
+    for (bool has_more = true; has_more;)
+    {
+        unsigned status = 0;
+        const auto body =
+            co_await ask(m_dialect.read_targets(after), read_time, status);
+        if (!body || status != ok)
+            co_return false;
+        const source_page page = m_dialect.targets_page(*body);
+        // The pages are no snapshot: what changed since the first was read
+        // comes again by watching from there on.
+        if (first == 0)
+            first = page.revision;
+        for (const source_change& one : page.changes)
+            if (one.what == source_change::kind::target)
+                list.push_back(one.target);
+        has_more = page.has_more;
+        after = page.last_key;
+    }
+    m_context.directory.note_all(list, first, m_context.now());
+    m_context.knows_targets = true;
+    m_revision = first;
+    runtime::event("targets_read")
+        .with("targets", list.size())
+        .with("revision", first)
+        .info();
+    co_return true;
+}
+
+awaitable<bool> source_reader::watch()
+{
+    const duration wait = std::clamp(
+        duration(m_context.settings.adoption_time / waits_per_bound),
+        least_wait, most_wait);
+    unsigned status = 0;
+    const auto body = co_await ask(m_dialect.watch(m_revision, wait),
+                                   wait + watch_slack, status);
+    if (body && status == gone)
+    {
+        runtime::event("history_lost").with("revision", m_revision).warn();
+        m_has_all = false;
+        co_return true;
+    }
+    if (!body || status != ok)
+        co_return false;
+    const source_page page = m_dialect.changes_page(*body);
+    apply(page);
+    m_revision = std::max(m_revision, page.revision);
+    co_return true;
+}
+
+awaitable<void> source_reader::pause()
+{
+    const std::uint32_t doublings =
+        std::min(m_failures > 0 ? m_failures - 1 : 0, most_doublings);
+    const auto base = first_pause * (1U << doublings);
+    asio::steady_timer timer(m_context.loop);
+    timer.expires_after(base / 2 + duration(m_context.random.below(
+                                       static_cast<std::uint64_t>(
+                                           base.count()))));
+    error_code ignored; // Nobody cancels it.
+    co_await timer.async_wait(into(ignored));
+}
+
+awaitable<void> source_reader::run()
+{
+    for (;;)
+    {
+        bool is_good = false;
+        try
+        {
+            if (!m_has_all)
+            {
+                // The watch goes on from the revision of the list, so the
+                // catalog is read after it.
+                is_good = co_await read_targets() && co_await read_catalog();
+                m_has_all = is_good;
+            }
+            else
+                is_good = co_await watch();
+        }
+        catch (const facts_error& fault)
+        {
+            runtime::event("source_unreadable")
+                .with("fault", fault.what())
+                .warn();
+        }
+        note_source(is_good);
+        m_context.directory.expire(m_context.now());
+        if (!is_good)
+            co_await pause();
+    }
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/source_reader.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "serving/entry_context.hpp"
+#include "serving/source.hpp"
+#include "serving/target_call.hpp"
+
+#include <optional>
+#include <string>
+
+namespace mangofold::serving
+{
+
+/// Keeps catalog and targets as the source publishes them: reads all once,
+/// then waits for changes; reads all again where history was lost.
+class source_reader
+{
+public:
+    source_reader(entry_context& context, const source_dialect& speech);
+
+    /// Reads for ever.
+    awaitable<void> run();
+
+    /// Puts the catalog in \a text in force if it is newer than the present
+    /// one. \a from says who brought it.
+    void adopt(const std::string& text, std::string_view from);
+
+    /// Returns the catalog in force as it was written.
+    const std::string& catalog_text() const { return m_catalog_text; }
+
+private:
+    awaitable<std::optional<std::string>> ask(http_request request,
+                                              duration most, unsigned& status);
+    awaitable<bool> read_catalog();
+    awaitable<bool> read_targets();
+    awaitable<bool> watch();
+    void apply(const source_page& page);
+    void note_source(bool is_there);
+    awaitable<void> pause();
+
+    entry_context& m_context;
+    const source_dialect& m_dialect;
+    std::string m_catalog_text;
+    std::uint64_t m_revision = 0;
+    bool m_has_all = false;
+    std::optional<bool> m_is_there;
+    std::uint32_t m_failures = 0;
+    unsigned m_last_status = 0; ///< 0 where no answer came.
+};
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/stage_runner.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "serving/entry_context.hpp"
+#include "serving/piece_maker.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangofold::serving
+{
+
+/// Has the pieces of one request's stages made, each stage as soon as those
+/// that it follows are done.
+class stage_runner
+{
+public:
+    stage_runner(entry_context& context, const catalog::route& route,
+                 const request_facts& facts, instant due, instant expires);
+    ~stage_runner();
+    stage_runner(const stage_runner&) = delete;
+    stage_runner& operator=(const stage_runner&) = delete;
+
+    /// Makes all stages. Returns how it ended; made() holds the results.
+    awaitable<decision::job_end> run();
+
+    /// Stops at once, from outside.
+    void abort();
+
+    /// Returns the results that the request itself needs.
+    std::vector<std::string> results() const;
+
+    /// Returns the bytes of those results, by the zone of their makers.
+    std::map<std::string, std::uint64_t> bytes_by_zone() const;
+
+    /// Lets go of every result that is still held.
+    void release();
+
+private:
+    enum class step : std::uint8_t
+    {
+        waiting,
+        running,
+        done
+    };
+
+    struct state
+    {
+        step now = step::waiting;
+        std::uint32_t pieces = 0;
+        piece_wait_ptr wait;
+        std::vector<std::string> handles;
+        bool is_used = false; ///< Its followers are done with the results.
+    };
+
+    bool can_start(std::size_t index) const;
+    bool is_followed(std::size_t index) const;
+    void start_stage(std::size_t index);
+    std::vector<std::string> inputs_of(std::size_t index) const;
+    /// Takes in what has ended. Returns how the first bad one ended.
+    std::optional<decision::job_end> take_ended();
+    void release_used();
+    bool is_done() const;
+    instant stage_due(std::size_t index) const;
+
+    entry_context& m_context;
+    const catalog::route& m_route;
+    const request_facts& m_facts;
+    instant m_due;
+    instant m_expires;
+    std::shared_ptr<signal_point> m_changed;
+    std::vector<state> m_states;
+    bool m_is_aborted = false;
+};
+
+} // namespace mangofold::serving
