Serving: one entry gathers each stage service for the fleet

Cause: each of four entries sent its own calls to five targets of one slot; calls were a quarter full and met full targets.

Change: entries find each other from the settings' seeds, see who answers (a question each 100 ms, dead after 500 ms), even out configuration and target list, and hand the pieces of a service to the entry elected for it by rendezvous hash. What a lost one was asked is asked again elsewhere. Messages are length-prefixed protobuf (docs/decisions/4-platform.md says why not gRPC).

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,8 @@
 generate:
 	cd packages/wire && protoc -I. --cpp_out=generated \
 	--grpc_out=generated \
-	--plugin=protoc-gen-grpc=$$(which grpc_cpp_plugin) link.proto
+	--plugin=protoc-gen-grpc=$$(which grpc_cpp_plugin) link.proto && \
+	protoc -I. --cpp_out=generated peer.proto
 
 SOURCES = $$(git ls-files '*.cpp' '*.hpp' '*.ipp' | grep -v /generated/)
 
--- a/packages/catalog/catalog_index.cpp
+++ b/packages/catalog/catalog_index.cpp
@@ -11,8 +11,9 @@
         m_by_host[one.host].push_back(&one);
     for (auto& [host, routes] : m_by_host)
         std::stable_sort(routes.begin(), routes.end(),
-                         [](const route* left, const route* right)
-                         { return left->prefix.size() > right->prefix.size(); });
+                         [](const route* left, const route* right) {
+                             return left->prefix.size() > right->prefix.size();
+                         });
     for (const service& one : m_content.services)
         m_services[one.name] = &one;
     for (const account& one : m_content.accounts)
--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -31,8 +31,8 @@
 void call_planner::set_targets(const std::map<std::string, std::string>& zones)
 {
     for (auto one = m_targets.begin(); one != m_targets.end();)
-        one = zones.contains(one->first) ? std::next(one)
-                                         : m_targets.erase(one);
+        one =
+            zones.contains(one->first) ? std::next(one) : m_targets.erase(one);
     for (const auto& [id, zone] : zones)
     {
         stage_target& target = m_targets[id];
@@ -86,10 +86,9 @@
 duration call_planner::expected_time(const stage_target& target,
                                      std::size_t pieces) const
 {
-    const double nominal =
-        static_cast<double>(m_shape.per_call.count()) +
-        static_cast<double>(m_shape.per_piece.count()) *
-            static_cast<double>(pieces);
+    const double nominal = static_cast<double>(m_shape.per_call.count()) +
+                           static_cast<double>(m_shape.per_piece.count()) *
+                               static_cast<double>(pieces);
     return duration(static_cast<duration::rep>(nominal * target.slowness));
 }
 
@@ -101,18 +100,16 @@
     if (target.slowness < is_slow)
         return false;
     const instant own = now + expected_time(target, m_shape.most_pieces);
-    return std::any_of(m_targets.begin(), m_targets.end(),
-                       [&](const auto& one)
-                       {
-                           const stage_target& other = one.second;
-                           if (other.id == target.id ||
-                               other.aside_until > now)
-                               return false;
-                           const instant free = std::max(other.free_at, now);
-                           return free + expected_time(
-                                             other, m_shape.most_pieces) <
-                                  own;
-                       });
+    return std::any_of(
+        m_targets.begin(), m_targets.end(),
+        [&](const auto& one)
+        {
+            const stage_target& other = one.second;
+            if (other.id == target.id || other.aside_until > now)
+                return false;
+            const instant free = std::max(other.free_at, now);
+            return free + expected_time(other, m_shape.most_pieces) < own;
+        });
 }
 
 stage_target* call_planner::best_target(instant now)
@@ -221,8 +218,8 @@
          m_shape.per_piece * static_cast<duration::rep>(pieces))
             .count());
     const double seen = static_cast<double>(took.count()) / nominal;
-    one.slowness = std::max(
-        1.0, one.slowness * (1 - newest_weight) + newest_weight * seen);
+    one.slowness = std::max(1.0, one.slowness * (1 - newest_weight) +
+                                     newest_weight * seen);
 }
 
 void call_planner::call_failed(const std::string& target, bool is_full,
@@ -291,8 +288,7 @@
     return jobs;
 }
 
-std::vector<call_planner::finished_job>
-call_planner::take_expired(instant now)
+std::vector<call_planner::finished_job> call_planner::take_expired(instant now)
 {
     std::vector<finished_job> jobs;
     for (auto one = m_jobs.begin(); one != m_jobs.end();)
@@ -315,9 +311,9 @@
     std::optional<instant> soonest;
     for (const auto& [id, target] : m_targets)
     {
-        const instant then = std::max(target.aside_until,
-                                      target.running > 0 ? target.free_at
-                                                         : instant{});
+        const instant then =
+            std::max(target.aside_until,
+                     target.running > 0 ? target.free_at : instant{});
         if (then > now && (!soonest || then < *soonest))
             soonest = then;
     }
@@ -335,15 +331,13 @@
         const auto time = expected_time(target, m_shape.most_pieces);
         pieces_per_ns += static_cast<double>(m_shape.most_pieces) *
                          m_shape.slots / static_cast<double>(time.count());
-        first_free = std::min(
-            first_free,
-            target.running >= m_shape.slots ? std::max(target.free_at, now)
-                                            : now);
+        first_free = std::min(first_free, target.running >= m_shape.slots
+                                              ? std::max(target.free_at, now)
+                                              : now);
     }
     if (pieces_per_ns <= 0)
         return m_shape.per_call * 4;
-    const double ahead =
-        static_cast<double>(m_waiting_pieces) / pieces_per_ns;
+    const double ahead = static_cast<double>(m_waiting_pieces) / pieces_per_ns;
     return duration(static_cast<duration::rep>(ahead)) + (first_free - now);
 }
 
--- a/packages/decision/engine_choice.cpp
+++ b/packages/decision/engine_choice.cpp
@@ -75,10 +75,11 @@
     return tokens;
 }
 
-const listed_target* engine_choice::choose(
-    const std::vector<const listed_target*>& candidates,
-    const std::set<std::string>& tried, const generation& work,
-    const std::string& zone, instant now)
+const listed_target*
+engine_choice::choose(const std::vector<const listed_target*>& candidates,
+                      const std::set<std::string>& tried,
+                      const generation& work, const std::string& zone,
+                      instant now)
 {
     // The deepest part that others share decides the home; the last part
     // belongs to the request alone or to its session.
--- a/packages/decision/target_directory.cpp
+++ b/packages/decision/target_directory.cpp
@@ -1,5 +1,7 @@
 #include "decision/target_directory.hpp"
 
+#include "decision/election.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -46,6 +48,38 @@
     return true;
 }
 
+void target_directory::note_gone(const std::string& id, std::uint64_t revision)
+{
+    record& known = m_records[id];
+    const bool is_news = revision > known.value.revision ||
+                         (revision == known.value.revision && known.lapsed_at);
+    if (!is_news)
+        return;
+    known.value.id = id;
+    known.value.revision = revision;
+    known.is_removed = true;
+    known.lapsed_at.reset();
+    m_newest = std::max(m_newest, revision);
+    ++m_changes;
+}
+
+std::uint64_t target_directory::digest() const
+{
+    if (m_digest_of == m_changes)
+        return m_digest;
+    m_digest = 0;
+    for (const auto& [id, known] : m_records)
+    {
+        const int state =
+            (known.is_removed ? 2 : 0) + (known.value.is_leaving ? 1 : 0);
+        m_digest += election_rank(
+            id, std::to_string(known.value.revision * 4 +
+                               static_cast<std::uint64_t>(state)));
+    }
+    m_digest_of = m_changes;
+    return m_digest;
+}
+
 void target_directory::note_all(const std::vector<listed_target>& list,
                                 std::uint64_t revision, instant now)
 {
--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -46,6 +46,10 @@
     bool note_removed(const std::string& id, std::uint64_t revision,
                       instant now);
 
+    /// Notes that \a id is gone for good, as somebody saw whose list was in
+    /// order.
+    void note_gone(const std::string& id, std::uint64_t revision);
+
     /// Notes the whole list, read no earlier than \a revision: targets that
     /// it lacks are removed as of then.
     void note_all(const std::vector<listed_target>& list,
@@ -58,8 +62,7 @@
     void expire(instant now);
 
     /// Returns the targets of \a service that may get new work.
-    std::vector<const listed_target*>
-    serving(const std::string& service) const;
+    std::vector<const listed_target*> serving(const std::string& service) const;
 
     /// Returns the target with \a id that may get new work, or nothing.
     const listed_target* find(const std::string& id) const;
@@ -67,6 +70,9 @@
     /// Returns everything known, removed targets with their revision only.
     std::vector<listed_target> all() const;
 
+    /// Returns a number that differs where two directories do.
+    std::uint64_t digest() const;
+
     std::uint64_t newest_revision() const { return m_newest; }
 
     /// Rises with each change.
@@ -92,6 +98,8 @@
     std::optional<instant> m_back_at;
     std::uint64_t m_newest = 0;
     std::uint64_t m_changes = 0;
+    mutable std::uint64_t m_digest = 0;
+    mutable std::uint64_t m_digest_of = ~std::uint64_t{0}; ///< m_changes.
 };
 
 } // namespace mangofold::decision
--- a/packages/decision/target_standing.cpp
+++ b/packages/decision/target_standing.cpp
@@ -55,8 +55,7 @@
     ++m_answers;
     constexpr double weight = 0.02; // About fifty answers' memory.
     m_mean_ns = m_answers == 1 ? ns : m_mean_ns + weight * (ns - m_mean_ns);
-    m_deviation_ns +=
-        weight * (std::abs(ns - m_mean_ns) - m_deviation_ns);
+    m_deviation_ns += weight * (std::abs(ns - m_mean_ns) - m_deviation_ns);
 }
 
 void target_standing::note_refused(const std::string& id, instant now)
@@ -75,8 +74,7 @@
     // One lost answer says little; two in a row say that nobody is there.
     if (seen.silences < 2)
         return;
-    const std::uint32_t doublings =
-        std::min(seen.silences - 2, most_doublings);
+    const std::uint32_t doublings = std::min(seen.silences - 2, most_doublings);
     seen.aside_until = now + first_aside * (1U << doublings);
 }
 
@@ -112,8 +110,8 @@
         seen = found->second;
     const double took = seen.took_ns > 0 ? seen.took_ns : usual_ns();
     const double slots = std::max<std::uint32_t>(target.slots, 1);
-    double expected = took * (1 + seen.in_flight / slots) *
-                      (1 + failure_cost * seen.failing);
+    double expected =
+        took * (1 + seen.in_flight / slots) * (1 + failure_cost * seen.failing);
     if (target.zone != zone)
         expected *= other_zone_cost;
     if (seen.aside_until > now)
@@ -121,9 +119,10 @@
     return expected;
 }
 
-const listed_target* target_standing::choose(
-    const std::vector<const listed_target*>& candidates,
-    const std::set<std::string>& tried, const std::string& zone, instant now)
+const listed_target*
+target_standing::choose(const std::vector<const listed_target*>& candidates,
+                        const std::set<std::string>& tried,
+                        const std::string& zone, instant now)
 {
     const listed_target* best = nullptr;
     double least = 0;
@@ -131,8 +130,8 @@
     {
         if (tried.contains(one->id))
             continue;
-        const double expected = expected_ns(*one, zone, now) *
-                                (1 + jitter * m_random.fraction());
+        const double expected =
+            expected_ns(*one, zone, now) * (1 + jitter * m_random.fraction());
         if (best != nullptr && expected >= least)
             continue;
         best = one;
@@ -146,8 +145,8 @@
     if (m_answers < enough_answers)
         return std::nullopt;
     constexpr double deviations = 6;
-    return duration(static_cast<duration::rep>(m_mean_ns +
-                                               deviations * m_deviation_ns));
+    return duration(
+        static_cast<duration::rep>(m_mean_ns + deviations * m_deviation_ns));
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/target_standing.hpp
+++ b/packages/decision/target_standing.hpp
@@ -56,8 +56,8 @@
     struct sight
     {
         std::uint32_t in_flight = 0;
-        double took_ns = 0;  ///< Moving average; 0 before the first.
-        double failing = 0;  ///< Moving share of failures.
+        double took_ns = 0;         ///< Moving average; 0 before the first.
+        double failing = 0;         ///< Moving share of failures.
         std::uint32_t silences = 0; ///< In a row.
         instant aside_until{};
     };
--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -185,8 +185,7 @@
     co_return !fault;
 }
 
-awaitable<void> caller_session::send_answer(unsigned status,
-                                            http_fields fields,
+awaitable<void> caller_session::send_answer(unsigned status, http_fields fields,
                                             std::string body)
 {
     fields.set(http::field::content_length, std::to_string(body.size()));
--- a/packages/serving/dialect.hpp
+++ b/packages/serving/dialect.hpp
@@ -36,9 +36,9 @@
     virtual http_fields echo(const std::string& id) const = 0;
 
     /// Returns the call that makes \a pieces at the target \a target_id.
-    virtual http_request make_pieces(const std::string& target_id,
-                                     const std::vector<piece_order>& pieces)
-        const = 0;
+    virtual http_request
+    make_pieces(const std::string& target_id,
+                const std::vector<piece_order>& pieces) const = 0;
 
     /// Returns the results in the answer to such a call, in the order of the
     /// pieces. Throws facts_error.
--- a/packages/serving/elected_maker.cpp
+++ b/packages/serving/elected_maker.cpp
@@ -1,10 +1,42 @@
 #include "serving/elected_maker.hpp"
 
+#include "decision/election.hpp"
+
 namespace mangofold::serving
 {
 
+elected_maker::elected_maker(entry_context& context, gatherer& own,
+                             peer_mesh& others)
+    : m_context(context), m_own(own), m_others(others)
+{
+    m_others.set_work_sink(
+        [this](std::vector<orphaned_job> jobs)
+        {
+            m_context.metrics.count({"jobs_taken_back", ""}) += jobs.size();
+            for (orphaned_job& one : jobs)
+                make(one.service, std::move(one.job), std::move(one.wait));
+        });
+}
+
+peer_link* elected_maker::gathering(const std::string& service) const
+{
+    const std::vector<std::string> candidates = m_others.answering();
+    const std::string& chosen = decision::elected(service, candidates);
+    return chosen == m_others.own_address() ? nullptr
+                                            : m_others.link_to(chosen);
+}
+
 void elected_maker::make(const std::string& service, decision::piece_job job,
                          piece_wait_ptr wait)
+{
+    if (peer_link* other = gathering(service))
+        other->ask(service, std::move(job), std::move(wait));
+    else
+        make_here(service, std::move(job), std::move(wait));
+}
+
+void elected_maker::make_here(const std::string& service,
+                              decision::piece_job job, piece_wait_ptr wait)
 {
     m_own.add(
         service, std::move(job),
@@ -20,7 +52,10 @@
 void elected_maker::release(const std::string& service,
                             std::vector<std::string> handles)
 {
-    m_own.release(service, handles);
+    if (peer_link* other = gathering(service))
+        other->release(service, handles);
+    else
+        m_own.release(service, handles);
 }
 
 } // namespace mangofold::serving
--- a/packages/serving/elected_maker.hpp
+++ b/packages/serving/elected_maker.hpp
@@ -1,19 +1,19 @@
 #pragma once
 
 #include "serving/gatherer.hpp"
+#include "serving/peer_mesh.hpp"
 #include "serving/piece_maker.hpp"
 
 namespace mangofold::serving
 {
 
-/// Has pieces made by the entry that gathers their service.
+/// Has pieces made by the entry that gathers their service: the elected one
+/// among those that answer. What it is asked and does not answer before it is
+/// lost goes to the next one, and is made again.
 class elected_maker : public piece_maker
 {
 public:
-    elected_maker(entry_context& context, gatherer& own)
-        : m_context(context), m_own(own)
-    {
-    }
+    elected_maker(entry_context& context, gatherer& own, peer_mesh& others);
 
     void make(const std::string& service, decision::piece_job job,
               piece_wait_ptr wait) override;
@@ -21,8 +21,15 @@
                  std::vector<std::string> handles) override;
 
 private:
+    /// Returns the link to who gathers \a service, or nothing where this
+    /// entry does.
+    peer_link* gathering(const std::string& service) const;
+    void make_here(const std::string& service, decision::piece_job job,
+                   piece_wait_ptr wait);
+
     entry_context& m_context;
     gatherer& m_own;
+    peer_mesh& m_others;
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -32,8 +32,14 @@
                              const source_dialect& source,
                              node_settings settings, std::uint64_t seed)
     : m_context(loop, time, speech, std::move(settings), seed),
-      m_gatherer(m_context), m_maker(m_context, m_gatherer),
-      m_source(m_context, source), m_requests(m_context),
+      m_gatherer(m_context), m_source(m_context, source),
+      m_mesh(m_context, m_source),
+      m_peers(
+          m_context, m_gatherer,
+          [this](const std::string& address) { m_mesh.add(address); },
+          [this] { return m_mesh.holding(); },
+          [this] { return m_source.catalog_text(); }),
+      m_maker(m_context, m_gatherer, m_mesh), m_requests(m_context),
       m_status(m_context, m_context.settings.readiness,
                [this](const std::string& path) { return answer_status(path); }),
       m_signals(loop, SIGTERM, SIGINT)
@@ -41,13 +47,12 @@
     m_context.pieces = &m_maker;
 }
 
-status_server::reply
-entry_process::answer_status(const std::string& path) const
+status_server::reply entry_process::answer_status(const std::string& path) const
 {
     if (path == "/metrics")
         return {ok, m_context.metrics.text()};
-    const bool is_ready = m_context.catalog && m_context.knows_targets &&
-                          !m_context.is_stopping;
+    const bool is_ready =
+        m_context.catalog && m_context.knows_targets && !m_context.is_stopping;
     return {is_ready ? ok : unavailable, {}};
 }
 
@@ -102,6 +107,8 @@
 {
     start(m_context.loop, watch_signals());
     start(m_context.loop, m_source.run());
+    start(m_context.loop, m_mesh.run());
+    start(m_context.loop, m_peers.run());
     start(m_context.loop, m_gatherer.run());
     start(m_context.loop, m_requests.run());
     start(m_context.loop, m_status.run());
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -3,6 +3,8 @@
 #include "serving/elected_maker.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/gatherer.hpp"
+#include "serving/peer_mesh.hpp"
+#include "serving/peer_server.hpp"
 #include "serving/request_server.hpp"
 #include "serving/source_reader.hpp"
 #include "serving/status_server.hpp"
@@ -31,8 +33,10 @@
 
     entry_context m_context;
     gatherer m_gatherer;
-    elected_maker m_maker;
     source_reader m_source;
+    peer_mesh m_mesh;
+    peer_server m_peers;
+    elected_maker m_maker;
     request_server m_requests;
     status_server m_status;
     asio::signal_set m_signals;
--- a/packages/serving/event_stream.cpp
+++ b/packages/serving/event_stream.cpp
@@ -56,8 +56,8 @@
         while (line.starts_with(' '))
             line.remove_prefix(1);
         std::uint64_t number = 0;
-        const auto [rest, fault] = std::from_chars(
-            line.data(), line.data() + line.size(), number);
+        const auto [rest, fault] =
+            std::from_chars(line.data(), line.data() + line.size(), number);
         if (fault != std::errc())
             return;
         m_is_out_of_order = m_last && number != *m_last + 1;
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -23,9 +23,9 @@
 constexpr double first_share = 0.4;
 
 constexpr std::array<std::string_view, 15> refusal_names{
-    "none",          "malformed",     "no_catalog",   "no_route",
-    "unknown_key",   "no_target",     "targets_full", "too_late",
-    "stages_late",   "stages_failed", "retries_spent", "target_lost",
+    "none",          "malformed",      "no_catalog",    "no_route",
+    "unknown_key",   "no_target",      "targets_full",  "too_late",
+    "stages_late",   "stages_failed",  "retries_spent", "target_lost",
     "target_silent", "answer_spoiled", "timed_out"};
 
 } // namespace
@@ -217,8 +217,8 @@
     if (m_account != nullptr)
         marks.account = m_account->name;
     if (!m_route->stages.empty() && !m_facts.pieces.empty())
-        marks.inputs = m_stages ? m_stages->results()
-                                : std::vector<std::string>();
+        marks.inputs =
+            m_stages ? m_stages->results() : std::vector<std::string>();
     if (m_last_event)
         marks.last_event_id = std::to_string(*m_last_event);
     return marks;
@@ -245,8 +245,8 @@
     m_last_target = target;
     m_sends->note_sent();
     if (is_engine())
-        m_tokens_ahead = m_context.engines.note_sent(target, generation(),
-                                                     m_context.now());
+        m_tokens_ahead =
+            m_context.engines.note_sent(target, generation(), m_context.now());
     else
         m_context.standing.note_sent(target);
     m_is_first_read = false;
@@ -314,9 +314,9 @@
     {
         end = co_await pass_on(*m_call);
         if (!is_engine() && !m_is_noted)
-            m_context.standing.note_answered(
-                id, m_context.now() - began,
-                m_call->head().result_int() >= 500);
+            m_context.standing.note_answered(id, m_context.now() - began,
+                                             m_call->head().result_int() >=
+                                                 500);
     }
     note_ended(id);
     m_call->finish();
@@ -389,8 +389,8 @@
     // conclude anything.
     if (!m_sends || m_sends->has_surely_not_run())
         return 503;
-    const bool is_silence = m_refusal == refusal::target_silent ||
-                            m_refusal == refusal::too_late;
+    const bool is_silence =
+        m_refusal == refusal::target_silent || m_refusal == refusal::too_late;
     return is_silence ? 504 : 502;
 }
 
@@ -417,8 +417,7 @@
                                : std::chrono::seconds(3))
                 .count();
         const double back = std::clamp(left_s * back_share, 0.05, 1.0);
-        fields.set(http::field::retry_after,
-                   std::to_string(back).substr(0, 5));
+        fields.set(http::field::retry_after, std::to_string(back).substr(0, 5));
     }
     log_end(status);
     m_context.count("requests_refused", "why", to_string(m_refusal));
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -49,10 +49,10 @@
 private:
     enum class attempt_end : std::uint8_t
     {
-        answered,   ///< The caller has its answer, whole or broken off.
-        try_again,  ///< Another target may serve it.
-        restart,    ///< The stages' results are gone.
-        given_up    ///< m_refusal says why.
+        answered,  ///< The caller has its answer, whole or broken off.
+        try_again, ///< Another target may serve it.
+        restart,   ///< The stages' results are gone.
+        given_up   ///< m_refusal says why.
     };
 
     bool admit();
@@ -97,7 +97,7 @@
     std::optional<std::uint64_t> m_last_event;
     bool m_is_head_sent = false;
     bool m_is_first_read = false; ///< The engine has read the prompt.
-    bool m_is_noted = false; ///< How the newest send ended was noted.
+    bool m_is_noted = false;      ///< How the newest send ended was noted.
     double m_tokens_ahead = 0;
     std::string m_last_target;
 };
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -150,8 +150,7 @@
         {
             const auto end = failed(got, call.target().id);
             // What was released must be made again before it can go on.
-            co_return m_is_first_read && m_stages &&
-                    end == attempt_end::try_again
+            co_return m_is_first_read&& m_stages&& end == attempt_end::try_again
                 ? attempt_end::restart
                 : end;
         }
--- a/packages/serving/facts.hpp
+++ b/packages/serving/facts.hpp
@@ -54,7 +54,7 @@
     std::optional<std::string> account;
     std::optional<std::vector<std::string>> inputs; ///< Results of stages.
     std::optional<unsigned> priority;               ///< 0 is first, 9 last.
-    std::optional<std::string> last_event_id; ///< To go on after.
+    std::optional<std::string> last_event_id;       ///< To go on after.
 
     friend bool operator==(const send_marks&, const send_marks&) = default;
 };
--- /dev/null
+++ b/packages/serving/frame_socket.cpp
@@ -0,0 +1,103 @@
+#include "serving/frame_socket.hpp"
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+constexpr std::size_t length_bytes = 4;
+constexpr unsigned byte_bits = 8;
+
+/// The longest frame: a list of some ten thousand targets.
+constexpr std::size_t most_frame = 4U << 20U;
+
+/// What may wait to be sent. More means that the other side has stopped
+/// reading for seconds.
+constexpr std::size_t most_queued = 8U << 20U;
+
+std::size_t length_of(const std::string& bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t at = 0; at < length_bytes; ++at)
+        length = (length << byte_bits) | static_cast<unsigned char>(bytes[at]);
+    return length;
+}
+
+} // namespace
+
+frame_socket::frame_socket(tcp::socket socket) : m_socket(std::move(socket))
+{
+    error_code ignored; // Without it small frames only wait longer.
+    m_socket.set_option(tcp::no_delay(true), ignored);
+}
+
+void frame_socket::send(const peer::Frame& frame)
+{
+    if (!m_socket.is_open())
+        return;
+    const std::size_t length = frame.ByteSizeLong();
+    for (std::size_t at = length_bytes; at > 0; --at)
+        m_queued.push_back(
+            static_cast<char>((length >> (byte_bits * (at - 1))) & 0xffU));
+    frame.AppendToString(&m_queued);
+    if (m_queued.size() > most_queued)
+        return close();
+    if (m_writing.empty())
+        write_next();
+}
+
+void frame_socket::write_next()
+{
+    m_writing.swap(m_queued);
+    asio::async_write(
+        m_socket, asio::buffer(m_writing),
+        [self = shared_from_this()](const error_code& fault, std::size_t)
+        {
+            self->m_writing.clear();
+            if (fault)
+                self->close();
+            else if (!self->m_queued.empty())
+                self->write_next();
+        });
+}
+
+awaitable<std::optional<peer::Frame>> frame_socket::read()
+{
+    const auto keep = shared_from_this();
+    for (;;)
+    {
+        if (m_received.size() >= length_bytes)
+        {
+            const std::size_t length = length_of(m_received);
+            if (length > most_frame)
+                break;
+            if (m_received.size() >= length_bytes + length)
+            {
+                peer::Frame frame;
+                const bool is_read = frame.ParseFromArray(
+                    m_received.data() + length_bytes, static_cast<int>(length));
+                m_received.erase(0, length_bytes + length);
+                if (!is_read)
+                    break;
+                co_return frame;
+            }
+        }
+        error_code fault;
+        const std::size_t count = co_await m_socket.async_read_some(
+            asio::buffer(m_chunk), into(fault));
+        if (fault)
+            break;
+        m_received.append(m_chunk.data(), count);
+    }
+    close();
+    co_return std::nullopt;
+}
+
+void frame_socket::close()
+{
+    error_code ignored; // Closing a dead socket may fail; it is gone anyway.
+    m_socket.close(ignored);
+}
+
+} // namespace mangofold::serving
--- a/packages/serving/http.cpp
+++ b/packages/serving/http.cpp
@@ -45,8 +45,8 @@
                           request.method() == http::verb::put ||
                           request.method() == http::verb::patch;
     if (has_body)
-        append(out, "Content-Length: " +
-                        std::to_string(request.body().size()) + "\r\n");
+        append(out, "Content-Length: " + std::to_string(request.body().size()) +
+                        "\r\n");
     append(out, "\r\n");
     append(out, request.body());
     return out;
@@ -65,9 +65,9 @@
 bool is_of_connection(std::string_view name)
 {
     static constexpr std::array<std::string_view, 10> names{
-        "connection",        "keep-alive",          "proxy-connection",
-        "transfer-encoding", "content-length",      "te",
-        "trailer",           "upgrade",             "expect",
+        "connection",        "keep-alive",     "proxy-connection",
+        "transfer-encoding", "content-length", "te",
+        "trailer",           "upgrade",        "expect",
         "proxy-authenticate"};
     const std::string low = lower(name);
     return std::find(names.begin(), names.end(), low) != names.end();
--- a/packages/serving/node_settings.hpp
+++ b/packages/serving/node_settings.hpp
@@ -16,16 +16,16 @@
     std::string name;
     std::string zone;
     std::string region;
-    runtime::address callers;   ///< Where callers connect.
-    runtime::address readiness; ///< Where the balancer asks.
-    runtime::address peers;     ///< Where other entries connect.
-    runtime::address source;    ///< Of configuration and target list.
+    runtime::address callers;            ///< Where callers connect.
+    runtime::address readiness;          ///< Where the balancer asks.
+    runtime::address peers;              ///< Where other entries connect.
+    runtime::address source;             ///< Of configuration and target list.
     std::vector<runtime::address> seeds; ///< Some entries; may be stale.
-    duration grace{};           ///< From the signal to the end.
-    double retry_share = 0.1;   ///< Of a service's requests.
-    double retry_reserve = 10;  ///< Retries beyond that in a window.
+    duration grace{};                    ///< From the signal to the end.
+    double retry_share = 0.1;            ///< Of a service's requests.
+    double retry_reserve = 10;           ///< Retries beyond that in a window.
     duration retry_window{};
-    duration leaving_time{}; ///< In which leaving targets stop getting work.
+    duration leaving_time{};  ///< In which leaving targets stop getting work.
     duration adoption_time{}; ///< In which a configuration is in force.
     std::size_t memory_bytes = 0;
     std::size_t most_descriptors = 1024;
--- /dev/null
+++ b/packages/serving/peer_link.cpp
@@ -0,0 +1,216 @@
+#include "serving/peer_link.hpp"
+
+#include "runtime/event.hpp"
+#include "serving/peer_messages.hpp"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+/// How often another entry is asked whether it is there.
+constexpr duration ping_interval = std::chrono::milliseconds(100);
+
+/// After this without an answer its work goes elsewhere: five questions. Less
+/// takes a busy entry for a dead one, more costs requests their aim.
+constexpr duration dead_after = std::chrono::milliseconds(500);
+
+constexpr duration connect_time = std::chrono::milliseconds(500);
+
+/// The pause before an entry that could not be reached is tried again.
+constexpr duration retry_pause = std::chrono::milliseconds(400);
+
+} // namespace
+
+peer_link::peer_link(entry_context& context, peer_listener& listener,
+                     std::string address)
+    : m_context(context), m_listener(listener), m_address(std::move(address))
+{
+}
+
+awaitable<bool> peer_link::connect()
+{
+    const runtime::address where = runtime::address::parse(m_address);
+    auto socket = std::make_shared<tcp::socket>(m_context.loop);
+    asio::steady_timer guard(m_context.loop, connect_time);
+    guard.async_wait(
+        [socket](const error_code& fault)
+        {
+            error_code ignored; // It is given up either way.
+            if (!fault)
+                socket->close(ignored);
+        });
+    error_code fault;
+    const tcp::endpoint there(asio::ip::make_address_v4(where.host),
+                              where.port);
+    co_await socket->async_connect(there, into(fault));
+    guard.cancel();
+    if (fault || !socket->is_open())
+        co_return false;
+    m_socket = std::make_shared<frame_socket>(std::move(*socket));
+    peer::Frame hello;
+    hello.mutable_hello()->set_address(m_context.settings.peers.text());
+    m_socket->send(hello);
+    co_return true;
+}
+
+awaitable<void> peer_link::run()
+{
+    const auto keep = shared_from_this();
+    while (!m_is_closed)
+    {
+        if (co_await connect())
+        {
+            start(m_context.loop, ping());
+            co_await listen();
+            lose();
+        }
+        asio::steady_timer timer(m_context.loop, retry_pause);
+        error_code ignored; // Nobody cancels it.
+        co_await timer.async_wait(into(ignored));
+    }
+}
+
+void peer_link::close()
+{
+    m_is_closed = true;
+    if (m_socket)
+        m_socket->close();
+}
+
+awaitable<void> peer_link::ping()
+{
+    const auto keep = shared_from_this();
+    const frame_socket_ptr socket = m_socket;
+    asio::steady_timer timer(m_context.loop);
+    m_heard_at = m_context.now();
+    instant asked_at = m_context.now();
+    while (socket->is_open())
+    {
+        peer::Frame frame;
+        *frame.mutable_ping()->mutable_holding() = m_listener.holding();
+        socket->send(frame);
+        error_code ignored; // Nobody cancels it.
+        timer.expires_after(ping_interval);
+        co_await timer.async_wait(into(ignored));
+        const instant now = m_context.now();
+        // Where this process itself stood still, the other one's silence
+        // says nothing; it gets the full time to answer from now on.
+        if (now - asked_at > ping_interval * 3)
+            m_heard_at = now;
+        asked_at = now;
+        drop_unwanted();
+        if (now - m_heard_at > dead_after)
+        {
+            runtime::event("entry_silent").with("entry", m_address).warn();
+            socket->close();
+        }
+    }
+}
+
+awaitable<void> peer_link::listen()
+{
+    const frame_socket_ptr socket = m_socket;
+    while (auto frame = co_await socket->read())
+    {
+        m_heard_at = m_context.now();
+        take(*frame);
+    }
+}
+
+void peer_link::take(const peer::Frame& frame)
+{
+    switch (frame.content_case())
+    {
+    case peer::Frame::kPong:
+    {
+        if (!m_is_alive)
+            runtime::event("entry_found").with("entry", m_address).info();
+        m_is_alive = true;
+        m_is_stopping = frame.pong().holding().is_stopping();
+        const peer::Want want =
+            m_listener.note_holding(m_address, frame.pong().holding());
+        if (!want.catalog() && !want.targets())
+            return;
+        peer::Frame ask;
+        *ask.mutable_want() = want;
+        m_socket->send(ask);
+        return;
+    }
+    case peer::Frame::kCatalog:
+        return m_listener.take_catalog(frame.catalog().text());
+    case peer::Frame::kTargets:
+        return m_listener.take_targets(frame.targets());
+    case peer::Frame::kJobEnd:
+    {
+        const auto asked = m_asked.find(frame.job_end().number());
+        if (asked == m_asked.end())
+            return;
+        const orphaned_job one = std::move(asked->second);
+        m_asked.erase(asked);
+        piece_outcome outcome = outcome_of(frame.job_end());
+        if (one.wait->is_dropped())
+            release(one.service, outcome.handles);
+        one.wait->set_outcome(std::move(outcome));
+        return;
+    }
+    default:
+        return;
+    }
+}
+
+void peer_link::ask(const std::string& service, decision::piece_job job,
+                    piece_wait_ptr wait)
+{
+    job.number = m_next_number++;
+    m_socket->send(job_frame(service, job, m_context.now()));
+    m_asked[job.number] = {service, std::move(job), std::move(wait)};
+}
+
+void peer_link::release(const std::string& service,
+                        const std::vector<std::string>& handles)
+{
+    peer::Frame frame;
+    peer::Release& message = *frame.mutable_release();
+    message.set_service(service);
+    for (const std::string& one : handles)
+        message.add_handles(one);
+    m_socket->send(frame);
+}
+
+void peer_link::drop_unwanted()
+{
+    for (auto one = m_asked.begin(); one != m_asked.end();)
+    {
+        if (!one->second.wait->is_dropped())
+        {
+            ++one;
+            continue;
+        }
+        peer::Frame frame;
+        frame.mutable_job_dropped()->set_number(one->first);
+        m_socket->send(frame);
+        one = m_asked.erase(one);
+    }
+}
+
+void peer_link::lose()
+{
+    if (m_is_alive)
+        runtime::event("entry_lost")
+            .with("entry", m_address)
+            .with("jobs", m_asked.size())
+            .warn();
+    m_is_alive = false;
+    std::vector<orphaned_job> jobs;
+    for (auto& [number, one] : std::exchange(m_asked, {}))
+        if (!one.wait->is_dropped())
+            jobs.push_back(std::move(one));
+    if (!jobs.empty())
+        m_listener.take_back(std::move(jobs));
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/peer_link.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "serving/entry_context.hpp"
+#include "serving/frame_socket.hpp"
+#include "serving/piece_maker.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mangofold::serving
+{
+
+/// Work that another entry was asked for and whose answer will not come.
+struct orphaned_job
+{
+    std::string service;
+    decision::piece_job job;
+    piece_wait_ptr wait;
+};
+
+/// What an entry does with what it hears from another one.
+class peer_listener
+{
+public:
+    virtual ~peer_listener() = default;
+
+    /// Returns what this entry holds.
+    virtual peer::Holding holding() const = 0;
+    /// Takes in what the entry at \a address holds. Returns what to ask it
+    /// for.
+    virtual peer::Want note_holding(const std::string& address,
+                                    const peer::Holding& theirs) = 0;
+    virtual void take_catalog(const std::string& text) = 0;
+    virtual void take_targets(const peer::Targets& targets) = 0;
+    /// Takes work back from an entry that stopped answering.
+    virtual void take_back(std::vector<orphaned_job> jobs) = 0;
+};
+
+/// The connection that this entry keeps to another one, to ask it for things.
+class peer_link : public std::enable_shared_from_this<peer_link>
+{
+public:
+    peer_link(entry_context& context, peer_listener& listener,
+              std::string address);
+
+    /// Connects again and again, until close().
+    awaitable<void> run();
+    void close();
+
+    const std::string& address() const { return m_address; }
+
+    /// Whether the other entry answered lately and takes work.
+    bool is_alive() const { return m_is_alive && !m_is_stopping; }
+
+    /// Returns when the other entry last answered.
+    instant heard_at() const { return m_heard_at; }
+
+    void ask(const std::string& service, decision::piece_job job,
+             piece_wait_ptr wait);
+    void release(const std::string& service,
+                 const std::vector<std::string>& handles);
+
+private:
+    awaitable<bool> connect();
+    awaitable<void> ping();
+    awaitable<void> listen();
+    void take(const peer::Frame& frame);
+    void drop_unwanted();
+    void lose();
+
+    entry_context& m_context;
+    peer_listener& m_listener;
+    std::string m_address;
+    frame_socket_ptr m_socket;
+    std::map<std::uint64_t, orphaned_job> m_asked;
+    std::uint64_t m_next_number = 1;
+    instant m_heard_at{};
+    bool m_is_alive = false;
+    bool m_is_stopping = false;
+    bool m_is_closed = false;
+};
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/peer_messages.cpp
@@ -0,0 +1,95 @@
+#include "serving/peer_messages.hpp"
+
+namespace mangofold::serving
+{
+
+peer::Frame job_frame(const std::string& service,
+                      const decision::piece_job& job, instant now)
+{
+    peer::Frame frame;
+    peer::Job& message = *frame.mutable_job();
+    message.set_number(job.number);
+    message.set_service(service);
+    message.set_request(job.request);
+    message.set_stage(job.stage);
+    message.set_pieces(job.pieces);
+    message.set_key(job.key);
+    for (const std::string& one : job.inputs)
+        message.add_inputs(one);
+    message.set_result_bytes(job.result_bytes);
+    message.set_worth(job.worth);
+    message.set_due_in_ns((job.due - now).count());
+    message.set_expires_in_ns((job.expires - now).count());
+    return frame;
+}
+
+decision::piece_job job_of(const peer::Job& message, instant now)
+{
+    decision::piece_job job;
+    job.request = message.request();
+    job.stage = message.stage();
+    job.pieces = message.pieces();
+    job.key = message.key();
+    job.inputs.assign(message.inputs().begin(), message.inputs().end());
+    job.result_bytes = message.result_bytes();
+    job.worth = message.worth();
+    job.due = now + duration(message.due_in_ns());
+    job.expires = now + duration(message.expires_in_ns());
+    return job;
+}
+
+peer::Frame job_end_frame(std::uint64_t number, const piece_outcome& outcome)
+{
+    peer::Frame frame;
+    peer::JobEnd& message = *frame.mutable_job_end();
+    message.set_number(number);
+    message.set_end(static_cast<std::uint32_t>(outcome.end));
+    for (const std::string& one : outcome.handles)
+        message.add_handles(one);
+    return frame;
+}
+
+piece_outcome outcome_of(const peer::JobEnd& message)
+{
+    piece_outcome outcome;
+    constexpr auto last = static_cast<std::uint32_t>(decision::job_end::failed);
+    outcome.end = static_cast<decision::job_end>(std::min(message.end(), last));
+    outcome.handles.assign(message.handles().begin(), message.handles().end());
+    return outcome;
+}
+
+peer::Frame targets_frame(const decision::target_directory& directory)
+{
+    peer::Frame frame;
+    peer::Targets& message = *frame.mutable_targets();
+    for (const decision::listed_target& one : directory.all())
+    {
+        peer::Target& target = *message.add_targets();
+        target.set_id(one.id);
+        target.set_service(one.service);
+        target.set_address(one.address);
+        target.set_zone(one.zone);
+        target.set_slots(one.slots);
+        target.set_is_leaving(one.is_leaving);
+        target.set_is_removed(one.address.empty());
+        target.set_revision(one.revision);
+    }
+    return frame;
+}
+
+void take_targets(const peer::Targets& message,
+                  decision::target_directory& directory)
+{
+    for (const peer::Target& one : message.targets())
+    {
+        if (one.is_removed())
+        {
+            directory.note_gone(one.id(), one.revision());
+            continue;
+        }
+        directory.note({one.id(), one.service(), one.address(), one.zone(),
+                        one.slots(), one.is_leaving(), one.revision()});
+    }
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/peer_messages.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "decision/piece_job.hpp"
+#include "decision/target_directory.hpp"
+#include "peer.pb.h"
+#include "serving/asio.hpp"
+#include "serving/piece_maker.hpp"
+
+#include <string>
+
+namespace mangofold::serving
+{
+
+/// Returns the frame that asks for \a job; its times are sent as what is
+/// left of them at \a now, since clocks differ.
+peer::Frame job_frame(const std::string& service,
+                      const decision::piece_job& job, instant now);
+decision::piece_job job_of(const peer::Job& message, instant now);
+
+peer::Frame job_end_frame(std::uint64_t number, const piece_outcome& outcome);
+piece_outcome outcome_of(const peer::JobEnd& message);
+
+/// Returns the frame with all that \a directory knows.
+peer::Frame targets_frame(const decision::target_directory& directory);
+
+/// Takes in what another entry knows of targets.
+void take_targets(const peer::Targets& message,
+                  decision::target_directory& directory);
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/peer_server.cpp
@@ -0,0 +1,96 @@
+#include "serving/peer_server.hpp"
+
+#include "serving/peer_messages.hpp"
+#include "serving/request_server.hpp"
+
+namespace mangofold::serving
+{
+
+peer_server::peer_server(entry_context& context, gatherer& own, arrival arrived,
+                         holding_source holding, text_source catalog_text)
+    : m_context(context), m_gatherer(own), m_arrived(std::move(arrived)),
+      m_holding(std::move(holding)), m_catalog_text(std::move(catalog_text)),
+      m_acceptor(context.loop)
+{
+    listen_at(m_acceptor, context.settings.peers);
+}
+
+awaitable<void> peer_server::run()
+{
+    for (;;)
+    {
+        error_code fault;
+        tcp::socket socket = co_await m_acceptor.async_accept(into(fault));
+        if (!fault)
+            start(m_context.loop,
+                  serve(std::make_shared<frame_socket>(std::move(socket))));
+    }
+}
+
+awaitable<void> peer_server::serve(frame_socket_ptr socket)
+{
+    asked_jobs asked;
+    while (auto frame = co_await socket->read())
+        take(*frame, socket, asked);
+    for (auto& [number, is_wanted] : asked)
+        *is_wanted = false;
+}
+
+void peer_server::take(const peer::Frame& frame, const frame_socket_ptr& socket,
+                       asked_jobs& asked)
+{
+    peer::Frame reply;
+    switch (frame.content_case())
+    {
+    case peer::Frame::kHello:
+        return m_arrived(frame.hello().address());
+    case peer::Frame::kPing:
+        *reply.mutable_pong()->mutable_holding() = m_holding();
+        return socket->send(reply);
+    case peer::Frame::kWant:
+        if (frame.want().catalog())
+        {
+            reply.mutable_catalog()->set_text(m_catalog_text());
+            socket->send(reply);
+        }
+        if (frame.want().targets())
+            socket->send(targets_frame(m_context.directory));
+        return;
+    case peer::Frame::kJob:
+        return take_job(frame.job(), socket, asked);
+    case peer::Frame::kJobDropped:
+    {
+        const auto found = asked.find(frame.job_dropped().number());
+        if (found != asked.end())
+            *found->second = false;
+        return;
+    }
+    case peer::Frame::kRelease:
+        return m_gatherer.release(frame.release().service(),
+                                  {frame.release().handles().begin(),
+                                   frame.release().handles().end()});
+    default:
+        return;
+    }
+}
+
+void peer_server::take_job(const peer::Job& message,
+                           const frame_socket_ptr& socket, asked_jobs& asked)
+{
+    std::erase_if(asked, [](const auto& one) { return !*one.second; });
+    const auto is_wanted = std::make_shared<bool>(true);
+    asked[message.number()] = is_wanted;
+    m_gatherer.add(
+        message.service(), job_of(message, m_context.now()),
+        [socket, is_wanted, number = message.number()](piece_outcome outcome)
+        {
+            const bool is_taken = *is_wanted && socket->is_open();
+            *is_wanted = false;
+            if (is_taken)
+                socket->send(job_end_frame(number, outcome));
+            return is_taken;
+        },
+        [is_wanted] { return *is_wanted; });
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/peer_server.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "serving/entry_context.hpp"
+#include "serving/frame_socket.hpp"
+#include "serving/gatherer.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace mangofold::serving
+{
+
+/// Answers what other entries ask this one.
+class peer_server
+{
+public:
+    /// Takes the address at which an entry that connected can be reached.
+    using arrival = std::function<void(const std::string& address)>;
+    using text_source = std::function<std::string()>;
+    using holding_source = std::function<peer::Holding()>;
+
+    peer_server(entry_context& context, gatherer& own, arrival arrived,
+                holding_source holding, text_source catalog_text);
+
+    /// Accepts connections for ever.
+    awaitable<void> run();
+
+private:
+    /// What one connected entry has asked for, by its own numbers. True while
+    /// it still wants it.
+    using asked_jobs = std::map<std::uint64_t, std::shared_ptr<bool>>;
+
+    awaitable<void> serve(frame_socket_ptr socket);
+    void take(const peer::Frame& frame, const frame_socket_ptr& socket,
+              asked_jobs& asked);
+    void take_job(const peer::Job& message, const frame_socket_ptr& socket,
+                  asked_jobs& asked);
+
+    entry_context& m_context;
+    gatherer& m_gatherer;
+    arrival m_arrived;
+    holding_source m_holding;
+    text_source m_catalog_text;
+    tcp::acceptor m_acceptor;
+};
+
+} // namespace mangofold::serving
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -103,7 +103,8 @@
             if (m_context.directory.note(one.target))
                 runtime::event("target_listed")
                     .with("target", one.target.id)
-                    .with("state", one.target.is_leaving ? "leaving" : "serving")
+                    .with("state",
+                          one.target.is_leaving ? "leaving" : "serving")
                     .with("revision", one.target.revision)
                     .info();
             break;
@@ -137,8 +138,7 @@
 awaitable<bool> source_reader::read_catalog()
 {
     unsigned status = 0;
-    const auto body =
-        co_await ask(m_dialect.read_catalog(), read_time, status);
+    const auto body = co_await ask(m_dialect.read_catalog(), read_time, status);
     if (!body || (status != ok && status != not_found))
         co_return false;
     if (status == ok)
@@ -181,9 +181,9 @@
 
 awaitable<bool> source_reader::watch()
 {
-    const duration wait = std::clamp(
-        duration(m_context.settings.adoption_time / waits_per_bound),
-        least_wait, most_wait);
+    const duration wait =
+        std::clamp(duration(m_context.settings.adoption_time / waits_per_bound),
+                   least_wait, most_wait);
     unsigned status = 0;
     const auto body = co_await ask(m_dialect.watch(m_revision, wait),
                                    wait + watch_slack, status);
@@ -207,9 +207,9 @@
         std::min(m_failures > 0 ? m_failures - 1 : 0, most_doublings);
     const auto base = first_pause * (1U << doublings);
     asio::steady_timer timer(m_context.loop);
-    timer.expires_after(base / 2 + duration(m_context.random.below(
-                                       static_cast<std::uint64_t>(
-                                           base.count()))));
+    timer.expires_after(base / 2 +
+                        duration(m_context.random.below(
+                            static_cast<std::uint64_t>(base.count()))));
     error_code ignored; // Nobody cancels it.
     co_await timer.async_wait(into(ignored));
 }
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -37,7 +37,8 @@
     if (m_states[index].now != step::waiting)
         return false;
     const auto& after = m_route.stages[index].after;
-    return std::all_of(after.begin(), after.end(), [this](std::size_t one)
+    return std::all_of(after.begin(), after.end(),
+                       [this](std::size_t one)
                        { return m_states.at(one).now == step::done; });
 }
 
@@ -143,10 +144,9 @@
         for (std::size_t other = 0; other < m_states.size(); ++other)
         {
             const auto& after = m_route.stages[other].after;
-            is_needed =
-                is_needed ||
-                (m_states[other].now != step::done &&
-                 std::find(after.begin(), after.end(), index) != after.end());
+            is_needed = is_needed || (m_states[other].now != step::done &&
+                                      std::find(after.begin(), after.end(),
+                                                index) != after.end());
         }
         if (!is_needed)
             m_context.pieces->release(m_route.stages[index].service,
@@ -156,8 +156,8 @@
 
 bool stage_runner::is_done() const
 {
-    return std::all_of(m_states.begin(), m_states.end(), [](const state& one)
-                       { return one.now == step::done; });
+    return std::all_of(m_states.begin(), m_states.end(),
+                       [](const state& one) { return one.now == step::done; });
 }
 
 awaitable<decision::job_end> stage_runner::run()
@@ -172,11 +172,12 @@
         release_used();
         if (is_done())
             co_return decision::job_end::made;
-        const bool may_start = std::any_of(
-            m_states.begin(), m_states.end(),
-            [this](const state& one)
-            { return can_start(static_cast<std::size_t>(
-                  &one - m_states.data())); });
+        const bool may_start =
+            std::any_of(m_states.begin(), m_states.end(),
+                        [this](const state& one) {
+                            return can_start(static_cast<std::size_t>(
+                                &one - m_states.data()));
+                        });
         if (may_start)
             continue;
         const instant now = m_context.now();
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -53,8 +53,8 @@
     co_return state::good;
 }
 
-awaitable<target_call::state>
-target_call::begin(const http_request& request, std::string id, duration most)
+awaitable<target_call::state> target_call::begin(const http_request& request,
+                                                 std::string id, duration most)
 {
     const auto keep = shared_from_this();
     m_id = std::move(id);
@@ -120,8 +120,7 @@
     while (!bytes.empty() && !m_parser->is_done())
     {
         error_code fault;
-        const std::size_t used =
-            m_parser->put(asio::buffer(bytes), fault);
+        const std::size_t used = m_parser->put(asio::buffer(bytes), fault);
         bytes.erase(0, used);
         if (fault == http::error::need_more)
             return state::good;
@@ -164,17 +163,17 @@
 {
     if (!m_connection)
         return;
-    const bool is_in_order =
-        is_complete() && m_parser->keep_alive() && !m_parser->need_eof() &&
-        m_connection->is_sent() && m_connection->received().empty() &&
-        m_connection->is_open();
+    const bool is_in_order = is_complete() && m_parser->keep_alive() &&
+                             !m_parser->need_eof() && m_connection->is_sent() &&
+                             m_connection->received().empty() &&
+                             m_connection->is_open();
     if (!is_in_order)
         return abort();
     // Half of what the target says, so that a request never crosses the
     // target's own closing of the connection.
-    const duration idle =
-        m_facts.idle_time ? std::min(*m_facts.idle_time / 2, most_idle_time)
-                          : unsaid_idle_time;
+    const duration idle = m_facts.idle_time
+                              ? std::min(*m_facts.idle_time / 2, most_idle_time)
+                              : unsaid_idle_time;
     m_links.give_back(m_target.id, std::move(m_connection), idle);
     m_connection.reset();
 }
--- a/packages/serving/target_connection.cpp
+++ b/packages/serving/target_connection.cpp
@@ -59,14 +59,14 @@
 {
     m_to_send = std::move(bytes);
     m_is_sending = true;
-    asio::async_write(m_socket, asio::buffer(m_to_send),
-                      [self = shared_from_this()](const error_code& fault,
-                                                  std::size_t)
-                      {
-                          // A failed write shows to the reader as a reset.
-                          self->m_is_sending = static_cast<bool>(fault);
-                          self->m_to_send.clear();
-                      });
+    asio::async_write(
+        m_socket, asio::buffer(m_to_send),
+        [self = shared_from_this()](const error_code& fault, std::size_t)
+        {
+            // A failed write shows to the reader as a reset.
+            self->m_is_sending = static_cast<bool>(fault);
+            self->m_to_send.clear();
+        });
 }
 
 awaitable<target_connection::state> target_connection::read(duration most)
@@ -74,8 +74,8 @@
     const auto keep = shared_from_this();
     error_code fault;
     limit(most);
-    const std::size_t count = co_await m_socket.async_read_some(
-        asio::buffer(m_chunk), into(fault));
+    const std::size_t count =
+        co_await m_socket.async_read_some(asio::buffer(m_chunk), into(fault));
     m_received.append(m_chunk.data(), count);
     co_return conclude(fault);
 }
