--- a/packages/serving/asio.hpp
+++ b/packages/serving/asio.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/time.hpp"
+#include "serving/loop_timer.hpp"
 
 #include <utility>
 
@@ -10,7 +11,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -80,7 +80,7 @@
 
     asio::io_context& m_loop;
     tcp::socket m_socket;
-    asio::steady_timer m_guard;
+    loop_timer m_guard;
     request_handler& m_handler;
     signal_point m_more;
     signal_point m_space;
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -73,7 +73,7 @@
     runtime::event("stopping")
         .with("requests", m_requests.requests_in_progress())
         .info();
-    asio::steady_timer timer(m_context.loop);
+    loop_timer timer(m_context.loop);
     for (;;)
     {
         const duration gone = m_context.now() - began;
@@ -93,7 +93,7 @@
 
 awaitable<void> entry_process::tidy()
 {
-    asio::steady_timer timer(m_context.loop);
+    loop_timer timer(m_context.loop);
     for (;;)
     {
         error_code ignored; // Nobody cancels it.
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -299,7 +299,7 @@
 
 awaitable<void> gatherer::run()
 {
-    asio::steady_timer timer(m_context.loop);
+    loop_timer timer(m_context.loop);
     for (;;)
     {
         error_code ignored; // Nobody cancels it.
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -35,7 +35,7 @@
 {
     const runtime::address where = runtime::address::parse(m_address);
     auto socket = std::make_shared<tcp::socket>(m_context.loop);
-    asio::steady_timer guard(m_context.loop, connect_time);
+    loop_timer guard(m_context.loop, connect_time);
     guard.async_wait(
         [socket](const error_code& fault)
         {
@@ -68,7 +68,7 @@
             co_await listen();
             lose();
         }
-        asio::steady_timer timer(m_context.loop, retry_pause);
+        loop_timer timer(m_context.loop, retry_pause);
         error_code ignored; // Nobody cancels it.
         co_await timer.async_wait(into(ignored));
     }
@@ -85,7 +85,7 @@
 {
     const auto keep = shared_from_this();
     const frame_socket_ptr socket = m_socket;
-    asio::steady_timer timer(m_context.loop);
+    loop_timer timer(m_context.loop);
     m_heard_at = m_context.now();
     instant asked_at = m_context.now();
     while (socket->is_open())
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -130,7 +130,7 @@
 {
     for (const runtime::address& one : m_context.settings.seeds)
         add(one.text());
-    asio::steady_timer timer(m_context.loop);
+    loop_timer timer(m_context.loop);
     for (;;)
     {
         error_code ignored; // Nobody cancels it.
--- a/packages/serving/request_server.cpp
+++ b/packages/serving/request_server.cpp
@@ -37,7 +37,7 @@
             runtime::event("accept_failed")
                 .with("fault", fault.message())
                 .warn();
-            asio::steady_timer timer(m_context.loop, duration(10000000));
+            loop_timer timer(m_context.loop, duration(10000000));
             co_await timer.async_wait(into(fault));
             continue;
         }
--- a/packages/serving/request_server.hpp
+++ b/packages/serving/request_server.hpp
@@ -24,6 +24,9 @@
     bool is_stopping() const override { return m_context.is_stopping; }
 
     std::size_t requests_in_progress() const { return m_in_progress; }
+    /// Returns the port on which it listens.
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
     std::size_t connections() const { return m_connections; }
 
     /// Closes the connections on which nothing is going on.
--- a/packages/serving/signal_point.hpp
+++ b/packages/serving/signal_point.hpp
@@ -22,7 +22,7 @@
     awaitable<bool> wait(duration most);
 
 private:
-    asio::steady_timer m_timer;
+    loop_timer m_timer;
     bool m_is_raised = false;
 };
 
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -206,7 +206,7 @@
     const std::uint32_t doublings =
         std::min(m_failures > 0 ? m_failures - 1 : 0, most_doublings);
     const auto base = first_pause * (1U << doublings);
-    asio::steady_timer timer(m_context.loop);
+    loop_timer timer(m_context.loop);
     timer.expires_after(base / 2 +
                         duration(m_context.random.below(
                             static_cast<std::uint64_t>(base.count()))));
--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -53,7 +53,7 @@
     state conclude(const error_code& fault);
 
     tcp::socket m_socket;
-    asio::steady_timer m_guard;
+    loop_timer m_guard;
     std::uint64_t m_step = 0;
     bool m_is_timed_out = false;
     bool m_is_sending = false;
--- /dev/null
+++ b/tests/decision/call_planner_test.cpp
@@ -0,0 +1,195 @@
+#include "decision/call_planner.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold;
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const instant start{1h};
+
+/// One slot, ten pieces a call, 200 ms a call and 10 ms a piece, room for
+/// thirty pieces of 1,000 bytes.
+catalog::call_shape shape()
+{
+    return {1, 2, 10, 200ms, 10ms, 31000, 4s};
+}
+
+piece_job job(std::uint64_t number, std::uint32_t pieces, duration due)
+{
+    piece_job one;
+    one.number = number;
+    one.request = "r" + std::to_string(number);
+    one.pieces = pieces;
+    one.result_bytes = 1000;
+    one.due = start + due;
+    one.expires = start + due + 4s;
+    return one;
+}
+
+call_planner planner(int targets)
+{
+    call_planner made(shape());
+    std::map<std::string, std::string> zones;
+    for (int one = 0; one < targets; ++one)
+        zones["t" + std::to_string(one)] = "a";
+    made.set_targets(zones);
+    return made;
+}
+
+void make_all(call_planner& made, const planned_call& call, instant now)
+{
+    made.call_done(call.target, call.pieces.size(), call.expected, now);
+    for (const piece_ref& one : call.pieces)
+        made.piece_made(one, call.target,
+                        call.target + "/" + std::to_string(one.job) + "." +
+                            std::to_string(one.piece),
+                        now);
+}
+
+} // namespace
+
+TEST_CASE("pieces of many requests share a call, the earliest due first")
+{
+    call_planner made = planner(1);
+    made.add(job(1, 4, 3s));
+    made.add(job(2, 4, 1s));
+    made.add(job(3, 4, 2s));
+    const auto call = made.next_call(start);
+    REQUIRE(call);
+    CHECK(call->pieces.size() == 8);
+    CHECK(made.waiting_pieces() == 4);
+    CHECK(call->expected == 280ms);
+    for (const piece_ref& one : call->pieces)
+        CHECK(one.job != 1);
+    CHECK_FALSE(made.next_call(start));
+}
+
+TEST_CASE("a job goes into one call where it can, smaller ones fill the rest")
+{
+    call_planner made = planner(1);
+    made.add(job(1, 8, 1s));
+    made.add(job(2, 5, 2s));
+    made.add(job(3, 2, 3s));
+    const auto call = made.next_call(start);
+    REQUIRE(call);
+    CHECK(call->pieces.size() == 10);
+    CHECK(made.find(2) != nullptr);
+    CHECK(made.waiting_pieces() == 5);
+}
+
+TEST_CASE("a job that no call can hold is split")
+{
+    call_planner made = planner(2);
+    made.add(job(1, 14, 1s));
+    CHECK(made.next_call(start)->pieces.size() == 10);
+    CHECK(made.next_call(start)->pieces.size() == 4);
+}
+
+TEST_CASE("a job ends with its results in the order of its pieces")
+{
+    call_planner made = planner(1);
+    made.add(job(1, 3, 1s));
+    const auto call = made.next_call(start);
+    make_all(made, *call, start + 230ms);
+    const auto done = made.take_finished();
+    REQUIRE(done.size() == 1);
+    CHECK(done[0].handles ==
+          std::vector<std::string>{"t0/1.0", "t0/1.1", "t0/1.2"});
+    CHECK(made.waiting_jobs() == 0);
+}
+
+// Callers wait for pieces that the target cannot keep.
+// 1. Results fill a target's room. 2. The next call is made there all the
+// same. 3. Its time is spent, and most pieces come back without room.
+TEST_CASE("no call is made for which the target has no room")
+{
+    call_planner made = planner(1);
+    for (std::uint64_t one = 1; one <= 3; ++one)
+    {
+        made.add(job(one, 10, 1s));
+        const auto call = made.next_call(start);
+        REQUIRE(call);
+        make_all(made, *call, start + 300ms);
+        made.take_finished();
+    }
+    made.add(job(4, 10, 1s));
+    CHECK_FALSE(made.next_call(start + 300ms));
+    for (int piece = 0; piece < 10; ++piece)
+        made.released("t0/1." + std::to_string(piece));
+    CHECK(made.next_call(start + 300ms));
+    // What nobody lets go of ends by itself.
+    made.add(job(5, 10, 6s));
+    CHECK(made.next_call(start + 5s) == std::nullopt);
+    made.call_done("t0", 10, 300ms, start + 5s);
+    CHECK(made.next_call(start + 5s));
+}
+
+// A caller's request waits a second and a half for a call of one slow target.
+// 1. A target turns five times slower. 2. It is free, others are busy for
+// some 100 ms. 3. A call made there comes back later than one made after
+// waiting for the others.
+TEST_CASE("a slow target is passed over where waiting is quicker")
+{
+    call_planner made = planner(2);
+    made.add(job(1, 10, 1s));
+    const auto first = made.next_call(start);
+    made.call_done(first->target, 10, 1500ms, start + 1500ms);
+    for (const piece_ref& one : first->pieces)
+        made.piece_lost(one);
+    made.call_done(first->target, 10, 1500ms, start + 1500ms);
+    const auto second = made.next_call(start + 1500ms);
+    REQUIRE(second);
+    CHECK(second->target != first->target);
+    made.add(job(2, 10, 2s));
+    CHECK_FALSE(made.next_call(start + 1500ms));
+}
+
+TEST_CASE("a target that failed is left alone, longer each time")
+{
+    call_planner made = planner(1);
+    made.add(job(1, 1, 9s));
+    auto call = made.next_call(start);
+    made.piece_lost(call->pieces[0]);
+    made.call_failed("t0", false, start);
+    CHECK_FALSE(made.next_call(start + 199ms));
+    call = made.next_call(start + 200ms);
+    REQUIRE(call);
+    made.piece_lost(call->pieces[0]);
+    made.call_failed("t0", false, start + 200ms);
+    CHECK_FALSE(made.next_call(start + 599ms));
+    CHECK(made.next_call(start + 600ms));
+}
+
+TEST_CASE("jobs whose time is over end, unless a call is making them")
+{
+    call_planner made = planner(1);
+    made.add(job(1, 10, -4s));
+    made.add(job(2, 1, 1s));
+    CHECK(made.next_call(start)->pieces.size() == 1);
+    const auto late = made.take_expired(start);
+    REQUIRE(late.size() == 1);
+    CHECK(late[0].job.number == 1);
+    CHECK(made.take_expired(start + 60s).empty());
+}
+
+// A request that is late already keeps others from being in time.
+TEST_CASE("what can still be in time goes before what is late")
+{
+    call_planner made = planner(1);
+    made.add(job(1, 10, 50ms));
+    made.add(job(2, 10, 900ms));
+    CHECK(made.next_call(start)->pieces[0].job == 2);
+}
+
+TEST_CASE("the pieces of a job that nobody wants are not made")
+{
+    call_planner made = planner(1);
+    made.add(job(1, 3, 1s));
+    made.cancel(1);
+    CHECK(made.waiting_pieces() == 0);
+    CHECK_FALSE(made.next_call(start));
+}
--- /dev/null
+++ b/tests/decision/choice_test.cpp
@@ -0,0 +1,127 @@
+#include "decision/engine_choice.hpp"
+#include "decision/target_standing.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const instant start{1h};
+
+std::vector<listed_target> targets(std::size_t count)
+{
+    std::vector<listed_target> made;
+    for (std::size_t one = 0; one < count; ++one)
+        made.push_back({"t" + std::to_string(one), "s",
+                        "10.0.0." + std::to_string(one) + ":80",
+                        one % 2 == 0 ? "a" : "b", 4, false, one + 1});
+    return made;
+}
+
+std::vector<const listed_target*>
+pointers(const std::vector<listed_target>& all)
+{
+    std::vector<const listed_target*> found;
+    for (const listed_target& one : all)
+        found.push_back(&one);
+    return found;
+}
+
+} // namespace
+
+// Callers wait for a dead target again and again.
+TEST_CASE("a target that stays silent twice is set aside, then tried again")
+{
+    target_standing standing(1);
+    const auto all = targets(2);
+    for (int one = 0; one < 2; ++one)
+    {
+        standing.note_sent("t0");
+        standing.note_silent("t0", start);
+    }
+    CHECK(standing.is_aside("t0", start));
+    for (int one = 0; one < 20; ++one)
+        CHECK(standing.choose(pointers(all), {}, "a", start)->id == "t1");
+    CHECK_FALSE(standing.is_aside("t0", start + 250ms));
+}
+
+TEST_CASE("a target that turned slow gets less work")
+{
+    target_standing standing(1);
+    const auto all = targets(2);
+    for (int one = 0; one < 20; ++one)
+    {
+        standing.note_sent("t0");
+        standing.note_answered("t0", 200ms, false);
+        standing.note_sent("t1");
+        standing.note_answered("t1", 20ms, false);
+    }
+    for (int one = 0; one < 20; ++one)
+        CHECK(standing.choose(pointers(all), {}, "a", start)->id == "t1");
+}
+
+TEST_CASE("work in flight counts against a target")
+{
+    target_standing standing(1);
+    auto all = targets(3);
+    for (auto& one : all)
+        one.zone = "a";
+    for (int one = 0; one < 30; ++one)
+        standing.note_sent(standing.choose(pointers(all), {}, "a", start)->id);
+    for (const auto& one : all)
+        CHECK(standing.in_flight(one.id) >= 8);
+}
+
+TEST_CASE("a target that was tried is not chosen again")
+{
+    target_standing standing(1);
+    const auto all = targets(2);
+    CHECK(standing.choose(pointers(all), {"t0"}, "a", start)->id == "t1");
+    CHECK(standing.choose(pointers(all), {"t0", "t1"}, "a", start) == nullptr);
+}
+
+TEST_CASE("generations that share a part meet at one engine")
+{
+    engine_choice one_entry;
+    engine_choice other_entry;
+    const auto all = targets(8);
+    const generation work{{{"common", 2000}, {"topic", 3000}, {"own", 500}},
+                          {}};
+    const auto* first = one_entry.choose(pointers(all), {}, work, "a", start);
+    const auto* second =
+        other_entry.choose(pointers(all), {}, work, "b", start);
+    CHECK(first->id == second->id);
+    one_entry.note_sent(first->id, work, start);
+    CHECK(one_entry.uncached(first->id, work, start + 1s) == 0);
+    CHECK(one_entry.uncached(first->id, work, start + 60s) == 5500);
+}
+
+// All requests about one popular topic go to one engine, and wait there.
+TEST_CASE("a popular part spreads over engines before one is overrun")
+{
+    engine_choice choice;
+    const auto all = targets(8);
+    std::set<std::string> used;
+    for (int one = 0; one < 40; ++one)
+    {
+        const generation work{{{"common", 2000},
+                               {"topic", 3000},
+                               {"own" + std::to_string(one), 2000}},
+                              {}};
+        const auto* chosen = choice.choose(pointers(all), {}, work, "a", start);
+        choice.note_sent(chosen->id, work, start);
+        used.insert(chosen->id);
+    }
+    CHECK(used.size() >= 4);
+}
+
+TEST_CASE("large results draw the generation into their zone")
+{
+    engine_choice choice;
+    const auto all = targets(8);
+    const generation work{{{"own", 500}}, {{"b", 8U << 20U}}};
+    CHECK(choice.choose(pointers(all), {}, work, "a", start)->zone == "b");
+}
--- /dev/null
+++ b/tests/decision/target_directory_test.cpp
@@ -0,0 +1,125 @@
+#include "decision/target_directory.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+listed_target target(const std::string& id, std::uint64_t revision,
+                     bool is_leaving = false)
+{
+    return {id, "rerank", "10.0.0.1:80", "a", 4, is_leaving, revision};
+}
+
+const instant start{1h};
+
+target_directory settled()
+{
+    target_directory directory;
+    directory.set_source(true, start);
+    return directory;
+}
+
+} // namespace
+
+// A caller's request is sent to a target that said it is leaving.
+// 1. The list says that a target leaves. 2. A peer, or a list read earlier,
+// still has it as serving. 3. The older word arrives last and wins.
+TEST_CASE("an older word about a target does not undo a newer one")
+{
+    target_directory directory = settled();
+    directory.note(target("t1", 5, true));
+    CHECK_FALSE(directory.note(target("t1", 4)));
+    CHECK(directory.serving("rerank").empty());
+    // Nor does a newer number: a target that leaves never serves again.
+    directory.note(target("t1", 6));
+    CHECK(directory.serving("rerank").empty());
+}
+
+TEST_CASE("a removed target stays away, whoever still lists it")
+{
+    target_directory directory = settled();
+    directory.note(target("t1", 5));
+    directory.note_removed("t1", 7, start);
+    CHECK_FALSE(directory.note(target("t1", 6)));
+    CHECK(directory.find("t1") == nullptr);
+}
+
+// Callers get "no target" although all targets live.
+// 1. The list goes away; its entries run out meanwhile. 2. It comes back
+// without them. 3. The targets register again, but within two seconds only.
+TEST_CASE("entries that lapse while the list is away are kept for a while")
+{
+    target_directory directory = settled();
+    directory.note(target("lives", 5));
+    directory.note(target("died", 6));
+    directory.set_source(false, start + 1s);
+    directory.note_all({}, 9, start + 6s);
+    directory.set_source(true, start + 6s);
+    CHECK(directory.serving("rerank").size() == 2);
+
+    directory.note(target("lives", 10));
+    directory.expire(start + 6s + target_directory::return_time - 1ms);
+    CHECK(directory.find("died") != nullptr);
+    directory.expire(start + 6s + target_directory::return_time);
+    CHECK(directory.find("died") == nullptr);
+    CHECK(directory.find("lives") != nullptr);
+}
+
+TEST_CASE("a target that left is gone at once, also while the list is away")
+{
+    target_directory directory = settled();
+    directory.note(target("t1", 5, true));
+    directory.set_source(false, start + 1s);
+    directory.note_removed("t1", 8, start + 2s);
+    CHECK(directory.find("t1") == nullptr);
+}
+
+TEST_CASE("a removal while the list is in order holds at once")
+{
+    target_directory directory = settled();
+    directory.note(target("t1", 5));
+    directory.note_removed("t1", 8, start + 1s);
+    CHECK(directory.find("t1") == nullptr);
+}
+
+// An entry that can't reach the list sends requests to a target that is gone.
+// 1. It is cut off from the list. 2. A peer that reads the list says that the
+// target is gone. 3. Taken for a lapse, the target would be kept until the
+// list is back.
+TEST_CASE("a peer whose list is in order is believed about a removal")
+{
+    target_directory directory = settled();
+    directory.note(target("t1", 5));
+    directory.set_source(false, start + 1s);
+    directory.note_gone("t1", 8);
+    CHECK(directory.find("t1") == nullptr);
+}
+
+TEST_CASE("directories that know the same have the same digest")
+{
+    target_directory one = settled();
+    target_directory other = settled();
+    one.note(target("t1", 5));
+    one.note(target("t2", 6));
+    other.note(target("t2", 6));
+    CHECK(one.digest() != other.digest());
+    other.note(target("t1", 5));
+    CHECK(one.digest() == other.digest());
+    other.note(target("t1", 7, true));
+    CHECK(one.digest() != other.digest());
+}
+
+TEST_CASE("what the whole list lacks is removed, but not what came later")
+{
+    target_directory directory = settled();
+    directory.note(target("old", 3));
+    directory.note(target("late", 20));
+    directory.note_all({target("t1", 4)}, 10, start);
+    CHECK(directory.find("old") == nullptr);
+    CHECK(directory.find("late") != nullptr);
+    CHECK(directory.find("t1") != nullptr);
+}
--- /dev/null
+++ b/tests/platform/dialect_test.cpp
@@ -0,0 +1,222 @@
+#include "platform/catalog_reader.hpp"
+#include "platform/request_dialect.hpp"
+#include "platform/settings_reader.hpp"
+#include "platform/store_dialect.hpp"
+#include "serving/facts.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace mangofold;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string configuration = R"({"version":7,"routes":[
+ {"name":"r-1","host":"Jepu9.example","prefix":"/a/","route_type":"streaming",
+  "timeout_ms":6000,"target_latency_ms":1900,"priority":1,"backend":"s1",
+  "max_attempts":2,"stages":[{"backend":"s2","after":[],"bytes":8000},
+  {"backend":"s2","after":[0],"bytes":60}],"public":false,
+  "stream_resume":true,"gap_aim_ms":300},
+ {"name":"r-2","host":"x","prefix":"/b/","route_type":"idempotent",
+  "timeout_ms":800,"weighted_backends":[{"backend":"s1","weight":90},
+  {"backend":"s3","weight":10}],"max_attempts":2,"public":true}],
+ "backends":[{"name":"s1","max_connections":490,
+  "engine":{"capacity":96,"kv_tokens":444000}},
+ {"name":"s2","max_connections":9,"pieces":{"capacity":1,"queue":2,"batch":16,
+  "call_ms":200.0,"item_ms":11.5,"room_mb":36.0,"handle_s":4.0}},
+ {"name":"s3"}],
+ "limits":{"max_header_bytes":100,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})";
+
+serving::http_request caller_request()
+{
+    serving::http_request made{serving::http::verb::post, "/a/2f?q=1", 11};
+    made.set("Host", "Jepu9.example:80");
+    made.set("X-Mangofold-Request-Id", "9c41");
+    made.set("X-Mangofold-Time-Budget-Ms", "1500");
+    made.set("X-Mangofold-Prompt-Prefix", "5c:800, 91:410,e4:250");
+    made.set("X-Mangofold-Token-Count", "1460,80");
+    made.set("X-Mangofold-Pieces", "2,0,6");
+    made.set("X-Mangofold-Piece-Key", "7c1e");
+    made.set("Authorization", "Bearer secret");
+    made.set("X-Mangofold-Tenant", "somebody");
+    made.set("X-Mangofold-Hold", "h");
+    made.set("Kv-From", "x");
+    made.set("Connection", "keep-alive, X-Private");
+    made.set("X-Private", "1");
+    made.set("X-Other", "2");
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the operator's configuration is read")
+{
+    const catalog::document read = platform::read_catalog(configuration);
+    CHECK(read.version == 7);
+    REQUIRE(read.routes.size() == 2);
+    const catalog::route& first = read.routes[0];
+    CHECK(first.host == "jepu9.example");
+    CHECK(first.is_stream);
+    CHECK(first.is_resumable);
+    CHECK_FALSE(first.is_repeatable);
+    CHECK(first.timeout == 6s);
+    CHECK(first.aim == 1900ms);
+    REQUIRE(first.stages.size() == 2);
+    CHECK(first.stages[1].after == std::vector<std::size_t>{0});
+    CHECK(read.routes[1].is_repeatable);
+    CHECK(read.routes[1].services.size() == 2);
+    REQUIRE(read.services[1].calls);
+    CHECK(read.services[1].calls->per_piece == 11500us);
+    CHECK(read.services[1].calls->room_bytes == 36000000);
+    CHECK(read.services[0].engine->slots == 96);
+    CHECK(read.limits.header_bytes == 100);
+    CHECK(read.checks_keys);
+    CHECK(read.accounts[0].keys.size() == 2);
+}
+
+TEST_CASE("a configuration that cannot be read says why")
+{
+    for (const char* text :
+         {"", "{", "[]", "{\"version\":\"x\"}",
+          "{\"version\":1,\"routes\":[{\"host\":\"h\",\"prefix\":\"/\"}],"
+          "\"backends\":[]}"})
+        CHECK_THROWS_AS(platform::read_catalog(text), serving::facts_error);
+}
+
+TEST_CASE("what a caller's request says is read")
+{
+    const auto facts = platform::request_dialect().facts(caller_request());
+    CHECK(facts.id == "9c41");
+    CHECK(facts.host == "jepu9.example");
+    CHECK(facts.path == "/a/2f");
+    CHECK(facts.budget == 1500ms);
+    CHECK(facts.key == "secret");
+    REQUIRE(facts.prompt.size() == 3);
+    CHECK(facts.prompt[1] == serving::prompt_part{"91", 410});
+    CHECK(facts.most_tokens_out == 80);
+    CHECK(facts.pieces == std::vector<std::uint32_t>{2, 0, 6});
+    auto bad = caller_request();
+    bad.set("X-Mangofold-Time-Budget-Ms", "soon");
+    CHECK_THROWS_AS(platform::request_dialect().facts(bad),
+                    serving::facts_error);
+}
+
+// Another account's name, or the caller's secret, reaches a target.
+TEST_CASE("a target sees the system's marks and not the caller's")
+{
+    serving::send_marks marks;
+    marks.target_id = "i-1";
+    marks.budget = 900ms;
+    marks.account = "t";
+    marks.inputs = std::vector<std::string>{"a:1/x", "b:2/y"};
+    const auto sent =
+        platform::request_dialect().forwarded(caller_request(), marks);
+    CHECK(sent["X-Mangofold-Target-Instance"] == "i-1");
+    CHECK(sent["X-Mangofold-Time-Budget-Ms"] == "900");
+    CHECK(sent["X-Mangofold-Tenant"] == "t");
+    CHECK(sent["X-Mangofold-Inputs"] == "a:1/x,b:2/y");
+    CHECK(sent["X-Mangofold-Request-Id"] == "9c41");
+    CHECK(sent["X-Other"] == "2");
+    for (const char* name : {"Authorization", "X-Mangofold-Hold", "Kv-From",
+                             "X-Private", "Connection"})
+        CHECK(sent.count(name) == 0);
+}
+
+TEST_CASE("a target's answer is understood")
+{
+    serving::http_answer_head head;
+    head.result(421);
+    CHECK(platform::request_dialect().answer(head).has_not_run);
+    head.result(503);
+    CHECK_FALSE(platform::request_dialect().answer(head).has_not_run);
+    head.set("X-Mangofold-Not-Executed", "1");
+    head.set("Keep-Alive", "timeout=7");
+    head.set("X-Mangofold-Response-Seal", "s");
+    const auto facts = platform::request_dialect().answer(head);
+    CHECK(facts.has_not_run);
+    CHECK(facts.is_sealed);
+    CHECK(facts.idle_time == 7s);
+}
+
+TEST_CASE("calls of pieces and their results")
+{
+    const platform::request_dialect speech;
+    const auto call = speech.make_pieces(
+        "i-9", {{"r1", 0, 2, 900ms, "key", {}}, {"r2", 2, 0, 1s, "", {"a/b"}}});
+    CHECK(call.body() ==
+          R"({"items":[{"id":"r1","key":"key","left_ms":900,"piece":2,)"
+          R"("stage":0},{"id":"r2","inputs":["a/b"],"left_ms":1000,)"
+          R"("piece":0,"stage":2}]})");
+    const auto results = speech.piece_results(
+        R"({"items":[{"handle":"a:1/x"},{"why":"gone"},{"why":"room"},)"
+        R"({"why":"late"},{"why":"error"}]})");
+    using kind = serving::piece_result::kind;
+    REQUIRE(results.size() == 5);
+    CHECK(results[0].handle == "a:1/x");
+    CHECK(results[1].what == kind::gone);
+    CHECK(results[2].what == kind::no_room);
+    CHECK(results[3].what == kind::late);
+    CHECK(results[4].what == kind::failed);
+    CHECK_THROWS_AS(speech.piece_results("spoiled"), serving::facts_error);
+    CHECK(speech.maker_of("10.0.0.1:80/ab") == "10.0.0.1:80");
+}
+
+TEST_CASE("the store's pages and changes are read")
+{
+    const platform::store_dialect store;
+    // The value is {"backend":"s","address":"10.0.0.1:80","zone":"a",
+    // "capacity":6,"state":"draining"}.
+    const std::string value =
+        "eyJiYWNrZW5kIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInpvbmUiOiJhIiwi"
+        "Y2FwYWNpdHkiOjYsInN0YXRlIjoiZHJhaW5pbmcifQ==";
+    const auto page = store.targets_page(
+        R"({"items":[{"key":"servers/i-1","value":")" + value +
+        R"(","rev":12}],"more_pages":true,"current_rev":30})");
+    REQUIRE(page.changes.size() == 1);
+    CHECK(page.has_more);
+    CHECK(page.last_key == "servers/i-1");
+    CHECK(page.revision == 30);
+    CHECK(page.changes[0].target.id == "i-1");
+    CHECK(page.changes[0].target.slots == 6);
+    CHECK(page.changes[0].target.is_leaving);
+    CHECK(page.changes[0].target.revision == 12);
+    const auto changes = store.changes_page(
+        R"({"events":[{"key":"servers/i-1","rev":31,"removed":true},)"
+        R"({"key":"op/config","value":"e30=","rev":32},)"
+        R"({"key":"other","value":"e30=","rev":33}],"current_rev":33})");
+    using kind = serving::source_change::kind;
+    REQUIRE(changes.changes.size() == 3);
+    CHECK(changes.changes[0].what == kind::target_removed);
+    CHECK(changes.changes[1].what == kind::catalog);
+    CHECK(changes.changes[1].catalog == "{}");
+    CHECK(changes.changes[2].what == kind::other);
+    CHECK_THROWS_AS(store.targets_page("<html>"), serving::facts_error);
+}
+
+TEST_CASE("settings that cannot be used say why")
+{
+    const std::string path = "settings_test.toml";
+    const auto write = [&path](const std::string& text)
+    { std::ofstream(path) << text; };
+    write("node_name = 3");
+    CHECK_THROWS_AS(platform::read_settings(path), platform::settings_error);
+    write("node_name = \"n\"\nzone = \"z\"\nregion = \"r\"\n[bind]\n"
+          "frontend = \"nowhere\"");
+    CHECK_THROWS_AS(platform::read_settings(path), platform::settings_error);
+    write("node_name = \"n\"\nzone = \"z\"\nregion = \"r\"\n"
+          "seeds = [\"10.0.0.1:5\"]\n[bind]\nfrontend = \"10.0.0.1:1\"\n"
+          "readiness = \"10.0.0.1:2\"\ncontrol_plane = \"10.0.0.1:3\"\n"
+          "[platform]\naddress = \"10.0.0.2:4\"\n[bounds]\ngrace_s = 8\n"
+          "budget_ratio = 0.2\nnew_one = true\n");
+    const auto read = platform::read_settings(path);
+    CHECK(read.callers.text() == "10.0.0.1:1");
+    CHECK(read.grace == 8s);
+    CHECK(read.retry_share == 0.2);
+    CHECK(read.seeds.size() == 1);
+    std::remove(path.c_str());
+}
--- /dev/null
+++ b/tests/serving/stream_test.cpp
@@ -0,0 +1,246 @@
+#include "support/serving_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::test;
+using namespace std::chrono_literals;
+using end = scripted_target::reaction::end;
+
+namespace
+{
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: e" +
+           std::to_string(number) + "\n\n";
+}
+
+std::string chunk(const std::string& bytes)
+{
+    std::ostringstream out;
+    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return out.str();
+}
+
+std::string head(const std::string& id)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id +
+           "\r\nSeal: s\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+const std::string last = "0\r\n\r\n";
+
+std::size_t count(const std::string& text, const std::string& part)
+{
+    std::size_t found = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("events are passed on as they come, and the end with them")
+{
+    serving_fixture entry;
+    entry.add_target("events",
+                     [](const std::string&, std::size_t)
+                     {
+                         return scripted_target::reaction{
+                             head("r1") + chunk(event(1)) + chunk(event(2)) +
+                                 last,
+                             end::keep};
+                     });
+    const std::string got = entry.ask(request("/events/", "r1"), last);
+    CHECK(has(got, "Transfer-Encoding: chunked"));
+    CHECK(has(got, "data: e1"));
+    CHECK(has(got, "data: e2"));
+}
+
+TEST_CASE("the first event reaches the caller before the last is made")
+{
+    serving_fixture entry;
+    entry.add_target("events",
+                     [](const std::string&, std::size_t) {
+                         return scripted_target::reaction{
+                             head("r1") + chunk(event(1)), end::hang};
+                     });
+    const auto caller = entry.connect();
+    entry.send(*caller, request("/events/", "r1"));
+    entry.run_until([&] { return has(caller->received, "data: e1"); });
+}
+
+// A caller's stream ends early and looks whole.
+// 1. The target crashes in the middle of its stream. 2. The stream may not go
+// on elsewhere. 3. An orderly end would make the caller take it for whole.
+TEST_CASE("a stream that breaks off does not look whole")
+{
+    for (const end then : {end::close, end::reset})
+    {
+        serving_fixture entry;
+        entry.add_target("events",
+                         [then](const std::string&, std::size_t) {
+                             return scripted_target::reaction{
+                                 head("r1") + chunk(event(1)), then};
+                         });
+        const auto caller = entry.connect();
+        entry.send(*caller, request("/once-events/", "r1"));
+        entry.run_until([&] { return caller->is_ended; });
+        CHECK(has(caller->received, "data: e1"));
+        CHECK_FALSE(has(caller->received, last));
+    }
+}
+
+// A caller's stream misses an event or shows one twice.
+// 1. A target breaks off in the middle of event 3. 2. Another one goes on
+// after event 2, which was the last whole one. 3. The half event must not
+// reach the caller.
+TEST_CASE("a stream that may be resumed goes on at another target")
+{
+    serving_fixture entry;
+    std::vector<std::string> sent;
+    const auto script = [&sent](const std::string& text, std::size_t)
+    {
+        sent.push_back(text);
+        const std::string half = event(3).substr(0, 8);
+        return sent.size() == 1
+                   ? scripted_target::reaction{head("r1") +
+                                                   chunk(event(1) + event(2)) +
+                                                   chunk(half),
+                                               end::reset}
+                   : scripted_target::reaction{
+                         head("r1") + chunk(event(3)) + last, end::keep};
+    };
+    entry.add_target("events", script);
+    entry.add_target("events", script);
+    const std::string got = entry.ask(request("/events/", "r1"), last);
+    REQUIRE(sent.size() == 2);
+    CHECK(has(sent[1], "After: 2\r\n"));
+    CHECK(count(got, "HTTP/1.1 200") == 1);
+    for (int one = 1; one <= 3; ++one)
+        CHECK(count(got, "data: e" + std::to_string(one) + "\n") == 1);
+    CHECK(has(got, last));
+}
+
+TEST_CASE("a target that goes on at the wrong event is left")
+{
+    serving_fixture entry;
+    std::size_t sent = 0;
+    const auto script = [&sent](const std::string&, std::size_t)
+    {
+        return ++sent == 1
+                   ? scripted_target::reaction{head("r1") + chunk(event(1)),
+                                               end::reset}
+                   : scripted_target::reaction{
+                         head("r1") + chunk(event(3)) + last, end::keep};
+    };
+    entry.add_target("events", script);
+    entry.add_target("events", script);
+    const auto caller = entry.connect();
+    entry.send(*caller, request("/events/", "r1"));
+    entry.run_until([&] { return caller->is_ended; });
+    CHECK_FALSE(has(caller->received, "data: e3"));
+    CHECK_FALSE(has(caller->received, last));
+}
+
+TEST_CASE("a stream ends at the target when its caller leaves")
+{
+    serving_fixture entry;
+    auto& target =
+        entry.add_target("events",
+                         [](const std::string&, std::size_t) {
+                             return scripted_target::reaction{
+                                 head("r1") + chunk(event(1)), end::hang};
+                         });
+    const auto caller = entry.connect();
+    entry.send(*caller, request("/events/", "r1"));
+    entry.run_until([&] { return has(caller->received, "data: e1"); });
+    caller->socket.close();
+    entry.run_until([&] { return target.closed_by_other() == 1; });
+}
+
+TEST_CASE("stages are made in order, their results handed on and let go of")
+{
+    serving_fixture entry;
+    std::string where;
+    auto& maker = entry.add_target(
+        "pieces",
+        [&where](const std::string& text, std::size_t)
+        {
+            if (has(text, "/let-go"))
+                return scripted_target::reaction{answer("", ""), end::keep};
+            std::string results;
+            const std::string body = text.substr(text.find("\r\n\r\n") + 4);
+            for (std::size_t at = 0; at < body.size();)
+            {
+                const std::size_t line = body.find('\n', at);
+                const std::string piece =
+                    body.substr(at, std::min(body.find('<', at), line) - at);
+                results += where + "/" + piece + "\n";
+                at = line + 1;
+            }
+            return scripted_target::reaction{answer("", results), end::keep};
+        });
+    where = maker.address();
+    entry.add_target("events",
+                     [](const std::string&, std::size_t)
+                     {
+                         return scripted_target::reaction{
+                             head("r1") + chunk(event(1)) + last, end::keep};
+                     });
+    const std::string got =
+        entry.ask(request("/staged/", "r1", "Pieces: 21\r\n"), last);
+    CHECK(has(got, "data: e1"));
+    REQUIRE(maker.requests().size() >= 2);
+    CHECK(has(maker.requests()[0], "r1.0.0\n"));
+    CHECK(has(maker.requests()[0], "r1.0.1\n"));
+    CHECK(has(maker.requests()[1],
+              "r1.1.0<" + where + "/r1.0.0<" + where + "/r1.0.1\n"));
+    entry.time.advance(50ms);
+    entry.run_until(
+        [&]
+        {
+            std::size_t let_go = 0;
+            for (const auto& one : maker.requests())
+                if (has(one, "/let-go"))
+                    let_go += count(one, where + "/r1.");
+            return let_go == 3;
+        });
+}
+
+// A caller's request fails although its stages could be made again.
+// 1. The maker of a first result dies. 2. The second stage finds its input
+// gone.
+TEST_CASE("a result that is gone is made again from the start")
+{
+    serving_fixture entry;
+    std::size_t made = 0;
+    entry.add_target(
+        "pieces",
+        [&made](const std::string& text, std::size_t)
+        {
+            if (has(text, "/let-go"))
+                return scripted_target::reaction{answer("", ""), end::keep};
+            const bool is_gone = ++made == 2;
+            return scripted_target::reaction{
+                answer("",
+                       is_gone ? "gone\n" : "x/" + std::to_string(made) + "\n"),
+                end::keep};
+        });
+    entry.add_target("events",
+                     [](const std::string&, std::size_t)
+                     {
+                         return scripted_target::reaction{
+                             head("r1") + chunk(event(1)) + last, end::keep};
+                     });
+    CHECK(has(entry.ask(request("/staged/", "r1", "Pieces: 11\r\n"), last),
+              "data: e1"));
+    CHECK(made == 4);
+}
--- /dev/null
+++ b/tests/support/scripted_target.cpp
@@ -0,0 +1,93 @@
+#include "support/scripted_target.hpp"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+#include <array>
+
+namespace mangofold::test
+{
+
+using namespace serving;
+
+namespace
+{
+
+/// Returns the length of the first whole request in \a bytes, or 0.
+std::size_t request_length(const std::string& bytes)
+{
+    const std::size_t head = bytes.find("\r\n\r\n");
+    if (head == std::string::npos)
+        return 0;
+    std::size_t body = 0;
+    const std::size_t field = bytes.find("Content-Length: ");
+    if (field < head)
+        body = std::stoul(bytes.substr(field + 16));
+    const std::size_t whole = head + 4 + body;
+    return bytes.size() < whole ? 0 : whole;
+}
+
+} // namespace
+
+scripted_target::scripted_target(asio::io_context& loop, script reacts)
+    : m_loop(loop),
+      m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      m_script(std::move(reacts))
+{
+    start(loop, accept());
+}
+
+std::string scripted_target::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+}
+
+awaitable<void> scripted_target::accept()
+{
+    for (;;)
+    {
+        error_code fault;
+        tcp::socket socket = co_await m_acceptor.async_accept(into(fault));
+        if (fault)
+            co_return;
+        ++m_connections;
+        start(m_loop, serve(std::move(socket)));
+    }
+}
+
+awaitable<void> scripted_target::serve(tcp::socket socket)
+{
+    std::string bytes;
+    std::array<char, 4096> chunk{};
+    for (;;)
+    {
+        error_code fault;
+        const std::size_t count =
+            co_await socket.async_read_some(asio::buffer(chunk), into(fault));
+        if (fault)
+        {
+            ++m_closed;
+            co_return;
+        }
+        bytes.append(chunk.data(), count);
+        const std::size_t length = request_length(bytes);
+        if (length == 0)
+            continue;
+        m_requests.push_back(bytes.substr(0, length));
+        bytes.erase(0, length);
+        const reaction now = m_script(m_requests.back(), m_requests.size() - 1);
+        if (!now.bytes.empty())
+            co_await asio::async_write(socket, asio::buffer(now.bytes),
+                                       into(fault));
+        if (now.then == reaction::end::reset)
+            socket.set_option(asio::socket_base::linger(true, 0), fault);
+        if (now.then == reaction::end::reset ||
+            now.then == reaction::end::close)
+        {
+            // The destructor alone would not reset.
+            socket.close(fault);
+            co_return;
+        }
+    }
+}
+
+} // namespace mangofold::test
