Decision: begin what can be in time, and only what later stages can take

Change: whether a request would be late is decided once, when its first stage begins, from what gatherers say of waits and call times at later stages; late ones take what the others leave. Ranks count as a later due time. Inputs are let go of once they must have been fetched, not at the end of the call. A short stage beside a long chain starts when the chain is as near its end. A stopping entry hands its gathering over.

--- a/packages/catalog/catalog.hpp
+++ b/packages/catalog/catalog.hpp
@@ -63,6 +63,7 @@
     decision::duration per_piece{};
     std::uint64_t room_bytes = 0; ///< For results.
     decision::duration result_lifetime{};
+    double link_bytes_per_s = 0; ///< To fetch inputs over.
 
     friend bool operator==(const call_shape&, const call_shape&) = default;
 };
--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -77,6 +77,12 @@
     take(number);
 }
 
+bool call_planner::has_waiting(std::uint64_t number) const
+{
+    const auto found = m_jobs.find(number);
+    return found != m_jobs.end() && !found->second.waiting.empty();
+}
+
 const piece_job* call_planner::find(std::uint64_t number) const
 {
     const auto found = m_jobs.find(number);
@@ -129,38 +135,47 @@
     return best;
 }
 
-// What can still be useful in full goes first, the earliest due first; what
-// is late already waits behind it, so that one late request does not make
-// all others late too.
-std::vector<call_planner::job_state*> call_planner::in_order(instant now)
+// The most urgent goes first, by when it is due and how much it yields. A
+// request that would be late waits behind those that can be in time, so that
+// one late request does not make all others late too. Whether it would be is
+// decided once, when it begins: one that was begun in time goes on as it is,
+// or what was made for it would be dropped and made again.
+std::vector<call_planner::job_state*>
+call_planner::in_order(instant now, const outlook& later)
 {
-    std::vector<job_state*> order;
+    std::vector<std::pair<std::pair<bool, instant>, job_state*>> order;
+    const duration call = usual_call();
     for (auto& [number, state] : m_jobs)
-        if (!state.waiting.empty())
-            order.push_back(&state);
-    const instant soonest = now + m_shape.per_call;
-    std::stable_sort(order.begin(), order.end(),
-                     [soonest](const job_state* left, const job_state* right)
-                     {
-                         const bool left_late = left->job.due < soonest;
-                         const bool right_late = right->job.due < soonest;
-                         if (left_late != right_late)
-                             return right_late;
-                         return left->job.due < right->job.due;
-                     });
-    return order;
+    {
+        if (state.waiting.empty())
+            continue;
+        piece_job& job = state.job;
+        if (!job.is_begun())
+            job.is_late = now + call + later.time_after(job) > job.due;
+        order.push_back({{job.is_late, job.due + job.yields}, &state});
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<job_state*> jobs;
+    jobs.reserve(order.size());
+    for (const auto& [key, state] : order)
+        jobs.push_back(state);
+    return jobs;
 }
 
-void call_planner::fill(planned_call& call, stage_target& target, instant now)
+void call_planner::fill(planned_call& call, stage_target& target, instant now,
+                        const outlook& later)
 {
     const auto room = static_cast<std::uint64_t>(
         static_cast<double>(m_shape.room_bytes) * room_share);
     std::uint64_t used = target.kept_bytes + target.reserved_bytes;
     std::size_t space = m_shape.most_pieces;
-    for (job_state* state : in_order(now))
+    for (job_state* state : in_order(now, later))
     {
         if (space == 0)
             break;
+        const piece_job& job = state->job;
+        if (!job.is_begun() && !later.may_begin(job, job.is_late))
+            continue;
         const std::uint64_t bytes = state->job.result_bytes;
         const std::uint64_t fits =
             bytes == 0 ? space : (room > used ? (room - used) / bytes : 0);
@@ -178,13 +193,15 @@
             state->waiting.pop_back();
             used += bytes;
             target.reserved_bytes += bytes;
+            call.bytes += bytes;
             --space;
             --m_waiting_pieces;
         }
     }
 }
 
-std::optional<planned_call> call_planner::next_call(instant now)
+std::optional<planned_call> call_planner::next_call(instant now,
+                                                    const outlook& later)
 {
     if (m_waiting_pieces == 0)
         return std::nullopt;
@@ -193,7 +210,7 @@
         return std::nullopt;
     planned_call call;
     call.target = target->id;
-    fill(call, *target, now);
+    fill(call, *target, now, later);
     if (call.pieces.empty())
         return std::nullopt;
     call.expected = expected_time(*target, call.pieces.size());
@@ -202,35 +219,41 @@
     return call;
 }
 
-void call_planner::call_done(const std::string& target, std::size_t pieces,
-                             duration took, instant now)
+void call_planner::call_done(const planned_call& call, duration took,
+                             instant now)
 {
-    const auto found = m_targets.find(target);
+    const auto found = m_targets.find(call.target);
     if (found == m_targets.end())
         return;
     stage_target& one = found->second;
     one.running -= one.running > 0 ? 1 : 0;
-    one.reserved_bytes = 0;
+    one.reserved_bytes -= std::min(one.reserved_bytes, call.bytes);
     one.failures = 0;
     one.free_at = now;
     const auto nominal = static_cast<double>(
         (m_shape.per_call +
-         m_shape.per_piece * static_cast<duration::rep>(pieces))
+         m_shape.per_piece * static_cast<duration::rep>(call.pieces.size()))
             .count());
+    constexpr double call_weight = 0.1; // About two seconds' calls.
+    const auto ns = static_cast<double>(took.count());
+    m_usual_call_ns =
+        m_usual_call_ns == 0
+            ? ns
+            : m_usual_call_ns + call_weight * (ns - m_usual_call_ns);
     const double seen = static_cast<double>(took.count()) / nominal;
     one.slowness = std::max(1.0, one.slowness * (1 - newest_weight) +
                                      newest_weight * seen);
 }
 
-void call_planner::call_failed(const std::string& target, bool is_full,
+void call_planner::call_failed(const planned_call& call, bool is_full,
                                instant now)
 {
-    const auto found = m_targets.find(target);
+    const auto found = m_targets.find(call.target);
     if (found == m_targets.end())
         return;
     stage_target& one = found->second;
     one.running -= one.running > 0 ? 1 : 0;
-    one.reserved_bytes = 0;
+    one.reserved_bytes -= std::min(one.reserved_bytes, call.bytes);
     ++one.failures;
     const double rests =
         is_full ? 0.5 : std::min<double>(one.failures, most_rests);
@@ -288,7 +311,8 @@
     return jobs;
 }
 
-std::vector<call_planner::finished_job> call_planner::take_expired(instant now)
+std::vector<call_planner::finished_job>
+call_planner::take_expired(instant now, const outlook& later)
 {
     std::vector<finished_job> jobs;
     for (auto one = m_jobs.begin(); one != m_jobs.end();)
@@ -297,7 +321,9 @@
         const job_state& state = one->second;
         const bool is_under_way =
             state.waiting.size() + state.made.size() < state.job.pieces;
-        if (!is_under_way && state.job.expires < now + m_shape.per_call)
+        if (!is_under_way &&
+            state.job.expires <
+                now + m_shape.per_call + later.time_after(state.job))
             jobs.push_back(taken(one));
         one = next;
     }
@@ -320,10 +346,16 @@
     return soonest;
 }
 
-duration call_planner::expected_wait(instant now) const
+duration call_planner::usual_call() const
+{
+    return m_usual_call_ns == 0
+               ? m_shape.per_call
+               : duration(static_cast<duration::rep>(m_usual_call_ns));
+}
+
+duration call_planner::time_of_piece(instant now) const
 {
     double pieces_per_ns = 0;
-    instant first_free = instant::max();
     for (const auto& [id, target] : m_targets)
     {
         if (target.aside_until > now)
@@ -331,14 +363,31 @@
         const auto time = expected_time(target, m_shape.most_pieces);
         pieces_per_ns += static_cast<double>(m_shape.most_pieces) *
                          m_shape.slots / static_cast<double>(time.count());
-        first_free = std::min(first_free, target.running >= m_shape.slots
-                                              ? std::max(target.free_at, now)
-                                              : now);
     }
     if (pieces_per_ns <= 0)
-        return m_shape.per_call * 4;
-    const double ahead = static_cast<double>(m_waiting_pieces) / pieces_per_ns;
-    return duration(static_cast<duration::rep>(ahead)) + (first_free - now);
+        return m_shape.per_call;
+    return duration(static_cast<duration::rep>(1 / pieces_per_ns));
+}
+
+std::uint64_t call_planner::kept_bytes() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, target] : m_targets)
+        sum += target.kept_bytes;
+    return sum;
+}
+
+duration call_planner::expected_wait(instant now) const
+{
+    instant first_free = now + m_shape.per_call * 2;
+    for (const auto& [id, target] : m_targets)
+        first_free =
+            std::min(first_free,
+                     target.running >= m_shape.slots || target.aside_until > now
+                         ? std::max({target.free_at, target.aside_until, now})
+                         : now);
+    return time_of_piece(now) * static_cast<duration::rep>(m_waiting_pieces) +
+           (first_free - now);
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -5,7 +5,7 @@
 #include "decision/stage_target.hpp"
 
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,10 +20,22 @@
     std::string target;
     std::vector<piece_ref> pieces;
     duration expected{};
+    std::uint64_t bytes = 0; ///< Of its results.
 
     friend bool operator==(const planned_call&, const planned_call&) = default;
 };
 
+/// What is known of the stages after this one.
+struct outlook
+{
+    /// Returns the time that the stages after a job's own will take.
+    std::function<duration(const piece_job&)> time_after = [](const piece_job&)
+    { return duration::zero(); };
+    /// Whether a request that no stage was made of yet may begin now.
+    std::function<bool(const piece_job&, bool is_late)> may_begin =
+        [](const piece_job&, bool) { return true; };
+};
+
 /// Forms the calls of one stage service from the pieces of all requests.
 ///
 /// A call costs its fixed time whatever it holds, so capacity is a matter of
@@ -47,14 +59,13 @@
     void cancel(std::uint64_t number);
 
     /// Returns the next call to make now, if there is one.
-    std::optional<planned_call> next_call(instant now);
+    std::optional<planned_call> next_call(instant now,
+                                          const outlook& later = {});
 
-    /// Notes how a call of \a pieces ended at \a target: answered after
-    /// \a took, ...
-    void call_done(const std::string& target, std::size_t pieces, duration took,
-                   instant now);
+    /// Notes how a call ended: answered after \a took, ...
+    void call_done(const planned_call& call, duration took, instant now);
     /// ... refused since its queue is full, or without an answer, ...
-    void call_failed(const std::string& target, bool is_full, instant now);
+    void call_failed(const planned_call& call, bool is_full, instant now);
 
     /// ... and each of its pieces: made, ...
     void piece_made(const piece_ref& piece, const std::string& target,
@@ -77,7 +88,8 @@
     std::vector<finished_job> take_finished();
 
     /// Takes the jobs whose time is over, with what was made of them.
-    std::vector<finished_job> take_expired(instant now);
+    std::vector<finished_job> take_expired(instant now,
+                                           const outlook& later = {});
 
     /// Takes a job out with what was made of it.
     std::optional<finished_job> take(std::uint64_t number);
@@ -85,12 +97,25 @@
     /// Returns the job numbered \a number, or nothing.
     const piece_job* find(std::uint64_t number) const;
 
+    /// Whether pieces of the job \a number are in no call yet.
+    bool has_waiting(std::uint64_t number) const;
+
     /// Returns when a target may be free again, at the latest.
     std::optional<instant> next_change(instant now) const;
 
-    /// Returns the expected time until a new job would be made.
+    /// Returns the expected time until a new job would be begun.
     duration expected_wait(instant now) const;
 
+    /// Returns the time that a call takes, by those that were made.
+    duration usual_call() const;
+
+    /// Returns the time of the whole service that one piece takes, all calls
+    /// being full; the longest where no target can take any.
+    duration time_of_piece(instant now) const;
+
+    /// Returns the bytes of results that are kept at all targets.
+    std::uint64_t kept_bytes() const;
+
     std::size_t waiting_pieces() const { return m_waiting_pieces; }
     std::size_t waiting_jobs() const { return m_jobs.size(); }
 
@@ -106,8 +131,9 @@
                            std::size_t pieces) const;
     stage_target* best_target(instant now);
     bool is_worth_waiting(const stage_target& target, instant now) const;
-    std::vector<job_state*> in_order(instant now);
-    void fill(planned_call& call, stage_target& target, instant now);
+    std::vector<job_state*> in_order(instant now, const outlook& later);
+    void fill(planned_call& call, stage_target& target, instant now,
+              const outlook& later);
     finished_job taken(std::map<std::uint64_t, job_state>::iterator one);
 
     catalog::call_shape m_shape;
@@ -115,6 +141,7 @@
     std::map<std::uint64_t, job_state> m_jobs;
     std::vector<std::uint64_t> m_finished;
     std::size_t m_waiting_pieces = 0;
+    double m_usual_call_ns = 0; ///< Moving average; 0 before the first.
 };
 
 } // namespace mangofold::decision
--- a/packages/decision/piece_job.hpp
+++ b/packages/decision/piece_job.hpp
@@ -9,6 +9,15 @@
 namespace mangofold::decision
 {
 
+/// Pieces of a later stage of the same request.
+struct later_pieces
+{
+    std::string service;
+    std::uint32_t pieces = 0;
+
+    friend bool operator==(const later_pieces&, const later_pieces&) = default;
+};
+
 /// The pieces of one stage of one request, to be made by any target of the
 /// stage's service.
 struct piece_job
@@ -20,9 +29,17 @@
     std::string key;                 ///< Where the stage follows no other.
     std::vector<std::string> inputs; ///< Results it needs otherwise.
     std::uint64_t result_bytes = 0;  ///< Of one piece, roughly.
-    double worth = 1;                ///< Urgency rank: more goes first.
-    instant due{};                   ///< To be useful in full.
-    instant expires{};               ///< To be of any use.
+    std::uint64_t input_bytes = 0;   ///< That one piece needs, roughly.
+    duration yields{};    ///< How much later than due it counts as due, since
+                          ///< others are more urgent.
+    instant due{};        ///< All stages should be made, to be useful in full.
+    instant expires{};    ///< All stages must be made, to be of any use.
+    bool is_late = false; ///< It was begun although it would be late.
+    /// Work that waits for it at other services, in pieces.
+    std::vector<later_pieces> later;
+
+    /// Whether earlier stages of the request have been made for it.
+    bool is_begun() const { return !inputs.empty(); }
 
     friend bool operator==(const piece_job&, const piece_job&) = default;
 };
--- a/packages/serving/elected_maker.cpp
+++ b/packages/serving/elected_maker.cpp
@@ -46,7 +46,8 @@
             wait->set_outcome(std::move(value));
             return is_wanted;
         },
-        [wait] { return !wait->is_dropped(); });
+        [wait] { return !wait->is_dropped(); },
+        [wait] { wait->set_fetched(); });
 }
 
 void elected_maker::release(const std::string& service,
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -2,6 +2,7 @@
 
 #include "catalog/catalog_index.hpp"
 #include "decision/engine_choice.hpp"
+#include "decision/moving_mean.hpp"
 #include "decision/random_source.hpp"
 #include "decision/retry_budget.hpp"
 #include "decision/target_directory.hpp"
@@ -55,6 +56,9 @@
     decision::target_standing standing;
     decision::engine_choice engines;
     decision::random_source random;
+    /// Time from a send to an engine to its first event; a first token takes
+    /// a tenth of a second or two.
+    decision::moving_mean first_event{std::chrono::milliseconds(150)};
     piece_maker* pieces = nullptr;
     std::map<std::string, decision::retry_budget> retries;
     std::size_t entries_known = 1; ///< Entries that answer, and this one.
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -36,7 +36,7 @@
                              node_settings settings, std::uint64_t seed)
     : m_context(loop, time, speech, std::move(settings), seed),
       m_gatherer(m_context), m_source(m_context, source),
-      m_mesh(m_context, m_source),
+      m_mesh(m_context, m_source, m_gatherer),
       m_peers(
           m_context, m_gatherer,
           [this](const std::string& address) { m_mesh.add(address); },
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -22,6 +22,12 @@
 /// share of the time left, before enough answers are known.
 constexpr double first_share = 0.4;
 
+/// How much later a request counts as due for each rank that others are more
+/// urgent: a call's time, so that in a burst the ranks are served in order,
+/// and a request that waits long still gets its turn.
+constexpr duration yields_per_route_rank = std::chrono::milliseconds(400);
+constexpr duration yields_per_account_rank = std::chrono::milliseconds(500);
+
 constexpr std::array<std::string_view, 15> refusal_names{
     "none",          "malformed",      "no_catalog",    "no_route",
     "unknown_key",   "no_target",      "targets_full",  "too_late",
@@ -184,6 +190,16 @@
     }
 }
 
+// The less urgent of two requests is served as if it were due later. An
+// account's rank goes before a route's.
+duration exchange::yields() const
+{
+    const std::uint32_t account =
+        m_account == nullptr ? 0 : m_account->priority;
+    return yields_per_route_rank * m_route->priority +
+           yields_per_account_rank * account;
+}
+
 awaitable<bool> exchange::make_stages()
 {
     constexpr int most_tries = 2;
@@ -191,7 +207,9 @@
     for (int one = 0; one < most_tries && !is_over(); ++one)
     {
         m_stages = std::make_unique<stage_runner>(
-            m_context, *m_route, m_facts, m_began + m_route->aim, m_deadline);
+            m_context, *m_route, m_facts, yields(),
+            m_began + m_route->aim - m_context.first_event.mean(),
+            m_deadline - m_context.first_event.mean());
         end = co_await m_stages->run();
         if (m_session->has_left())
             co_return false;
@@ -308,6 +326,7 @@
     sent.body() = m_request.body();
     note_begun(id);
     const instant began = m_context.now();
+    m_sent_at = began;
     const auto begun = co_await m_call->begin(sent, m_facts.id, patience());
     attempt_end end = attempt_end::given_up;
     if (m_session->has_left())
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -58,6 +58,7 @@
     bool admit();
     const std::string& choose_service();
     awaitable<void> serve();
+    duration yields() const;
     awaitable<bool> make_stages();
     awaitable<attempt_end> attempt();
     awaitable<attempt_end> pass_on(target_call& call);
@@ -100,6 +101,7 @@
     bool m_is_noted = false;      ///< How the newest send ended was noted.
     double m_tokens_ahead = 0;
     std::string m_last_target;
+    instant m_sent_at{}; ///< The newest send.
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -128,6 +128,7 @@
                 m_is_first_read = true;
                 m_context.engines.note_read(call.target().id, m_tokens_ahead);
                 m_context.engines.note_answered(call.target().id);
+                m_context.first_event.add(m_context.now() - m_sent_at);
                 if (m_stages)
                     m_stages->release();
             }
--- a/packages/serving/gatherer.hpp
+++ b/packages/serving/gatherer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/call_planner.hpp"
+#include "decision/later_work.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/piece_maker.hpp"
 
@@ -22,16 +23,29 @@
     using outcome_sink = std::function<bool(piece_outcome)>;
     /// Whether anybody still waits for a job.
     using interest = std::function<bool()>;
+    /// Told once the inputs of a job are no longer needed.
+    using fetch_notice = std::function<void()>;
 
     explicit gatherer(entry_context& context);
 
     /// Has \a job made. Exactly one outcome goes to \a done.
     void add(const std::string& service, decision::piece_job job,
-             outcome_sink done, interest wanted);
+             outcome_sink done, interest wanted, fetch_notice fetched);
 
     void release(const std::string& service,
                  const std::vector<std::string>& handles);
 
+    /// Returns what waits at each service gathered here.
+    struct backlog
+    {
+        duration wait{}; ///< Until a new piece would be begun.
+        duration call{}; ///< That a call takes.
+    };
+    std::map<std::string, backlog> backlogs() const;
+
+    /// Notes what waits at a service gathered elsewhere.
+    void note_backlog(const std::string& service, const backlog& value);
+
     /// Drives what depends on time only. Never returns.
     awaitable<void> run();
 
@@ -40,6 +54,8 @@
     {
         outcome_sink done;
         interest wanted;
+        fetch_notice fetched;
+        bool is_fetched = false;
         std::uint32_t losses = 0; ///< Calls lost with pieces of it.
         std::optional<decision::job_end> given_up; ///< A target said so.
     };
@@ -51,12 +67,25 @@
         std::map<std::uint64_t, asked_job> asked;
         std::map<std::string, std::vector<std::string>> to_release;
         std::uint64_t seen_changes = 0;
+        instant used_at{};
+        std::uint64_t calls = 0;  ///< Since the last summary.
+        std::uint64_t pieces = 0; ///< Of those calls.
+        std::uint64_t no_room = 0;
+        std::uint64_t late = 0;
     };
 
+    bool may_begin(const decision::piece_job& job, bool is_late) const;
+    duration time_after(const decision::piece_job& job) const;
+    const decision::outlook& outlook() const { return m_outlook; }
+    void note_begun(const line& one, const decision::planned_call& plan);
     line* line_of(const std::string& service);
     void update_targets(const std::string& service, line& one);
     void pump(const std::string& service, line& one);
     awaitable<void> call(std::string service, decision::planned_call plan);
+    awaitable<void> note_fetched(std::string service,
+                                 decision::planned_call plan, duration after);
+    duration fetch_time(const line& one,
+                        const decision::planned_call& plan) const;
     void take_results(line& one, const decision::planned_call& plan,
                       const std::vector<piece_result>& results);
     static void give_up(line& one, const decision::piece_ref& piece,
@@ -64,16 +93,21 @@
     void let_go(line& one, const std::string& handle);
     static void lose(line& one, const decision::planned_call& plan);
     void end_job(const std::string& service, line& one, std::uint64_t number,
-                 decision::job_end end, std::vector<std::string> handles);
+                 decision::job_end end, std::vector<std::string> handles,
+                 bool was_late = false);
     void end_finished(const std::string& service, line& one);
     void end_unwanted(const std::string& service, line& one);
     std::vector<piece_order> orders(const line& one,
                                     const decision::planned_call& plan) const;
     awaitable<void> send_releases(std::string service);
+    void summarize(const std::string& service, line& one);
 
     entry_context& m_context;
+    decision::later_work m_later;
+    decision::outlook m_outlook;
     std::map<std::string, std::unique_ptr<line>> m_lines;
     std::uint64_t m_next_number = 1;
+    instant m_summarized_at{};
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -157,6 +157,13 @@
         one.wait->set_outcome(std::move(outcome));
         return;
     }
+    case peer::Frame::kJobFetched:
+    {
+        const auto asked = m_asked.find(frame.job_fetched().number());
+        if (asked != m_asked.end())
+            asked->second.wait->set_fetched();
+        return;
+    }
     default:
         return;
     }
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -18,8 +18,10 @@
 
 } // namespace
 
-peer_mesh::peer_mesh(entry_context& context, source_reader& source)
-    : m_context(context), m_source(source), m_own(context.settings.peers.text())
+peer_mesh::peer_mesh(entry_context& context, source_reader& source,
+                     gatherer& own)
+    : m_context(context), m_source(source), m_gatherer(own),
+      m_own(context.settings.peers.text())
 {
 }
 
@@ -52,10 +54,13 @@
 
 std::vector<std::string> peer_mesh::answering() const
 {
-    std::vector<std::string> found{m_own};
+    std::vector<std::string> found;
     for (const auto& [address, link] : m_links)
         if (link->is_alive())
             found.push_back(address);
+    // One that is about to end gathers only where nobody else is left.
+    if (!m_context.is_stopping || found.empty())
+        found.push_back(m_own);
     return found;
 }
 
@@ -74,6 +79,13 @@
     for (const std::string& one : answering())
         own.add_entries(one);
     own.set_is_stopping(m_context.is_stopping);
+    for (const auto& [service, value] : m_gatherer.backlogs())
+    {
+        peer::Backlog& one = *own.add_backlogs();
+        one.set_service(service);
+        one.set_wait_ns(value.wait.count());
+        one.set_call_ns(value.call.count());
+    }
     return own;
 }
 
@@ -82,6 +94,9 @@
 {
     for (const std::string& one : theirs.entries())
         add(one);
+    for (const peer::Backlog& one : theirs.backlogs())
+        m_gatherer.note_backlog(
+            one.service(), {duration(one.wait_ns()), duration(one.call_ns())});
     peer::Want want;
     const std::uint64_t version =
         m_context.catalog ? m_context.catalog->version() : 0;
--- a/packages/serving/peer_mesh.hpp
+++ b/packages/serving/peer_mesh.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/gatherer.hpp"
 #include "serving/peer_link.hpp"
 #include "serving/source_reader.hpp"
 
@@ -16,7 +17,7 @@
 class peer_mesh : public peer_listener
 {
 public:
-    peer_mesh(entry_context& context, source_reader& source);
+    peer_mesh(entry_context& context, source_reader& source, gatherer& own);
 
     /// Starts with the known entries, and drives what depends on time only.
     awaitable<void> run();
@@ -48,6 +49,7 @@
 
     entry_context& m_context;
     source_reader& m_source;
+    gatherer& m_gatherer;
     std::string m_own;
     std::map<std::string, std::shared_ptr<peer_link>> m_links;
     std::map<std::string, instant> m_added_at;
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -17,9 +17,17 @@
     for (const std::string& one : job.inputs)
         message.add_inputs(one);
     message.set_result_bytes(job.result_bytes);
-    message.set_worth(job.worth);
+    message.set_input_bytes(job.input_bytes);
+    message.set_is_late(job.is_late);
+    message.set_yields_ns(job.yields.count());
     message.set_due_in_ns((job.due - now).count());
     message.set_expires_in_ns((job.expires - now).count());
+    for (const decision::later_pieces& one : job.later)
+    {
+        peer::LaterPieces& later = *message.add_later();
+        later.set_service(one.service);
+        later.set_pieces(one.pieces);
+    }
     return frame;
 }
 
@@ -32,9 +40,13 @@
     job.key = message.key();
     job.inputs.assign(message.inputs().begin(), message.inputs().end());
     job.result_bytes = message.result_bytes();
-    job.worth = message.worth();
+    job.input_bytes = message.input_bytes();
+    job.is_late = message.is_late();
+    job.yields = duration(message.yields_ns());
     job.due = now + duration(message.due_in_ns());
     job.expires = now + duration(message.expires_in_ns());
+    for (const peer::LaterPieces& one : message.later())
+        job.later.push_back({one.service(), one.pieces()});
     return job;
 }
 
@@ -44,6 +56,7 @@
     peer::JobEnd& message = *frame.mutable_job_end();
     message.set_number(number);
     message.set_end(static_cast<std::uint32_t>(outcome.end));
+    message.set_was_late(outcome.was_late);
     for (const std::string& one : outcome.handles)
         message.add_handles(one);
     return frame;
@@ -54,6 +67,7 @@
     piece_outcome outcome;
     constexpr auto last = static_cast<std::uint32_t>(decision::job_end::failed);
     outcome.end = static_cast<decision::job_end>(std::min(message.end(), last));
+    outcome.was_late = message.was_late();
     outcome.handles.assign(message.handles().begin(), message.handles().end());
     return outcome;
 }
--- a/packages/serving/peer_server.cpp
+++ b/packages/serving/peer_server.cpp
@@ -90,7 +90,13 @@
                 socket->send(job_end_frame(number, outcome));
             return is_taken;
         },
-        [is_wanted] { return *is_wanted; });
+        [is_wanted] { return *is_wanted; },
+        [socket, number = message.number()]
+        {
+            peer::Frame frame;
+            frame.mutable_job_fetched()->set_number(number);
+            socket->send(frame);
+        });
 }
 
 } // namespace mangofold::serving
--- a/packages/serving/piece_maker.hpp
+++ b/packages/serving/piece_maker.hpp
@@ -16,6 +16,7 @@
 {
     decision::job_end end = decision::job_end::failed;
     std::vector<std::string> handles;
+    bool was_late = false; ///< When it was begun.
 
     friend bool operator==(const piece_outcome&,
                            const piece_outcome&) = default;
@@ -40,6 +41,14 @@
 
     const std::optional<piece_outcome>& outcome() const { return m_outcome; }
 
+    /// Notes that the targets have fetched the inputs of all its pieces.
+    void set_fetched()
+    {
+        m_is_fetched = true;
+        m_changed->raise();
+    }
+    bool is_fetched() const { return m_is_fetched; }
+
     /// Notes that nobody waits any more.
     void drop() { m_is_dropped = true; }
     bool is_dropped() const { return m_is_dropped; }
@@ -47,6 +56,7 @@
 private:
     std::shared_ptr<signal_point> m_changed;
     std::optional<piece_outcome> m_outcome;
+    bool m_is_fetched = false;
     bool m_is_dropped = false;
 };
 
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -15,10 +15,10 @@
 } // namespace
 
 stage_runner::stage_runner(entry_context& context, const catalog::route& route,
-                           const request_facts& facts, instant due,
-                           instant expires)
-    : m_context(context), m_route(route), m_facts(facts), m_due(due),
-      m_expires(expires),
+                           const request_facts& facts, duration yields,
+                           instant due, instant expires)
+    : m_context(context), m_route(route), m_facts(facts), m_yields(yields),
+      m_due(due), m_expires(expires),
       m_changed(std::make_shared<signal_point>(context.loop)),
       m_states(route.stages.size())
 {
@@ -37,9 +37,38 @@
     if (m_states[index].now != step::waiting)
         return false;
     const auto& after = m_route.stages[index].after;
-    return std::all_of(after.begin(), after.end(),
-                       [this](std::size_t one)
-                       { return m_states.at(one).now == step::done; });
+    const bool has_inputs = std::all_of(
+        after.begin(), after.end(),
+        [this](std::size_t one) { return m_states.at(one).now == step::done; });
+    // A stage beside a longer chain is made when that one has come as near
+    // to the end: its results would only take room until then.
+    return has_inputs && way_to_end(index).size() >= longest_way_left();
+}
+
+std::size_t stage_runner::longest_way_left() const
+{
+    std::size_t longest = 0;
+    for (std::size_t index = 0; index < m_states.size(); ++index)
+        if (m_states[index].now != step::done && m_states[index].pieces > 0)
+            longest = std::max(longest, way_to_end(index).size());
+    return longest;
+}
+
+std::vector<std::size_t> stage_runner::way_to_end(std::size_t index) const
+{
+    std::vector<std::size_t> longest;
+    for (std::size_t next = index + 1; next < m_states.size(); ++next)
+    {
+        const auto& needs = m_route.stages[next].after;
+        if (m_states[next].pieces == 0 ||
+            std::find(needs.begin(), needs.end(), index) == needs.end())
+            continue;
+        std::vector<std::size_t> way = way_to_end(next);
+        if (way.size() > longest.size())
+            longest = std::move(way);
+    }
+    longest.insert(longest.begin(), index);
+    return longest;
 }
 
 bool stage_runner::is_followed(std::size_t index) const
@@ -65,32 +94,6 @@
     return inputs;
 }
 
-// Each stage is due so early that those after it can still be made in time.
-instant stage_runner::stage_due(std::size_t index) const
-{
-    duration after{};
-    std::size_t at = index;
-    for (bool goes_on = true; goes_on;)
-    {
-        goes_on = false;
-        for (std::size_t next = at + 1; next < m_states.size(); ++next)
-        {
-            const auto& needs = m_route.stages[next].after;
-            if (m_states[next].pieces == 0 ||
-                std::find(needs.begin(), needs.end(), at) == needs.end())
-                continue;
-            const auto* service =
-                m_context.catalog->find_service(m_route.stages[next].service);
-            if (service != nullptr && service->calls)
-                after += service->calls->per_call;
-            at = next;
-            goes_on = true;
-            break;
-        }
-    }
-    return m_due - after;
-}
-
 void stage_runner::start_stage(std::size_t index)
 {
     state& own = m_states[index];
@@ -107,12 +110,21 @@
     job.stage = static_cast<std::uint32_t>(index);
     job.pieces = own.pieces;
     job.result_bytes = stage.result_bytes;
-    job.due = stage_due(index);
+    job.yields = m_yields;
+    job.due = m_due;
     job.expires = m_expires;
+    job.is_late = m_is_late;
+    for (const std::size_t one : way_to_end(index))
+        if (one != index)
+            job.later.push_back(
+                {m_route.stages[one].service, m_states[one].pieces});
     if (stage.after.empty())
         job.key = m_facts.piece_key;
     else
         job.inputs = inputs_of(index);
+    for (const std::size_t one : stage.after)
+        job.input_bytes +=
+            m_route.stages.at(one).result_bytes * m_states.at(one).pieces;
     m_context.pieces->make(stage.service, std::move(job), own.wait);
 }
 
@@ -124,6 +136,7 @@
             continue;
         const piece_outcome& outcome = *one.wait->outcome();
         one.handles = outcome.handles;
+        m_is_late = m_is_late || outcome.was_late;
         if (outcome.end != decision::job_end::made)
             return outcome.end;
         one.now = step::done;
@@ -131,6 +144,12 @@
     return std::nullopt;
 }
 
+bool stage_runner::is_fetched(std::size_t index) const
+{
+    const state& one = m_states[index];
+    return one.now == step::running && one.wait->is_fetched();
+}
+
 // Room for results is scarce: each is let go of as soon as everything that
 // needs it is done.
 void stage_runner::release_used()
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -17,7 +17,8 @@
 {
 public:
     stage_runner(entry_context& context, const catalog::route& route,
-                 const request_facts& facts, instant due, instant expires);
+                 const request_facts& facts, duration yields, instant due,
+                 instant expires);
     ~stage_runner();
     stage_runner(const stage_runner&) = delete;
     stage_runner& operator=(const stage_runner&) = delete;
@@ -60,18 +61,24 @@
     std::vector<std::string> inputs_of(std::size_t index) const;
     /// Takes in what has ended. Returns how the first bad one ended.
     std::optional<decision::job_end> take_ended();
+    bool is_fetched(std::size_t index) const;
     void release_used();
     bool is_done() const;
-    instant stage_due(std::size_t index) const;
+    /// Returns the stages on the longest way from a stage to the end, itself
+    /// first.
+    std::vector<std::size_t> way_to_end(std::size_t index) const;
+    std::size_t longest_way_left() const;
 
     entry_context& m_context;
     const catalog::route& m_route;
     const request_facts& m_facts;
+    duration m_yields;
     instant m_due;
     instant m_expires;
     std::shared_ptr<signal_point> m_changed;
     std::vector<state> m_states;
     bool m_is_aborted = false;
+    bool m_is_late = false; ///< Its first stage was begun late.
 };
 
 } // namespace mangofold::serving
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -42,7 +42,7 @@
 
 void make_all(call_planner& made, const planned_call& call, instant now)
 {
-    made.call_done(call.target, call.pieces.size(), call.expected, now);
+    made.call_done(call, call.expected, now);
     for (const piece_ref& one : call.pieces)
         made.piece_made(one, call.target,
                         call.target + "/" + std::to_string(one.job) + "." +
@@ -124,7 +124,9 @@
     // What nobody lets go of ends by itself.
     made.add(job(5, 10, 6s));
     CHECK(made.next_call(start + 5s) == std::nullopt);
-    made.call_done("t0", 10, 300ms, start + 5s);
+    planned_call other;
+    other.target = "t0";
+    made.call_done(other, 200ms, start + 5s);
     CHECK(made.next_call(start + 5s));
 }
 
@@ -137,10 +139,10 @@
     call_planner made = planner(2);
     made.add(job(1, 10, 1s));
     const auto first = made.next_call(start);
-    made.call_done(first->target, 10, 1500ms, start + 1500ms);
+    made.call_done(*first, 1500ms, start + 1500ms);
     for (const piece_ref& one : first->pieces)
         made.piece_lost(one);
-    made.call_done(first->target, 10, 1500ms, start + 1500ms);
+    made.call_done(*first, 1500ms, start + 1500ms);
     const auto second = made.next_call(start + 1500ms);
     REQUIRE(second);
     CHECK(second->target != first->target);
@@ -154,12 +156,12 @@
     made.add(job(1, 1, 9s));
     auto call = made.next_call(start);
     made.piece_lost(call->pieces[0]);
-    made.call_failed("t0", false, start);
+    made.call_failed(*call, false, start);
     CHECK_FALSE(made.next_call(start + 199ms));
     call = made.next_call(start + 200ms);
     REQUIRE(call);
     made.piece_lost(call->pieces[0]);
-    made.call_failed("t0", false, start + 200ms);
+    made.call_failed(*call, false, start + 200ms);
     CHECK_FALSE(made.next_call(start + 599ms));
     CHECK(made.next_call(start + 600ms));
 }
@@ -185,6 +187,58 @@
     CHECK(made.next_call(start)->pieces[0].job == 2);
 }
 
+// What was made for a request is dropped, since later ones overtake it.
+TEST_CASE("a request that was begun in time goes on before later ones")
+{
+    call_planner made = planner(1);
+    piece_job begun = job(1, 10, 50ms);
+    begun.inputs = {"x/1"};
+    made.add(begun);
+    made.add(job(2, 10, 900ms));
+    CHECK(made.next_call(start)->pieces[0].job == 1);
+}
+
+TEST_CASE("a request does not begin where a later stage can't take it")
+{
+    call_planner made = planner(2);
+    piece_job full = job(1, 4, 100ms);
+    full.later = {{"later", 9}};
+    made.add(full);
+    made.add(job(2, 4, 900ms));
+    outlook later;
+    later.may_begin = [](const piece_job& one, bool)
+    { return one.later.empty(); };
+    const auto call = made.next_call(start, later);
+    REQUIRE(call);
+    CHECK(call->pieces.size() == 4);
+    CHECK(call->pieces[0].job == 2);
+    CHECK_FALSE(made.next_call(start, later));
+    CHECK(made.next_call(start));
+}
+
+TEST_CASE("time for the later stages counts when a request is late or over")
+{
+    call_planner made = planner(1);
+    made.add(job(1, 10, 500ms));
+    made.add(job(2, 10, 900ms));
+    outlook later;
+    later.time_after = [](const piece_job& one)
+    { return one.number == 1 ? duration(400ms) : duration(100ms); };
+    CHECK(made.next_call(start, later)->pieces[0].job == 2);
+    CHECK(made.take_expired(start + 3800ms, later).empty());
+    CHECK(made.take_expired(start + 3950ms, later).size() == 1);
+}
+
+TEST_CASE("the less urgent is served as if due later")
+{
+    call_planner made = planner(1);
+    piece_job patient = job(1, 10, 800ms);
+    patient.yields = 300ms;
+    made.add(patient);
+    made.add(job(2, 10, 1s));
+    CHECK(made.next_call(start)->pieces[0].job == 2);
+}
+
 TEST_CASE("the pieces of a job that nobody wants are not made")
 {
     call_planner made = planner(1);
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -162,7 +162,8 @@
             wait->set_outcome(std::move(value));
             return is_wanted;
         },
-        [wait] { return !wait->is_dropped(); });
+        [wait] { return !wait->is_dropped(); },
+        [wait] { wait->set_fetched(); });
 }
 
 void serving_fixture::release(const std::string& service,
