Serving: work on its way counts when it arrives; no walk through freed memory at an end

Two causes, found one after the other.

What was begun counted in full at the next stage at once, though that one works it off before it arrives: calls were half full while requests waited to begin. Now a wait is judged at the time of arrival. Chains also end when a caller would leave its silent stream, not at its deadline only.

Results are released by whoever is done, not by a destructor. The new test passes; it was not seen to fail on the former code.

--- a/packages/catalog/catalog.hpp
+++ b/packages/catalog/catalog.hpp
@@ -43,9 +43,11 @@
     bool is_resumable = false; ///< A stream can go on at another target.
     bool is_public = false;    ///< Needs no key.
     decision::duration timeout{};
-    decision::duration aim{};     ///< In which an answer earns full credit.
-    decision::duration gap_aim{}; ///< Longest pause between events.
-    std::uint32_t priority = 0;   ///< 0 is the most urgent.
+    decision::duration aim{};      ///< In which an answer earns full credit.
+    decision::duration gap_aim{};  ///< Longest pause between events.
+    decision::duration patience{}; ///< Callers leave a stream that is silent
+                                   ///< for longer; 0 where they do not.
+    std::uint32_t priority = 0;    ///< 0 is the most urgent.
     std::uint32_t max_targets = 1;
     std::vector<weighted_service> services;
     std::vector<stage> stages;
--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -151,7 +151,7 @@
             continue;
         piece_job& job = state.job;
         if (!job.is_begun())
-            job.is_late = now + call + later.time_after(job) > job.due;
+            job.is_late = now + call + later.time_after(job, call) > job.due;
         order.push_back({{job.is_late, job.due + job.yields}, &state});
     }
     std::sort(order.begin(), order.end());
@@ -174,7 +174,7 @@
         if (space == 0)
             break;
         const piece_job& job = state->job;
-        if (!job.is_begun() && !later.may_begin(job, job.is_late))
+        if (!job.is_begun() && !later.may_begin(job, usual_call()))
             continue;
         const std::uint64_t bytes = state->job.result_bytes;
         const std::uint64_t fits =
@@ -323,7 +323,8 @@
             state.waiting.size() + state.made.size() < state.job.pieces;
         if (!is_under_way &&
             state.job.expires <
-                now + m_shape.per_call + later.time_after(state.job))
+                now + m_shape.per_call +
+                    later.time_after(state.job, m_shape.per_call))
             jobs.push_back(taken(one));
         one = next;
     }
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -28,12 +28,13 @@
 /// What is known of the stages after this one.
 struct outlook
 {
-    /// Returns the time that the stages after a job's own will take.
-    std::function<duration(const piece_job&)> time_after = [](const piece_job&)
-    { return duration::zero(); };
+    /// Returns the time that the stages after a job's own will take, where
+    /// its own takes \a call.
+    std::function<duration(const piece_job&, duration call)> time_after =
+        [](const piece_job&, duration) { return duration::zero(); };
     /// Whether a request that no stage was made of yet may begin now.
-    std::function<bool(const piece_job&, bool is_late)> may_begin =
-        [](const piece_job&, bool) { return true; };
+    std::function<bool(const piece_job&, duration call)> may_begin =
+        [](const piece_job&, duration) { return true; };
 };
 
 /// Forms the calls of one stage service from the pieces of all requests.
--- a/packages/decision/later_work.cpp
+++ b/packages/decision/later_work.cpp
@@ -5,15 +5,6 @@
 namespace mangofold::decision
 {
 
-namespace
-{
-
-/// What was begun this long ago has arrived at the next stage and counts in
-/// what that one says.
-constexpr duration on_the_way = std::chrono::milliseconds(500);
-
-} // namespace
-
 void later_work::note_wait(const std::string& service, duration wait,
                            duration call, instant now)
 {
@@ -24,12 +15,13 @@
 }
 
 void later_work::note_begun(const std::string& service, std::uint32_t pieces,
-                            duration per_piece, instant now)
+                            duration per_piece, instant now,
+                            duration arrives_in)
 {
     line& one = m_lines[service];
-    while (!one.coming.empty() && one.coming.front().at + on_the_way <= now)
-        one.coming.pop_front();
-    one.coming.push_back({now, per_piece * pieces});
+    std::erase_if(one.coming,
+                  [now](const begun& work) { return work.arrives <= now; });
+    one.coming.push_back({now + arrives_in, per_piece * pieces});
 }
 
 duration later_work::call_at(const std::string& service, duration usual) const
@@ -40,18 +32,18 @@
                : found->second.call;
 }
 
-duration later_work::wait_at(const std::string& service, instant now) const
+duration later_work::wait_at(const std::string& service, instant now,
+                             duration arrives_in) const
 {
     const auto found = m_lines.find(service);
     if (found == m_lines.end())
         return duration::zero();
     const line& one = found->second;
-    // What was said gets old: the work has gone on since.
-    duration wait = std::max(one.wait - (now - one.said_at), duration::zero());
+    duration wait = one.wait - (now - one.said_at) - arrives_in;
     for (const begun& work : one.coming)
-        if (work.at + on_the_way > now)
+        if (work.arrives > now && work.arrives <= now + arrives_in)
             wait += work.time;
-    return wait;
+    return std::max(wait, duration::zero());
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/later_work.hpp
+++ b/packages/decision/later_work.hpp
@@ -23,13 +23,15 @@
     void note_wait(const std::string& service, duration wait, duration call,
                    instant now);
 
-    /// Notes that \a job was begun here, so that its later pieces will come
-    /// there; \a per_piece is the time that one of them takes of the service.
+    /// Notes that \a pieces for \a service were begun here and will come
+    /// there in \a arrives_in; one takes \a per_piece of the whole service.
     void note_begun(const std::string& service, std::uint32_t pieces,
-                    duration per_piece, instant now);
+                    duration per_piece, instant now, duration arrives_in);
 
-    /// Returns how long a new piece would wait at \a service.
-    duration wait_at(const std::string& service, instant now) const;
+    /// Returns how long a new piece would wait at \a service that comes there
+    /// in \a arrives_in: until then it works off what is there already.
+    duration wait_at(const std::string& service, instant now,
+                     duration arrives_in) const;
 
     /// Returns the time that a call there takes, or \a usual where nobody
     /// has said.
@@ -38,7 +40,7 @@
 private:
     struct begun
     {
-        instant at{};
+        instant arrives{};
         duration time{};
     };
     struct line
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -150,8 +150,7 @@
         });
     if (admit())
         co_await serve();
-    if (m_stages)
-        m_stages->release();
+    drop_stages();
     if (m_session->has_left())
     {
         m_context.count("requests_left", "kind", "caller");
@@ -186,7 +185,7 @@
         if (!m_sends->may_send() || is_over())
             co_return;
         if (end == attempt_end::restart)
-            m_stages.reset();
+            drop_stages();
     }
 }
 
@@ -200,16 +199,26 @@
            yields_per_account_rank * account;
 }
 
+// A caller leaves a stream that stays silent, long before its deadline where
+// that is far.
+instant exchange::stages_end() const
+{
+    return m_route->patience == duration::zero()
+               ? m_deadline
+               : std::min(m_deadline, m_began + m_route->patience - answer_way);
+}
+
 awaitable<bool> exchange::make_stages()
 {
     constexpr int most_tries = 2;
     auto end = decision::job_end::failed;
     for (int one = 0; one < most_tries && !is_over(); ++one)
     {
+        drop_stages();
         m_stages = std::make_unique<stage_runner>(
             m_context, *m_route, m_facts, yields(),
             m_began + m_route->aim - m_context.first_event.mean(),
-            m_deadline - m_context.first_event.mean());
+            stages_end() - m_context.first_event.mean());
         end = co_await m_stages->run();
         if (m_session->has_left())
             co_return false;
@@ -225,6 +234,13 @@
     co_return false;
 }
 
+void exchange::drop_stages()
+{
+    if (m_stages)
+        m_stages->release();
+    m_stages.reset();
+}
+
 const decision::listed_target* exchange::choose_target()
 {
     const auto candidates = m_context.directory.serving(m_service);
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -59,7 +59,9 @@
     const std::string& choose_service();
     awaitable<void> serve();
     duration yields() const;
+    instant stages_end() const;
     awaitable<bool> make_stages();
+    void drop_stages();
     awaitable<attempt_end> attempt();
     awaitable<attempt_end> pass_on(target_call& call);
     awaitable<attempt_end> pass_whole(target_call& call);
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -44,10 +44,10 @@
 
 gatherer::gatherer(entry_context& context) : m_context(context)
 {
-    m_outlook.time_after = [this](const decision::piece_job& job)
-    { return time_after(job); };
-    m_outlook.may_begin = [this](const decision::piece_job& job, bool is_late)
-    { return may_begin(job, is_late); };
+    m_outlook.time_after = [this](const decision::piece_job& job, duration call)
+    { return time_after(job, call); };
+    m_outlook.may_begin = [this](const decision::piece_job& job, duration call)
+    { return may_begin(job, call); };
 }
 
 gatherer::line* gatherer::line_of(const std::string& service)
@@ -106,34 +106,42 @@
 // A request begins when its next stages can take it about a call's time after
 // this one is done. That keeps each of them busy, and little waiting there.
 // One that will be late only takes what the others leave.
-bool gatherer::may_begin(const decision::piece_job& job, bool is_late) const
+bool gatherer::may_begin(const decision::piece_job& job, duration call) const
 {
     const instant now = m_context.now();
+    duration arrives_in = call;
     for (const decision::later_pieces& one : job.later)
     {
-        const auto* service = m_context.catalog->find_service(one.service);
-        if (service == nullptr || !service->calls)
+        const auto* shape = shape_of(one.service);
+        if (shape == nullptr)
             continue;
-        const duration most = is_late ? service->calls->per_call * late_within
-                                      : service->calls->per_call * begin_within;
-        if (m_later.wait_at(one.service, now) > most)
+        const duration wait = m_later.wait_at(one.service, now, arrives_in);
+        if (wait > shape->per_call * (job.is_late ? late_within : begin_within))
             return false;
+        arrives_in += wait + m_later.call_at(one.service, shape->per_call);
     }
     return true;
 }
 
-duration gatherer::time_after(const decision::piece_job& job) const
+duration gatherer::time_after(const decision::piece_job& job,
+                              duration call) const
 {
     const instant now = m_context.now();
-    duration sum{};
+    duration arrives_in = call;
     for (const decision::later_pieces& one : job.later)
     {
-        const auto* service = m_context.catalog->find_service(one.service);
-        if (service != nullptr && service->calls)
-            sum += m_later.wait_at(one.service, now) +
-                   m_later.call_at(one.service, service->calls->per_call);
+        const auto* shape = shape_of(one.service);
+        if (shape != nullptr)
+            arrives_in += m_later.wait_at(one.service, now, arrives_in) +
+                          m_later.call_at(one.service, shape->per_call);
     }
-    return sum;
+    return arrives_in - call;
+}
+
+const catalog::call_shape* gatherer::shape_of(const std::string& service) const
+{
+    const auto* found = m_context.catalog->find_service(service);
+    return found != nullptr && found->calls ? &*found->calls : nullptr;
 }
 
 void gatherer::note_begun(const line& one, const decision::planned_call& plan)
@@ -146,21 +154,23 @@
         if (job == nullptr || ref.job == last || job->is_begun())
             continue;
         last = ref.job;
+        duration arrives_in = plan.expected;
         for (const decision::later_pieces& next : job->later)
         {
-            const auto* service = m_context.catalog->find_service(next.service);
-            const auto there = m_lines.find(next.service);
-            if (service == nullptr || !service->calls)
+            const auto* shape = shape_of(next.service);
+            if (shape == nullptr)
                 continue;
-            const std::size_t targets = std::max<std::size_t>(
-                1, m_context.directory.serving(next.service).size());
+            const auto targets =
+                static_cast<duration::rep>(std::max<std::size_t>(
+                    1, m_context.directory.serving(next.service).size()));
             const duration per_piece =
-                there != m_lines.end()
-                    ? there->second->planner.time_of_piece(now)
-                    : (service->calls->per_call / service->calls->most_pieces +
-                       service->calls->per_piece) /
-                          static_cast<duration::rep>(targets);
-            m_later.note_begun(next.service, next.pieces, per_piece, now);
+                (shape->per_call / shape->most_pieces + shape->per_piece) /
+                targets;
+            const duration wait =
+                m_later.wait_at(next.service, now, arrives_in);
+            m_later.note_begun(next.service, next.pieces, per_piece, now,
+                               arrives_in);
+            arrives_in += wait + m_later.call_at(next.service, shape->per_call);
         }
     }
 }
--- a/packages/serving/gatherer.hpp
+++ b/packages/serving/gatherer.hpp
@@ -74,8 +74,9 @@
         std::uint64_t late = 0;
     };
 
-    bool may_begin(const decision::piece_job& job, bool is_late) const;
-    duration time_after(const decision::piece_job& job) const;
+    bool may_begin(const decision::piece_job& job, duration call) const;
+    duration time_after(const decision::piece_job& job, duration call) const;
+    const catalog::call_shape* shape_of(const std::string& service) const;
     const decision::outlook& outlook() const { return m_outlook; }
     void note_begun(const line& one, const decision::planned_call& plan);
     line* line_of(const std::string& service);
--- a/packages/serving/loop_timer.hpp
+++ b/packages/serving/loop_timer.hpp
@@ -37,7 +37,13 @@
     {
         constexpr loop_clock::duration look_again =
             std::chrono::milliseconds(1);
-        return loop_clock::is_paused() ? std::min(left, look_again) : left;
+        // A wait below the kernel's resolution would end before its time and
+        // begin again, without pause.
+        constexpr loop_clock::duration least = std::chrono::microseconds(100);
+        if (left <= loop_clock::duration::zero())
+            return left;
+        return std::max(
+            loop_clock::is_paused() ? std::min(left, look_again) : left, least);
     }
 
     static loop_clock::duration to_wait_duration(loop_clock::time_point then)
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -27,11 +27,6 @@
             index < facts.pieces.size() ? facts.pieces[index] : 0;
 }
 
-stage_runner::~stage_runner()
-{
-    release();
-}
-
 bool stage_runner::can_start(std::size_t index) const
 {
     if (m_states[index].now != step::waiting)
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -12,14 +12,14 @@
 {
 
 /// Has the pieces of one request's stages made, each stage as soon as those
-/// that it follows are done.
+/// that it follows are done. Whoever is done with it calls release(): at the
+/// end of a process, destructors run when nothing is left to release with.
 class stage_runner
 {
 public:
     stage_runner(entry_context& context, const catalog::route& route,
                  const request_facts& facts, duration yields, instant due,
                  instant expires);
-    ~stage_runner();
     stage_runner(const stage_runner&) = delete;
     stage_runner& operator=(const stage_runner&) = delete;
 
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -206,7 +206,7 @@
     made.add(full);
     made.add(job(2, 4, 900ms));
     outlook later;
-    later.may_begin = [](const piece_job& one, bool)
+    later.may_begin = [](const piece_job& one, duration)
     { return one.later.empty(); };
     const auto call = made.next_call(start, later);
     REQUIRE(call);
@@ -222,7 +222,7 @@
     made.add(job(1, 10, 500ms));
     made.add(job(2, 10, 900ms));
     outlook later;
-    later.time_after = [](const piece_job& one)
+    later.time_after = [](const piece_job& one, duration)
     { return one.number == 1 ? duration(400ms) : duration(100ms); };
     CHECK(made.next_call(start, later)->pieces[0].job == 2);
     CHECK(made.take_expired(start + 3800ms, later).empty());
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -66,6 +66,8 @@
     CHECK_FALSE(first.is_repeatable);
     CHECK(first.timeout == 6s);
     CHECK(first.aim == 1900ms);
+    CHECK(first.patience == 7600ms);
+    CHECK(read.routes[1].patience == 0ms);
     REQUIRE(first.stages.size() == 2);
     CHECK(first.stages[1].after == std::vector<std::size_t>{0});
     CHECK(read.routes[1].is_repeatable);
--- a/tests/serving/stream_test.cpp
+++ b/tests/serving/stream_test.cpp
@@ -246,3 +246,20 @@
               "data: e1"));
     CHECK(made == 4);
 }
+
+// A process that was told to stop spins until it is killed.
+// 1. It ends while stages of a request are being made. 2. What waits is torn
+// down after the parts that it would hand its results back to. 3. It walks
+// through freed memory.
+TEST_CASE("a process may end while stages are being made")
+{
+    serving_fixture entry;
+    auto& maker =
+        entry.add_target("pieces",
+                         [](const std::string&, std::size_t) {
+                             return scripted_target::reaction{"", end::hang};
+                         });
+    const auto caller = entry.connect();
+    entry.send(*caller, request("/staged/", "r1", "Pieces: 11\r\n"));
+    entry.run_until([&] { return maker.requests().size() == 1; });
+}
