Decision: half more than expected before a request counts as in time

Cause: requests that began with no time to spare mostly ended late, in the place of others that would have been in time.

Conclusion: kept; the margin should be learned from what requests really took.

--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -22,6 +22,18 @@
 /// waiting for another one takes longer.
 constexpr double is_slow = 1.5;
 
+/// What a request's stages take at most, as a share of what they are expected
+/// to take. Played days without this margin had a twentieth fewer requests in
+/// time on one deployment and as many on another: a request that begins with
+/// no time to spare mostly ends late, and takes the place of one in time.
+constexpr double time_margin = 1.5;
+
+duration with_margin(duration expected)
+{
+    return duration(static_cast<duration::rep>(
+        time_margin * static_cast<double>(expected.count())));
+}
+
 /// The share of its room that is filled on purpose; the rest is for results
 /// whose size is only roughly known.
 constexpr double room_share = 0.97;
@@ -151,7 +163,8 @@
             continue;
         piece_job& job = state.job;
         if (!job.is_begun())
-            job.is_late = now + call + later.time_after(job, call) > job.due;
+            job.is_late =
+                now + with_margin(call + later.time_after(job, call)) > job.due;
         order.push_back({{job.is_late, job.due + job.yields}, &state});
     }
     std::sort(order.begin(), order.end());
--- a/packages/runtime/log.cpp
+++ b/packages/runtime/log.cpp
@@ -1,24 +1,46 @@
 #include "runtime/log.hpp"
 
+#include "runtime/bounded_sink.hpp"
+
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <unistd.h>
+
 namespace mangofold::runtime
 {
 
-bool start_log(const std::string& role, const std::string& id,
-               const std::string& level)
+namespace
+{
+
+bool use(const std::shared_ptr<spdlog::logger>& logger, const std::string& id,
+         const std::string& level)
 {
     const auto parsed = spdlog::level::from_str(level);
     if (parsed == spdlog::level::off && level != "off")
         return false;
-    auto logger = spdlog::stderr_logger_mt(role);
     logger->set_level(parsed);
     logger->set_pattern(R"({"at":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",)"
                         R"("role":"%n","id":")" +
                         id + R"(",%v})");
-    logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
     return true;
 }
 
+} // namespace
+
+bool start_log(const std::string& role, const std::string& id,
+               const std::string& level)
+{
+    auto logger = spdlog::stderr_logger_mt(role);
+    logger->flush_on(spdlog::level::info);
+    return use(logger, id, level);
+}
+
+bool start_bounded_log(const std::string& role, const std::string& id,
+                       const std::string& level)
+{
+    const auto sink = std::make_shared<bounded_sink>(STDOUT_FILENO);
+    return use(std::make_shared<spdlog::logger>(role, sink), id, level);
+}
+
 } // namespace mangofold::runtime
--- a/packages/runtime/log.hpp
+++ b/packages/runtime/log.hpp
@@ -12,4 +12,10 @@
 bool start_log(const std::string& role, const std::string& id,
                const std::string& level);
 
+/// Starts structured logs on standard output that never make the process
+/// wait; flush() of the default logger writes what has come. Returns whether
+/// \a level is known.
+bool start_bounded_log(const std::string& role, const std::string& id,
+                       const std::string& level);
+
 } // namespace mangofold::runtime
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -25,6 +25,9 @@
 
 constexpr duration tidy_interval = std::chrono::seconds(1);
 
+/// How often log lines are written: one call for what came meanwhile.
+constexpr duration log_interval = std::chrono::milliseconds(100);
+
 constexpr unsigned ok = 200;
 constexpr unsigned unavailable = 503;
 
@@ -111,6 +114,18 @@
     }
 }
 
+awaitable<void> entry_process::write_logs()
+{
+    loop_timer timer(m_context.loop);
+    for (;;)
+    {
+        error_code ignored; // Nobody cancels it.
+        timer.expires_after(log_interval);
+        co_await timer.async_wait(into(ignored));
+        spdlog::default_logger()->flush();
+    }
+}
+
 void entry_process::run()
 {
     start(m_context.loop, watch_signals());
@@ -121,8 +136,10 @@
     start(m_context.loop, m_requests.run());
     start(m_context.loop, m_status.run());
     start(m_context.loop, tidy());
+    start(m_context.loop, write_logs());
     runtime::event("started").with("zone", m_context.settings.zone).info();
     m_context.loop.run();
+    spdlog::default_logger()->flush();
 }
 
 } // namespace mangofold::serving
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -29,6 +29,7 @@
     awaitable<void> watch_signals();
     awaitable<void> stop();
     awaitable<void> tidy();
+    awaitable<void> write_logs();
     status_server::reply answer_status(const std::string& path) const;
 
     entry_context m_context;
