Decision: a slow stage target is tried again, with one job

Cause: a target that turned slow was passed over for quicker ones, and since nothing was sent there any more, nobody saw that it was quick again. Ruled out: full targets (10 of 2,153 calls), room.

Change: a slow target is tried once a second with its least urgent job, and one quick call ends its slow spell. The test failed first.

--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -34,6 +34,10 @@
         time_margin * static_cast<double>(expected.count())));
 }
 
+/// After this many calls' fixed time a slow target is tried again, with one
+/// job, the least urgent: about a second, in which a slow spell can be over.
+constexpr int trial_after = 5;
+
 /// The share of its room that is filled on purpose; the rest is for results
 /// whose size is only roughly known.
 constexpr double room_share = 0.97;
@@ -110,12 +114,20 @@
     return duration(static_cast<duration::rep>(nominal * target.slowness));
 }
 
+// Nothing would tell that a slow target is quick again if nothing were sent
+// there any more.
+bool call_planner::is_trial(const stage_target& target, instant now) const
+{
+    return target.slowness >= is_slow &&
+           now >= target.called_at + m_shape.per_call * trial_after;
+}
+
 // A slow target ties up its pieces for several calls' time: they are better
 // off waiting for a quick one to be free, unless that takes longer still.
 bool call_planner::is_worth_waiting(const stage_target& target,
                                     instant now) const
 {
-    if (target.slowness < is_slow)
+    if (target.slowness < is_slow || is_trial(target, now))
         return false;
     const instant own = now + expected_time(target, m_shape.most_pieces);
     return std::any_of(
@@ -182,9 +194,13 @@
         static_cast<double>(m_shape.room_bytes) * room_share);
     std::uint64_t used = target.kept_bytes + target.reserved_bytes;
     std::size_t space = m_shape.most_pieces;
-    for (job_state* state : in_order(now, later))
+    const bool is_one_job = is_trial(target, now);
+    std::vector<job_state*> order = in_order(now, later);
+    if (is_one_job)
+        std::reverse(order.begin(), order.end());
+    for (job_state* state : order)
     {
-        if (space == 0)
+        if (space == 0 || (is_one_job && !call.pieces.empty()))
             break;
         const piece_job& job = state->job;
         if (!job.is_begun() && !later.may_begin(job, usual_call()))
@@ -242,6 +258,7 @@
     one.running -= one.running > 0 ? 1 : 0;
     one.reserved_bytes -= std::min(one.reserved_bytes, call.bytes);
     one.failures = 0;
+    one.called_at = now;
     one.free_at = now;
     const auto nominal = static_cast<double>(
         (m_shape.per_call +
@@ -254,8 +271,11 @@
             ? ns
             : m_usual_call_ns + call_weight * (ns - m_usual_call_ns);
     const double seen = static_cast<double>(took.count()) / nominal;
-    one.slowness = std::max(1.0, one.slowness * (1 - newest_weight) +
-                                     newest_weight * seen);
+    // One quick call says that a slow spell is over; one slow call may have
+    // had other causes.
+    one.slowness = seen < is_slow ? std::max(1.0, seen)
+                                  : one.slowness * (1 - newest_weight) +
+                                        newest_weight * seen;
 }
 
 void call_planner::call_failed(const planned_call& call, bool is_full,
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -131,6 +131,7 @@
     duration expected_time(const stage_target& target,
                            std::size_t pieces) const;
     stage_target* best_target(instant now);
+    bool is_trial(const stage_target& target, instant now) const;
     bool is_worth_waiting(const stage_target& target, instant now) const;
     std::vector<job_state*> in_order(instant now, const outlook& later);
     void fill(planned_call& call, stage_target& target, instant now,
--- a/packages/decision/stage_target.hpp
+++ b/packages/decision/stage_target.hpp
@@ -17,6 +17,7 @@
     std::uint32_t running = 0;  ///< Own calls under way.
     instant free_at{};          ///< When they should be done.
     double slowness = 1;        ///< Time taken against time expected.
+    instant called_at{};        ///< The newest call's end.
     std::uint32_t failures = 0; ///< In a row.
     instant aside_until{};
     std::uint64_t reserved_bytes = 0; ///< Of calls under way.
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -150,6 +150,34 @@
     CHECK_FALSE(made.next_call(start + 1500ms));
 }
 
+// A service has half its targets although all are well again.
+// 1. A target turns slow, and is passed over. 2. It is quick again. 3. Nobody
+// notices, since nothing is sent there any more.
+TEST_CASE("a target that was slow is tried with one job, and used again")
+{
+    call_planner made = planner(2);
+    made.add(job(1, 10, 1s));
+    const auto slow = made.next_call(start);
+    made.call_done(*slow, 1500ms, start);
+    for (const piece_ref& one : slow->pieces)
+        made.piece_lost(one);
+    const auto quick = made.next_call(start);
+    REQUIRE(quick->target != slow->target);
+    made.add(job(2, 4, 20s));
+    made.add(job(3, 4, 40s));
+    CHECK_FALSE(made.next_call(start + 100ms));
+    const auto trial = made.next_call(start + 1s);
+    REQUIRE(trial);
+    CHECK(trial->target == slow->target);
+    CHECK(trial->pieces.size() == 4);
+    CHECK(trial->pieces[0].job == 3);
+    made.call_done(*trial, 240ms, start + 1240ms);
+    made.add(job(4, 4, 4s));
+    const auto again = made.next_call(start + 1240ms);
+    REQUIRE(again);
+    CHECK(again->target == slow->target);
+}
+
 TEST_CASE("a target that failed is left alone, longer each time")
 {
     call_planner made = planner(1);
