--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,10 @@
 # clang-tidy is slow on the sources that include gRPC; those that decide are
 # checked in CI, all of them with LINT=all.
 LINT ?= decision
+# The users' platform's own names stay in platform/ and its tests.
 lint: build
+	@! git grep -nIE '(X-Mangofold-|/api/(kv-|stage-|report|hold-|ready))' \
+	-- packages standins bench
 	@clang-format --dry-run -Werror $(SOURCES)
 	@git ls-files 'packages/*.cpp' | grep -v /generated/ | \
 	grep -E "$$([ $(LINT) = all ] && echo . || echo 'packages/(decision|manifest|configuration)/')" | \
--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -68,43 +68,6 @@
     m_jobs.insert_or_assign(number, std::move(state));
 }
 
-call_planner::finished_job
-call_planner::taken(std::map<std::uint64_t, job_state>::iterator one)
-{
-    m_waiting_pieces -= one->second.waiting.size();
-    finished_job job{std::move(one->second.job), {}};
-    for (auto& [piece, handle] : one->second.made)
-        job.handles.push_back(std::move(handle));
-    m_jobs.erase(one);
-    return job;
-}
-
-std::optional<call_planner::finished_job>
-call_planner::take(std::uint64_t number)
-{
-    const auto found = m_jobs.find(number);
-    if (found == m_jobs.end())
-        return std::nullopt;
-    return taken(found);
-}
-
-void call_planner::cancel(std::uint64_t number)
-{
-    take(number);
-}
-
-bool call_planner::has_waiting(std::uint64_t number) const
-{
-    const auto found = m_jobs.find(number);
-    return found != m_jobs.end() && !found->second.waiting.empty();
-}
-
-const piece_job* call_planner::find(std::uint64_t number) const
-{
-    const auto found = m_jobs.find(number);
-    return found == m_jobs.end() ? nullptr : &found->second.job;
-}
-
 duration call_planner::expected_time(const stage_target& target,
                                      std::size_t pieces) const
 {
@@ -296,31 +259,6 @@
     one.free_at = one.aside_until;
 }
 
-void call_planner::piece_made(const piece_ref& piece, const std::string& target,
-                              const std::string& handle, instant now)
-{
-    const auto job = m_jobs.find(piece.job);
-    const std::uint64_t bytes =
-        job == m_jobs.end() ? 0 : job->second.job.result_bytes;
-    const auto maker = m_targets.find(target);
-    if (maker != m_targets.end())
-        maker->second.keep(handle, bytes, now + m_shape.result_lifetime);
-    if (job == m_jobs.end())
-        return;
-    job->second.made[piece.piece] = handle;
-    if (job->second.made.size() == job->second.job.pieces)
-        m_finished.push_back(piece.job);
-}
-
-void call_planner::piece_lost(const piece_ref& piece)
-{
-    const auto job = m_jobs.find(piece.job);
-    if (job == m_jobs.end() || job->second.made.contains(piece.piece))
-        return;
-    job->second.waiting.push_back(piece.piece);
-    ++m_waiting_pieces;
-}
-
 void call_planner::no_room(const std::string& target, instant now)
 {
     const auto found = m_targets.find(target);
@@ -328,100 +266,4 @@
         found->second.aside_until = now + m_shape.per_call / 2;
 }
 
-void call_planner::released(const std::string& handle)
-{
-    for (auto& [id, target] : m_targets)
-        target.release(handle);
-}
-
-std::vector<call_planner::finished_job> call_planner::take_finished()
-{
-    std::vector<finished_job> jobs;
-    for (const std::uint64_t number : m_finished)
-        if (auto job = take(number))
-            jobs.push_back(std::move(*job));
-    m_finished.clear();
-    return jobs;
-}
-
-std::vector<call_planner::finished_job>
-call_planner::take_expired(instant now, const outlook& later)
-{
-    std::vector<finished_job> jobs;
-    for (auto one = m_jobs.begin(); one != m_jobs.end();)
-    {
-        const auto next = std::next(one);
-        const job_state& state = one->second;
-        const bool is_under_way =
-            state.waiting.size() + state.made.size() < state.job.pieces;
-        if (!is_under_way &&
-            state.job.expires <
-                now + m_shape.per_call +
-                    later.time_after(state.job, m_shape.per_call))
-            jobs.push_back(taken(one));
-        one = next;
-    }
-    return jobs;
-}
-
-std::optional<instant> call_planner::next_change(instant now) const
-{
-    if (m_waiting_pieces == 0)
-        return std::nullopt;
-    std::optional<instant> soonest;
-    for (const auto& [id, target] : m_targets)
-    {
-        const instant then =
-            std::max(target.aside_until,
-                     target.running > 0 ? target.free_at : instant{});
-        if (then > now && (!soonest || then < *soonest))
-            soonest = then;
-    }
-    return soonest;
-}
-
-duration call_planner::usual_call() const
-{
-    return m_usual_call_ns == 0
-               ? m_shape.per_call
-               : duration(static_cast<duration::rep>(m_usual_call_ns));
-}
-
-duration call_planner::time_of_piece(instant now) const
-{
-    double pieces_per_ns = 0;
-    for (const auto& [id, target] : m_targets)
-    {
-        if (target.aside_until > now)
-            continue;
-        const auto time = expected_time(target, m_shape.most_pieces);
-        pieces_per_ns += static_cast<double>(m_shape.most_pieces) *
-                         m_shape.slots / static_cast<double>(time.count());
-    }
-    if (pieces_per_ns <= 0)
-        return m_shape.per_call;
-    return duration(static_cast<duration::rep>(1 / pieces_per_ns));
-}
-
-std::uint64_t call_planner::kept_bytes() const
-{
-    std::uint64_t sum = 0;
-    for (const auto& [id, target] : m_targets)
-        sum += target.kept_bytes;
-    return sum;
-}
-
-duration call_planner::expected_wait(instant now) const
-{
-    instant first_free = now + m_shape.per_call * 2;
-    for (const auto& [id, target] : m_targets)
-        first_free =
-            std::min(first_free,
-                     target.running >= m_shape.slots || target.aside_until > now
-                         ? std::max({target.free_at, target.aside_until, now})
-                         : now);
-    return time_of_piece(now) * static_cast<duration::rep>(m_waiting_pieces) +
-           (first_free - now);
-}
-
 } // namespace mangofold::decision
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -101,9 +101,6 @@
     /// Whether pieces of the job \a number are in no call yet.
     bool has_waiting(std::uint64_t number) const;
 
-    /// Returns when a target may be free again, at the latest.
-    std::optional<instant> next_change(instant now) const;
-
     /// Returns the expected time until a new job would be begun.
     duration expected_wait(instant now) const;
 
--- /dev/null
+++ b/packages/decision/call_planner_estimates.cpp
@@ -0,0 +1,52 @@
+#include "decision/call_planner.hpp"
+
+#include <algorithm>
+
+namespace mangofold::decision
+{
+
+std::uint64_t call_planner::kept_bytes() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, target] : m_targets)
+        sum += target.kept_bytes;
+    return sum;
+}
+
+duration call_planner::usual_call() const
+{
+    return m_usual_call_ns == 0
+               ? m_shape.per_call
+               : duration(static_cast<duration::rep>(m_usual_call_ns));
+}
+
+duration call_planner::time_of_piece(instant now) const
+{
+    double pieces_per_ns = 0;
+    for (const auto& [id, target] : m_targets)
+    {
+        if (target.aside_until > now)
+            continue;
+        const auto time = expected_time(target, m_shape.most_pieces);
+        pieces_per_ns += static_cast<double>(m_shape.most_pieces) *
+                         m_shape.slots / static_cast<double>(time.count());
+    }
+    if (pieces_per_ns <= 0)
+        return m_shape.per_call;
+    return duration(static_cast<duration::rep>(1 / pieces_per_ns));
+}
+
+duration call_planner::expected_wait(instant now) const
+{
+    instant first_free = now + m_shape.per_call * 2;
+    for (const auto& [id, target] : m_targets)
+        first_free =
+            std::min(first_free,
+                     target.running >= m_shape.slots || target.aside_until > now
+                         ? std::max({target.free_at, target.aside_until, now})
+                         : now);
+    return time_of_piece(now) * static_cast<duration::rep>(m_waiting_pieces) +
+           (first_free - now);
+}
+
+} // namespace mangofold::decision
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -3,7 +3,6 @@
 #include "runtime/event.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace mangofold::serving
 {
@@ -11,36 +10,12 @@
 namespace
 {
 
-/// The longest a caller is asked to wait before it comes back. Callers heed
-/// at most a third of the time they have left.
-constexpr double back_share = 0.3;
-
-/// What is kept back of the caller's time for the way of the answer.
-constexpr duration answer_way = std::chrono::milliseconds(20);
-
 /// How long a request that may be repeated waits for its first target, as a
 /// share of the time left, before enough answers are known.
 constexpr double first_share = 0.4;
 
-/// How much later a request counts as due for each rank that others are more
-/// urgent: a call's time, so that in a burst the ranks are served in order,
-/// and a request that waits long still gets its turn.
-constexpr duration yields_per_route_rank = std::chrono::milliseconds(400);
-constexpr duration yields_per_account_rank = std::chrono::milliseconds(500);
-
-constexpr std::array<std::string_view, 15> refusal_names{
-    "none",          "malformed",      "no_catalog",    "no_route",
-    "unknown_key",   "no_target",      "targets_full",  "too_late",
-    "stages_late",   "stages_failed",  "retries_spent", "target_lost",
-    "target_silent", "answer_spoiled", "stopping"};
-
 } // namespace
 
-std::string_view to_string(refusal value)
-{
-    return refusal_names.at(static_cast<std::size_t>(value));
-}
-
 exchange::exchange(entry_context& context,
                    std::shared_ptr<caller_session> session,
                    http_request request)
@@ -189,58 +164,6 @@
     }
 }
 
-// The less urgent of two requests is served as if it were due later. An
-// account's rank goes before a route's.
-duration exchange::yields() const
-{
-    const std::uint32_t account =
-        m_account == nullptr ? 0 : m_account->priority;
-    return yields_per_route_rank * m_route->priority +
-           yields_per_account_rank * account;
-}
-
-// A caller leaves a stream that stays silent, long before its deadline where
-// that is far.
-instant exchange::stages_end() const
-{
-    return m_route->patience == duration::zero()
-               ? m_deadline
-               : std::min(m_deadline, m_began + m_route->patience - answer_way);
-}
-
-awaitable<bool> exchange::make_stages()
-{
-    constexpr int most_tries = 2;
-    auto end = decision::job_end::failed;
-    for (int one = 0; one < most_tries && !is_over(); ++one)
-    {
-        drop_stages();
-        m_stages = std::make_unique<stage_runner>(
-            m_context, *m_route, m_facts, yields(),
-            m_began + m_route->aim - m_context.first_event.mean(),
-            stages_end() - m_context.first_event.mean());
-        end = co_await m_stages->run();
-        if (m_session->has_left())
-            co_return false;
-        if (end == decision::job_end::made)
-            co_return true;
-        // A result that went with its maker is made again, from the start.
-        if (end == decision::job_end::late)
-            break;
-    }
-    const bool is_late = end == decision::job_end::late;
-    m_context.count("stages_ended", "how", is_late ? "late" : "failed");
-    m_refusal = is_late ? refusal::stages_late : refusal::stages_failed;
-    co_return false;
-}
-
-void exchange::drop_stages()
-{
-    if (m_stages)
-        m_stages->release();
-    m_stages.reset();
-}
-
 const decision::listed_target* exchange::choose_target()
 {
     const auto candidates = m_context.directory.serving(m_service);
@@ -416,73 +339,4 @@
     return status == conflict ? attempt_end::restart : attempt_end::try_again;
 }
 
-unsigned exchange::refusal_status() const
-{
-    switch (m_refusal)
-    {
-    case refusal::malformed:
-        return 400;
-    case refusal::no_route:
-        return 404;
-    case refusal::unknown_key:
-        return 401;
-    default:
-        break;
-    }
-    // "Not run" is said only where it is sure; otherwise the caller must not
-    // conclude anything.
-    if (!m_sends || m_sends->has_surely_not_run())
-        return 503;
-    const bool is_silence =
-        m_refusal == refusal::target_silent || m_refusal == refusal::too_late;
-    return is_silence ? 504 : 502;
-}
-
-awaitable<void> exchange::refuse()
-{
-    if (m_is_head_sent)
-    {
-        // An answer that began and cannot end must not look complete.
-        m_session->break_off();
-        log_end(0);
-        co_return;
-    }
-    const unsigned status = refusal_status();
-    http_fields fields;
-    fields.set(http::field::content_type, "application/json");
-    if (!m_facts.id.empty())
-        for (const auto& one : m_context.speech.echo(m_facts.id))
-            fields.set(one.name_string(), one.value());
-    if (status == 503)
-    {
-        const double left_s =
-            std::chrono::duration<double>(
-                m_facts.budget ? *m_facts.budget - (m_context.now() - m_began)
-                               : std::chrono::seconds(3))
-                .count();
-        const double back = std::clamp(left_s * back_share, 0.05, 1.0);
-        fields.set(http::field::retry_after, std::to_string(back).substr(0, 5));
-    }
-    log_end(status);
-    m_context.count("requests_refused", "why", to_string(m_refusal));
-    co_await m_session->send_answer(
-        status, std::move(fields),
-        R"({"error":")" + std::string(to_string(m_refusal)) + "\"}");
-}
-
-void exchange::log_end(unsigned status) const
-{
-    runtime::event("request_refused")
-        .with("request", m_facts.id)
-        .with("why", to_string(m_refusal))
-        .with("status", status)
-        .with("route", m_route == nullptr ? "" : m_route->name)
-        .with("target", m_last_target)
-        .with("sends", m_sends ? m_sends->sends() : 0)
-        .with("left_ms", static_cast<std::uint64_t>(std::max<std::int64_t>(
-                             0, left().count() / 1000000)))
-        .with("catalog", m_catalog ? m_catalog->version() : 0)
-        .info();
-}
-
 } // namespace mangofold::serving
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -15,6 +15,9 @@
 namespace mangofold::serving
 {
 
+/// What is kept back of the caller's time for the way of the answer.
+constexpr duration answer_way = std::chrono::milliseconds(20);
+
 /// Why a request ends with an answer of this process, not of a target.
 enum class refusal : std::uint8_t
 {
--- /dev/null
+++ b/packages/serving/exchange_refusals.cpp
@@ -0,0 +1,99 @@
+#include "runtime/event.hpp"
+#include "serving/exchange.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+/// The longest a caller is asked to wait before it comes back. Callers heed
+/// at most a third of the time they have left.
+constexpr double back_share = 0.3;
+
+constexpr std::array<std::string_view, 15> refusal_names{
+    "none",          "malformed",      "no_catalog",    "no_route",
+    "unknown_key",   "no_target",      "targets_full",  "too_late",
+    "stages_late",   "stages_failed",  "retries_spent", "target_lost",
+    "target_silent", "answer_spoiled", "stopping"};
+
+} // namespace
+
+std::string_view to_string(refusal value)
+{
+    return refusal_names.at(static_cast<std::size_t>(value));
+}
+
+unsigned exchange::refusal_status() const
+{
+    switch (m_refusal)
+    {
+    case refusal::malformed:
+        return 400;
+    case refusal::no_route:
+        return 404;
+    case refusal::unknown_key:
+        return 401;
+    default:
+        break;
+    }
+    // "Not run" is said only where it is sure; otherwise the caller must not
+    // conclude anything.
+    if (!m_sends || m_sends->has_surely_not_run())
+        return 503;
+    const bool is_silence =
+        m_refusal == refusal::target_silent || m_refusal == refusal::too_late;
+    return is_silence ? 504 : 502;
+}
+
+awaitable<void> exchange::refuse()
+{
+    if (m_is_head_sent)
+    {
+        // An answer that began and cannot end must not look complete.
+        m_session->break_off();
+        log_end(0);
+        co_return;
+    }
+    const unsigned status = refusal_status();
+    http_fields fields;
+    fields.set(http::field::content_type, "application/json");
+    if (!m_facts.id.empty())
+        for (const auto& one : m_context.speech.echo(m_facts.id))
+            fields.set(one.name_string(), one.value());
+    if (status == 503)
+    {
+        const double left_s =
+            std::chrono::duration<double>(
+                m_facts.budget ? *m_facts.budget - (m_context.now() - m_began)
+                               : std::chrono::seconds(3))
+                .count();
+        const double back = std::clamp(left_s * back_share, 0.05, 1.0);
+        fields.set(http::field::retry_after, std::to_string(back).substr(0, 5));
+    }
+    log_end(status);
+    m_context.count("requests_refused", "why", to_string(m_refusal));
+    co_await m_session->send_answer(
+        status, std::move(fields),
+        R"({"error":")" + std::string(to_string(m_refusal)) + "\"}");
+}
+
+void exchange::log_end(unsigned status) const
+{
+    runtime::event("request_refused")
+        .with("request", m_facts.id)
+        .with("why", to_string(m_refusal))
+        .with("status", status)
+        .with("route", m_route == nullptr ? "" : m_route->name)
+        .with("target", m_last_target)
+        .with("sends", m_sends ? m_sends->sends() : 0)
+        .with("left_ms", static_cast<std::uint64_t>(std::max<std::int64_t>(
+                             0, left().count() / 1000000)))
+        .with("catalog", m_catalog ? m_catalog->version() : 0)
+        .info();
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/exchange_stages.cpp
@@ -0,0 +1,71 @@
+#include "serving/exchange.hpp"
+
+#include <algorithm>
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+/// How much later a request counts as due for each rank that others are more
+/// urgent: a call's time, so that in a burst the ranks are served in order,
+/// and a request that waits long still gets its turn.
+constexpr duration yields_per_route_rank = std::chrono::milliseconds(400);
+constexpr duration yields_per_account_rank = std::chrono::milliseconds(500);
+
+} // namespace
+
+// The less urgent of two requests is served as if it were due later. An
+// account's rank goes before a route's.
+duration exchange::yields() const
+{
+    const std::uint32_t account =
+        m_account == nullptr ? 0 : m_account->priority;
+    return yields_per_route_rank * m_route->priority +
+           yields_per_account_rank * account;
+}
+
+// A caller leaves a stream that stays silent, long before its deadline where
+// that is far.
+instant exchange::stages_end() const
+{
+    return m_route->patience == duration::zero()
+               ? m_deadline
+               : std::min(m_deadline, m_began + m_route->patience - answer_way);
+}
+
+awaitable<bool> exchange::make_stages()
+{
+    constexpr int most_tries = 2;
+    auto end = decision::job_end::failed;
+    for (int one = 0; one < most_tries && !is_over(); ++one)
+    {
+        drop_stages();
+        m_stages = std::make_unique<stage_runner>(
+            m_context, *m_route, m_facts, yields(),
+            m_began + m_route->aim - m_context.first_event.mean(),
+            stages_end() - m_context.first_event.mean());
+        end = co_await m_stages->run();
+        if (m_session->has_left())
+            co_return false;
+        if (end == decision::job_end::made)
+            co_return true;
+        // A result that went with its maker is made again, from the start.
+        if (end == decision::job_end::late)
+            break;
+    }
+    const bool is_late = end == decision::job_end::late;
+    m_context.count("stages_ended", "how", is_late ? "late" : "failed");
+    m_refusal = is_late ? refusal::stages_late : refusal::stages_failed;
+    co_return false;
+}
+
+void exchange::drop_stages()
+{
+    if (m_stages)
+        m_stages->release();
+    m_stages.reset();
+}
+
+} // namespace mangofold::serving
