Runtime: a hangup signal and changed files bring new settings, bad ones change nothing

The settings file was read at the start only.

Change: settings_keeper reads the file at a signal and every two seconds, takes what a running process can take, keeps addresses until a restart, and leaves the present settings in force where the file can't be read.

Ruled out: a crash of ours; the exit code is the signal's default action.

--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -36,10 +36,11 @@
 entry_process::entry_process(asio::io_context& loop, const runtime::clock& time,
                              const dialect& speech,
                              const source_dialect& source,
-                             node_settings settings, std::uint64_t seed)
-    : m_context(loop, time, speech, std::move(settings), seed),
-      m_gatherer(m_context), m_source(m_context, source),
-      m_mesh(m_context, m_source, m_gatherer),
+                             settings_keeper::reader settings,
+                             std::uint64_t seed)
+    : m_context(loop, time, speech, settings(), seed),
+      m_settings(m_context, std::move(settings)), m_gatherer(m_context),
+      m_source(m_context, source), m_mesh(m_context, m_source, m_gatherer),
       m_peers(
           m_context, m_gatherer,
           [this](const std::string& address) { m_mesh.add(address); },
@@ -129,6 +130,7 @@
 void entry_process::run()
 {
     start(m_context.loop, watch_signals());
+    start(m_context.loop, m_settings.run());
     start(m_context.loop, m_source.run());
     start(m_context.loop, m_mesh.run());
     start(m_context.loop, m_peers.run());
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -6,6 +6,7 @@
 #include "serving/peer_mesh.hpp"
 #include "serving/peer_server.hpp"
 #include "serving/request_server.hpp"
+#include "serving/settings_keeper.hpp"
 #include "serving/source_reader.hpp"
 #include "serving/status_server.hpp"
 
@@ -18,9 +19,11 @@
 class entry_process
 {
 public:
+    /// Reads the settings with \a settings, now and again; throws
+    /// settings_error where they can't be read now.
     entry_process(asio::io_context& loop, const runtime::clock& time,
                   const dialect& speech, const source_dialect& source,
-                  node_settings settings, std::uint64_t seed);
+                  settings_keeper::reader settings, std::uint64_t seed);
 
     /// Runs until a signal asks it to stop and its work is done.
     void run();
@@ -33,6 +36,7 @@
     status_server::reply answer_status(const std::string& path) const;
 
     entry_context m_context;
+    settings_keeper m_settings;
     gatherer m_gatherer;
     source_reader m_source;
     peer_mesh m_mesh;
--- a/packages/serving/node_settings.hpp
+++ b/packages/serving/node_settings.hpp
@@ -4,13 +4,21 @@
 #include "serving/asio.hpp"
 
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
 namespace mangofold::serving
 {
 
-/// What one entry process is told at its start.
+/// Settings that a process cannot run with.
+class settings_error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// What one entry process is told.
 struct node_settings
 {
     std::string name;
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -143,11 +143,12 @@
 
 awaitable<void> peer_mesh::run()
 {
-    for (const runtime::address& one : m_context.settings.seeds)
-        add(one.text());
     loop_timer timer(m_context.loop);
     for (;;)
     {
+        // The settings can name other ones while this process runs.
+        for (const runtime::address& one : m_context.settings.seeds)
+            add(one.text());
         error_code ignored; // Nobody cancels it.
         timer.expires_after(tick);
         co_await timer.async_wait(into(ignored));
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -206,10 +206,10 @@
     const auto write = [&path](const std::string& text)
     { std::ofstream(path) << text; };
     write("node_name = 3");
-    CHECK_THROWS_AS(platform::read_settings(path), platform::settings_error);
+    CHECK_THROWS_AS(platform::read_settings(path), serving::settings_error);
     write("node_name = \"n\"\nzone = \"z\"\nregion = \"r\"\n[bind]\n"
           "frontend = \"nowhere\"");
-    CHECK_THROWS_AS(platform::read_settings(path), platform::settings_error);
+    CHECK_THROWS_AS(platform::read_settings(path), serving::settings_error);
     write("node_name = \"n\"\nzone = \"z\"\nregion = \"r\"\n"
           "seeds = [\"10.0.0.1:5\"]\n[bind]\nfrontend = \"10.0.0.1:1\"\n"
           "readiness = \"10.0.0.1:2\"\ncontrol_plane = \"10.0.0.1:3\"\n"
