Membership: who gathers and who watches whom is one decision, sized to the entries

Each of 23 entries asked all others ten times a second and was asked by all, each message with all addresses; a changed list of targets went whole between each pair; and a small entry could be elected to gather a service for the fleet.

Change: decision/entry_roster decides it without a network. Entries with at least half of the largest one's processor gather; those that gather (or hold own work) are asked every 100 ms, all others once a second, both stretched as the fleet grows; messages name eight others; a list that differs is asked for once it has settled, from one entry at a time.

--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -58,6 +58,9 @@
     /// Notes whether the list can be read.
     void set_source(bool is_there, instant now);
 
+    /// Whether the list could be read last.
+    bool has_source() const { return m_is_source_there; }
+
     /// Forgets the targets that did not come back in time.
     void expire(instant now);
 
--- a/packages/serving/elected_maker.cpp
+++ b/packages/serving/elected_maker.cpp
@@ -1,7 +1,5 @@
 #include "serving/elected_maker.hpp"
 
-#include "decision/election.hpp"
-
 namespace mangofold::serving
 {
 
@@ -18,18 +16,10 @@
         });
 }
 
-peer_link* elected_maker::gathering(const std::string& service) const
-{
-    const std::vector<std::string> candidates = m_others.answering();
-    const std::string& chosen = decision::elected(service, candidates);
-    return chosen == m_others.own_address() ? nullptr
-                                            : m_others.link_to(chosen);
-}
-
 void elected_maker::make(const std::string& service, decision::piece_job job,
                          piece_wait_ptr wait)
 {
-    if (peer_link* other = gathering(service))
+    if (peer_link* other = m_others.gathering(service))
         other->ask(service, std::move(job), std::move(wait));
     else
         make_here(service, std::move(job), std::move(wait));
@@ -53,7 +43,7 @@
 void elected_maker::release(const std::string& service,
                             std::vector<std::string> handles)
 {
-    if (peer_link* other = gathering(service))
+    if (peer_link* other = m_others.gathering(service))
         other->release(service, handles);
     else
         m_own.release(service, handles);
--- a/packages/serving/elected_maker.hpp
+++ b/packages/serving/elected_maker.hpp
@@ -21,9 +21,6 @@
                  std::vector<std::string> handles) override;
 
 private:
-    /// Returns the link to who gathers \a service, or nothing where this
-    /// entry does.
-    peer_link* gathering(const std::string& service) const;
     void make_here(const std::string& service, decision::piece_job job,
                    piece_wait_ptr wait);
 
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -77,6 +77,7 @@
 {
     const instant began = m_context.now();
     m_context.is_stopping = true;
+    m_mesh.set_stopping();
     runtime::event("stopping")
         .with("requests", m_requests.requests_in_progress())
         .info();
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -11,12 +11,9 @@
 namespace
 {
 
-/// How often another entry is asked whether it is there.
-constexpr duration ping_interval = std::chrono::milliseconds(100);
-
-/// After this without an answer its work goes elsewhere: five questions. Less
-/// takes a busy entry for a dead one, more costs requests their aim.
-constexpr duration dead_after = std::chrono::milliseconds(500);
+/// Where this process asks this many times later than it meant to, it stood
+/// still itself.
+constexpr int stood_still = 3;
 
 constexpr duration connect_time = std::chrono::milliseconds(500);
 
@@ -27,7 +24,8 @@
 
 peer_link::peer_link(entry_context& context, peer_listener& listener,
                      std::string address)
-    : m_context(context), m_listener(listener), m_address(std::move(address))
+    : m_context(context), m_listener(listener), m_address(std::move(address)),
+      m_watch_now(context.loop)
 {
 }
 
@@ -85,25 +83,23 @@
 {
     const auto keep = shared_from_this();
     const frame_socket_ptr socket = m_socket;
-    loop_timer timer(m_context.loop);
     m_heard_at = m_context.now();
-    instant asked_at = m_context.now();
     while (socket->is_open())
     {
         peer::Frame frame;
         *frame.mutable_ping()->mutable_holding() = m_listener.holding();
         socket->send(frame);
-        error_code ignored; // Nobody cancels it.
-        timer.expires_after(ping_interval);
-        co_await timer.async_wait(into(ignored));
+        const instant asked_at = m_context.now();
+        const auto watch = m_listener.watch_of(m_address, !m_asked.empty());
+        const bool is_given_work = co_await m_watch_now.wait(watch.interval);
         const instant now = m_context.now();
         // Where this process itself stood still, the other one's silence
-        // says nothing; it gets the full time to answer from now on.
-        if (now - asked_at > ping_interval * 3)
+        // says nothing; it gets the full time to answer from now on. The same
+        // goes for one that was watched from afar until now.
+        if (is_given_work || now - asked_at > watch.interval * stood_still)
             m_heard_at = now;
-        asked_at = now;
         drop_unwanted();
-        if (now - m_heard_at > dead_after)
+        if (now - m_heard_at > watch.silence)
         {
             runtime::event("entry_silent").with("entry", m_address).warn();
             socket->close();
@@ -130,7 +126,6 @@
         if (!m_is_alive)
             runtime::event("entry_found").with("entry", m_address).info();
         m_is_alive = true;
-        m_is_stopping = frame.pong().holding().is_stopping();
         const peer::Want want =
             m_listener.note_holding(m_address, frame.pong().holding());
         if (!want.catalog() && !want.targets())
@@ -172,6 +167,8 @@
 void peer_link::ask(const std::string& service, decision::piece_job job,
                     piece_wait_ptr wait)
 {
+    if (m_asked.empty())
+        m_watch_now.raise();
     job.number = m_next_number++;
     m_socket->send(job_frame(service, job, m_context.now()));
     m_asked[job.number] = {service, std::move(job), std::move(wait)};
@@ -212,6 +209,7 @@
             .with("jobs", m_asked.size())
             .warn();
     m_is_alive = false;
+    m_listener.note_lost(m_address);
     std::vector<orphaned_job> jobs;
     for (auto& [number, one] : std::exchange(m_asked, {}))
         if (!one.wait->is_dropped())
--- a/packages/serving/peer_link.hpp
+++ b/packages/serving/peer_link.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/entry_roster.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/frame_socket.hpp"
 #include "serving/piece_maker.hpp"
@@ -35,6 +36,11 @@
                                     const peer::Holding& theirs) = 0;
     virtual void take_catalog(const std::string& text) = 0;
     virtual void take_targets(const peer::Targets& targets) = 0;
+    /// Returns how to watch the entry at \a address.
+    virtual decision::entry_roster::watch watch_of(const std::string& address,
+                                                   bool holds_work) const = 0;
+    /// Notes that the entry at \a address answers no more.
+    virtual void note_lost(const std::string& address) = 0;
     /// Takes work back from an entry that stopped answering.
     virtual void take_back(std::vector<orphaned_job> jobs) = 0;
 };
@@ -52,8 +58,8 @@
 
     const std::string& address() const { return m_address; }
 
-    /// Whether the other entry answered lately and takes work.
-    bool is_alive() const { return m_is_alive && !m_is_stopping; }
+    /// Whether the other entry answered lately.
+    bool is_alive() const { return m_is_alive; }
 
     /// Returns when the other entry last answered.
     instant heard_at() const { return m_heard_at; }
@@ -79,7 +85,7 @@
     std::uint64_t m_next_number = 1;
     instant m_heard_at{};
     bool m_is_alive = false;
-    bool m_is_stopping = false;
+    signal_point m_watch_now; ///< It was given work.
     bool m_is_closed = false;
 };
 
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -16,12 +16,24 @@
 /// settings name it; it makes itself known again when it starts.
 constexpr duration forget_after = std::chrono::seconds(30);
 
+/// How many other entries one tells of at a time.
+constexpr std::size_t told_at_once = 8;
+
+/// What the source says reaches all entries within some tens of milliseconds
+/// of each other. A difference from another entry that is younger than this
+/// passes by itself.
+constexpr duration settles_within = std::chrono::milliseconds(400);
+
+/// What one entry sends is under way for this long at most before another
+/// one is asked for the same.
+constexpr duration ask_again = std::chrono::milliseconds(250);
+
 } // namespace
 
 peer_mesh::peer_mesh(entry_context& context, source_reader& source,
                      gatherer& own)
     : m_context(context), m_source(source), m_gatherer(own),
-      m_own(context.settings.peers.text())
+      m_roster(context.settings.peers.text(), context.settings.cores)
 {
 }
 
@@ -35,7 +47,7 @@
 
 void peer_mesh::add(const std::string& address)
 {
-    if (address == m_own || m_links.contains(address))
+    if (address == m_roster.own() || m_links.contains(address))
         return;
     try
     {
@@ -52,22 +64,21 @@
     start(m_context.loop, link->run());
 }
 
-std::vector<std::string> peer_mesh::answering() const
+peer_link* peer_mesh::gathering(const std::string& service) const
 {
-    std::vector<std::string> found;
-    for (const auto& [address, link] : m_links)
-        if (link->is_alive())
-            found.push_back(address);
-    // One that is about to end gathers only where nobody else is left.
-    if (!m_context.is_stopping || found.empty())
-        found.push_back(m_own);
-    return found;
+    const auto found = m_links.find(m_roster.gatherer_of(service));
+    return found == m_links.end() ? nullptr : found->second.get();
 }
 
-peer_link* peer_mesh::link_to(const std::string& address) const
+decision::entry_roster::watch peer_mesh::watch_of(const std::string& address,
+                                                  bool holds_work) const
 {
-    const auto found = m_links.find(address);
-    return found == m_links.end() ? nullptr : found->second.get();
+    return m_roster.watch_of(address, holds_work);
+}
+
+void peer_mesh::note_lost(const std::string& address)
+{
+    m_roster.note_lost(address);
 }
 
 peer::Holding peer_mesh::holding() const
@@ -76,8 +87,9 @@
     own.set_catalog_version(m_context.catalog ? m_context.catalog->version()
                                               : 0);
     own.set_targets_digest(m_context.directory.digest());
-    for (const std::string& one : answering())
+    for (const std::string& one : m_roster.some(told_at_once, m_context.random))
         own.add_entries(one);
+    own.set_cores(m_context.settings.cores);
     own.set_is_stopping(m_context.is_stopping);
     for (const auto& [service, value] : m_gatherer.backlogs())
     {
@@ -89,19 +101,40 @@
     return own;
 }
 
-peer::Want peer_mesh::note_holding(const std::string&,
+// The list of targets is long, and what changed in it mostly comes from the
+// source too, a moment earlier or later.
+bool peer_mesh::wants_targets(const peer::Holding& theirs)
+{
+    const decision::target_directory& own = m_context.directory;
+    if (theirs.targets_digest() == own.digest())
+        return false;
+    if (m_seen_changes != own.changes())
+    {
+        m_seen_changes = own.changes();
+        m_changed_at = m_context.now();
+    }
+    return !own.has_source() || m_context.now() > m_changed_at + settles_within;
+}
+
+peer::Want peer_mesh::note_holding(const std::string& address,
                                    const peer::Holding& theirs)
 {
+    m_roster.note_answer(address, theirs.cores(), theirs.is_stopping());
     for (const std::string& one : theirs.entries())
         add(one);
     for (const peer::Backlog& one : theirs.backlogs())
         m_gatherer.note_backlog(
             one.service(), {duration(one.wait_ns()), duration(one.call_ns())});
     peer::Want want;
+    const instant now = m_context.now();
+    if (now < m_asked_at + ask_again)
+        return want;
     const std::uint64_t version =
         m_context.catalog ? m_context.catalog->version() : 0;
     want.set_catalog(theirs.catalog_version() > version);
-    want.set_targets(theirs.targets_digest() != m_context.directory.digest());
+    want.set_targets(wants_targets(theirs));
+    if (want.catalog() || want.targets())
+        m_asked_at = now;
     return want;
 }
 
@@ -141,6 +174,18 @@
     }
 }
 
+void peer_mesh::update_services()
+{
+    if (!m_context.catalog || m_context.catalog->version() == m_services_of)
+        return;
+    m_services_of = m_context.catalog->version();
+    std::vector<std::string> services;
+    for (const catalog::service& one : m_context.catalog->content().services)
+        if (one.calls)
+            services.push_back(one.name);
+    m_roster.set_services(std::move(services));
+}
+
 awaitable<void> peer_mesh::run()
 {
     loop_timer timer(m_context.loop);
@@ -153,8 +198,9 @@
         timer.expires_after(tick);
         co_await timer.async_wait(into(ignored));
         forget_lost();
+        update_services();
         m_context.entries_known =
-            std::max(m_context.entries_known, answering().size());
+            std::max(m_context.entries_known, m_roster.size());
     }
 }
 
