Gathering: the outlook on later stages is worked out once for many requests

Cause: the outlook was worked out for each waiting request at each new piece, with a walk over all work begun in the last second, and each released result was looked for at every target.

Change: it is kept for 2 ms, by the services that follow; expired jobs are looked for at the tick and after calls; a release names its target.

--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -76,8 +76,8 @@
     /// Notes that \a target had no room for a result.
     void no_room(const std::string& target, instant now);
 
-    /// Notes that a result no longer takes room at its maker.
-    void released(const std::string& handle);
+    /// Notes that a result no longer takes room at \a target, its maker.
+    void released(const std::string& target, const std::string& handle);
 
     /// Takes the jobs whose results are all there, with the results in the
     /// order of the pieces.
--- a/packages/decision/call_planner_jobs.cpp
+++ b/packages/decision/call_planner_jobs.cpp
@@ -65,10 +65,12 @@
     ++m_waiting_pieces;
 }
 
-void call_planner::released(const std::string& handle)
+void call_planner::released(const std::string& target,
+                            const std::string& handle)
 {
-    for (auto& [id, target] : m_targets)
-        target.release(handle);
+    const auto maker = m_targets.find(target);
+    if (maker != m_targets.end())
+        maker->second.release(handle);
 }
 
 std::vector<call_planner::finished_job> call_planner::take_finished()
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -31,9 +31,12 @@
 gatherer::gatherer(entry_context& context) : m_context(context)
 {
     m_outlook.time_after = [this](const decision::piece_job& job, duration call)
-    { return time_after(job, call); };
+    { return foresee(job, call).time_after; };
     m_outlook.may_begin = [this](const decision::piece_job& job, duration call)
-    { return may_begin(job, call); };
+    {
+        const foresight& seen = foresee(job, call);
+        return job.is_late ? seen.may_begin_late : seen.may_begin;
+    };
 }
 
 gatherer::line* gatherer::line_of(const std::string& service)
@@ -81,7 +84,6 @@
 void gatherer::pump(const std::string& service, line& one)
 {
     update_targets(service, one);
-    end_unwanted(service, one);
     while (auto plan = one.planner.next_call(m_context.now(), m_outlook))
     {
         note_begun(one, *plan);
@@ -193,6 +195,7 @@
     one.pieces += plan.pieces.size();
     ++one.calls;
     end_finished(service, one);
+    end_unwanted(service, one);
     pump(service, one);
 }
 
@@ -228,7 +231,7 @@
         if (got != target_call::state::good)
             m_context.count("releases", "how", "lost");
         for (const std::string& handle : handles)
-            one.planner.released(handle);
+            one.planner.released(id, handle);
         sent->finish();
     }
 }
@@ -246,7 +249,10 @@
         for (auto& [service, one] : m_lines)
         {
             if (!one->asked.empty())
+            {
+                end_unwanted(service, *one);
                 pump(service, *one);
+            }
             if (!one->to_release.empty())
                 start(m_context.loop, send_releases(service));
         }
--- a/packages/serving/gatherer.hpp
+++ b/packages/serving/gatherer.hpp
@@ -74,10 +74,20 @@
         std::uint64_t late = 0;
     };
 
-    bool may_begin(const decision::piece_job& job, duration call) const;
-    duration time_after(const decision::piece_job& job, duration call) const;
+    /// What is foreseen for requests whose later stages are at the same
+    /// services: many requests share it, and it is asked for each of them.
+    struct foresight
+    {
+        std::vector<std::string> services;
+        duration call{};
+        duration time_after{};
+        bool may_begin = true;      ///< While it can be in time.
+        bool may_begin_late = true; ///< Though it will be late.
+    };
+
+    const foresight& foresee(const decision::piece_job& job, duration call);
+    foresight look_ahead(const decision::piece_job& job, duration call) const;
     const catalog::call_shape* shape_of(const std::string& service) const;
-    const decision::outlook& outlook() const { return m_outlook; }
     void note_begun(const line& one, const decision::planned_call& plan);
     line* line_of(const std::string& service);
     void update_targets(const std::string& service, line& one);
@@ -106,6 +116,8 @@
     entry_context& m_context;
     decision::later_work m_later;
     decision::outlook m_outlook;
+    std::vector<foresight> m_foreseen;
+    instant m_foreseen_at{};
     std::map<std::string, std::unique_ptr<line>> m_lines;
     std::uint64_t m_next_number = 1;
     instant m_summarized_at{};
--- a/packages/serving/gatherer_outlook.cpp
+++ b/packages/serving/gatherer_outlook.cpp
@@ -1,5 +1,7 @@
 #include "serving/gatherer.hpp"
 
+#include <algorithm>
+
 namespace mangofold::serving
 {
 
@@ -14,6 +16,11 @@
 /// The same for a request that will be late.
 constexpr int late_within = 1;
 
+/// How long an outlook holds while no new work was begun: a hundredth of a
+/// call. It is asked for each waiting request at each new piece, and worked
+/// out anew each time it took most of a gatherer's processor time in a burst.
+constexpr duration foreseen_for = std::chrono::milliseconds(2);
+
 /// What waits at a service is said while work for it came this recently.
 constexpr duration still_gathered = std::chrono::seconds(1);
 
@@ -22,36 +29,48 @@
 // A request begins when its next stages can take it about a call's time after
 // this one is done. That keeps each of them busy, and little waiting there.
 // One that will be late only takes what the others leave.
-bool gatherer::may_begin(const decision::piece_job& job, duration call) const
+gatherer::foresight gatherer::look_ahead(const decision::piece_job& job,
+                                         duration call) const
 {
     const instant now = m_context.now();
+    foresight seen;
+    seen.call = call;
     duration arrives_in = call;
     for (const decision::later_pieces& one : job.later)
     {
+        seen.services.push_back(one.service);
         const auto* shape = shape_of(one.service);
         if (shape == nullptr)
             continue;
         const duration wait = m_later.wait_at(one.service, now, arrives_in);
-        if (wait > shape->per_call * (job.is_late ? late_within : begin_within))
-            return false;
+        seen.may_begin =
+            seen.may_begin && wait <= shape->per_call * begin_within;
+        seen.may_begin_late =
+            seen.may_begin_late && wait <= shape->per_call * late_within;
         arrives_in += wait + m_later.call_at(one.service, shape->per_call);
     }
-    return true;
+    seen.time_after = arrives_in - call;
+    return seen;
 }
 
-duration gatherer::time_after(const decision::piece_job& job,
-                              duration call) const
+const gatherer::foresight& gatherer::foresee(const decision::piece_job& job,
+                                             duration call)
 {
     const instant now = m_context.now();
-    duration arrives_in = call;
-    for (const decision::later_pieces& one : job.later)
+    if (now > m_foreseen_at + foreseen_for)
     {
-        const auto* shape = shape_of(one.service);
-        if (shape != nullptr)
-            arrives_in += m_later.wait_at(one.service, now, arrives_in) +
-                          m_later.call_at(one.service, shape->per_call);
+        m_foreseen.clear();
+        m_foreseen_at = now;
     }
-    return arrives_in - call;
+    for (const foresight& one : m_foreseen)
+        if (one.call == call &&
+            std::equal(one.services.begin(), one.services.end(),
+                       job.later.begin(), job.later.end(),
+                       [](const std::string& service,
+                          const decision::later_pieces& later)
+                       { return service == later.service; }))
+            return one;
+    return m_foreseen.emplace_back(look_ahead(job, call));
 }
 
 const catalog::call_shape* gatherer::shape_of(const std::string& service) const
@@ -63,6 +82,7 @@
 void gatherer::note_begun(const line& one, const decision::planned_call& plan)
 {
     const instant now = m_context.now();
+    m_foreseen.clear();
     std::uint64_t last = 0;
     for (const decision::piece_ref& ref : plan.pieces)
     {
@@ -104,6 +124,7 @@
 
 void gatherer::note_backlog(const std::string& service, const backlog& value)
 {
+    m_foreseen.clear();
     m_later.note_wait(service, value.wait, value.call, m_context.now());
 }
 
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -119,7 +119,7 @@
     made.add(job(4, 10, 1s));
     CHECK_FALSE(made.next_call(start + 300ms));
     for (int piece = 0; piece < 10; ++piece)
-        made.released("t0/1." + std::to_string(piece));
+        made.released("t0", "t0/1." + std::to_string(piece));
     CHECK(made.next_call(start + 300ms));
     // What nobody lets go of ends by itself.
     made.add(job(5, 10, 6s));
