Gathering: stages are made in the zone where their request will run

A call went to any free target, the engine was chosen after all stages were made, and each piece of a later stage fetches all results of the one before.

Change: the likely engine, by where the shared parts of the prompt are kept, gives each job a zone; a later stage takes the zone of its inputs. A job waits up to half a call's fixed time for a target of its zone that will be free by then, and in a full call those of the target's zone go first.

Tests: two in call_planner_test.

--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -39,6 +39,11 @@
 /// job, the least urgent: about a second, in which a slow spell can be over.
 constexpr int trial_after = 5;
 
+/// The part of a call's fixed time that a job waits for a target of its own
+/// zone: a half. Three stages then cost at most a tenth of an aim of two to
+/// three seconds more.
+constexpr int zone_patience = 2;
+
 /// The share of its room that is filled on purpose; the rest is for results
 /// whose size is only roughly known.
 constexpr double room_share = 0.97;
@@ -106,30 +111,56 @@
         });
 }
 
-stage_target* call_planner::best_target(instant now)
+std::vector<stage_target*> call_planner::free_targets(instant now)
 {
-    stage_target* best = nullptr;
+    std::vector<stage_target*> found;
     for (auto& [id, target] : m_targets)
     {
         if (target.running >= m_shape.slots || target.aside_until > now ||
             is_worth_waiting(target, now))
             continue;
         target.drop_ended(now);
-        const auto rank = [](const stage_target& one)
-        { return std::pair(one.slowness, one.kept_bytes); };
-        if (best == nullptr || rank(target) < rank(*best))
-            best = &target;
+        found.push_back(&target);
     }
-    return best;
+    const auto rank = [](const stage_target* one)
+    { return std::pair(one->slowness, one->kept_bytes); };
+    std::sort(found.begin(), found.end(),
+              [&rank](const stage_target* left, const stage_target* right)
+              { return rank(left) < rank(right); });
+    return found;
+}
+
+// Results that cross zones are priced, and take long on a link that many use.
+// A job that has just come waits a little for a target of its own zone that
+// will be free soon.
+bool call_planner::waits_for_zone(const piece_job& job,
+                                  const stage_target& target, instant now) const
+{
+    if (job.zone.empty() || job.zone == target.zone)
+        return false;
+    const instant until = job.asked_at + m_shape.per_call / zone_patience;
+    if (until <= now)
+        return false;
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [&](const auto& one)
+                       {
+                           const stage_target& other = one.second;
+                           return other.zone == job.zone &&
+                                  other.slowness < is_slow &&
+                                  std::max(other.free_at, other.aside_until) <=
+                                      until;
+                       });
 }
 
 // The most urgent goes first, by when it is due and how much it yields. A
 // request that would be late waits behind those that can be in time, so that
 // one late request does not make all others late too. Whether it would be is
 // decided once, when it begins: one that was begun in time goes on as it is,
-// or what was made for it would be dropped and made again.
+// or what was made for it would be dropped and made again. One whose results
+// are better made in another zone counts as due a call's time later.
 std::vector<call_planner::job_state*>
-call_planner::in_order(instant now, const outlook& later)
+call_planner::in_order(const stage_target& target, instant now,
+                       const outlook& later)
 {
     std::vector<std::pair<std::pair<bool, instant>, job_state*>> order;
     const duration call = usual_call();
@@ -141,7 +172,13 @@
         if (!job.is_begun())
             job.is_late =
                 now + with_margin(call + later.time_after(job, call)) > job.due;
-        order.push_back({{job.is_late, job.due + job.yields}, &state});
+        if (waits_for_zone(job, target, now))
+            continue;
+        const bool is_elsewhere = !job.zone.empty() && job.zone != target.zone;
+        order.push_back(
+            {{job.is_late,
+              job.due + job.yields + (is_elsewhere ? call : duration::zero())},
+             &state});
     }
     std::sort(order.begin(), order.end());
     std::vector<job_state*> jobs;
@@ -159,7 +196,7 @@
     std::uint64_t used = target.kept_bytes + target.reserved_bytes;
     std::size_t space = m_shape.most_pieces;
     const bool is_one_job = is_trial(target, now);
-    std::vector<job_state*> order = in_order(now, later);
+    std::vector<job_state*> order = in_order(target, now, later);
     if (is_one_job)
         std::reverse(order.begin(), order.end());
     for (job_state* state : order)
@@ -198,18 +235,19 @@
 {
     if (m_waiting_pieces == 0)
         return std::nullopt;
-    stage_target* target = best_target(now);
-    if (target == nullptr)
-        return std::nullopt;
-    planned_call call;
-    call.target = target->id;
-    fill(call, *target, now, later);
-    if (call.pieces.empty())
-        return std::nullopt;
-    call.expected = expected_time(*target, call.pieces.size());
-    ++target->running;
-    target->free_at = now + call.expected;
-    return call;
+    for (stage_target* target : free_targets(now))
+    {
+        planned_call call;
+        call.target = target->id;
+        fill(call, *target, now, later);
+        if (call.pieces.empty())
+            continue;
+        call.expected = expected_time(*target, call.pieces.size());
+        ++target->running;
+        target->free_at = now + call.expected;
+        return call;
+    }
+    return std::nullopt;
 }
 
 void call_planner::call_done(const planned_call& call, duration took,
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -127,10 +127,13 @@
 
     duration expected_time(const stage_target& target,
                            std::size_t pieces) const;
-    stage_target* best_target(instant now);
+    std::vector<stage_target*> free_targets(instant now);
     bool is_trial(const stage_target& target, instant now) const;
     bool is_worth_waiting(const stage_target& target, instant now) const;
-    std::vector<job_state*> in_order(instant now, const outlook& later);
+    bool waits_for_zone(const piece_job& job, const stage_target& target,
+                        instant now) const;
+    std::vector<job_state*> in_order(const stage_target& target, instant now,
+                                     const outlook& later);
     void fill(planned_call& call, stage_target& target, instant now,
               const outlook& later);
     finished_job taken(std::map<std::uint64_t, job_state>::iterator one);
--- a/packages/decision/piece_job.hpp
+++ b/packages/decision/piece_job.hpp
@@ -30,6 +30,8 @@
     std::vector<std::string> inputs; ///< Results it needs otherwise.
     std::uint64_t result_bytes = 0;  ///< Of one piece, roughly.
     std::uint64_t input_bytes = 0;   ///< That one piece needs, roughly.
+    std::string zone;     ///< Where its results are best made, if anywhere.
+    instant asked_at{};   ///< At who gathers.
     duration yields{};    ///< How much later than due it counts as due, since
                           ///< others are more urgent.
     instant due{};        ///< All stages should be made, to be useful in full.
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -63,6 +63,7 @@
     awaitable<void> serve();
     duration yields() const;
     instant stages_end() const;
+    std::string likely_zone();
     awaitable<bool> make_stages();
     void drop_stages();
     awaitable<attempt_end> attempt();
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -35,6 +35,16 @@
                : std::min(m_deadline, m_began + m_route->patience - answer_way);
 }
 
+// Results are fetched by the engine that the request goes to. Where that will
+// be is mostly known before: where the shared parts of its prompt are kept.
+std::string exchange::likely_zone()
+{
+    if (!is_engine())
+        return {};
+    const auto* target = choose_target();
+    return target == nullptr ? std::string() : target->zone;
+}
+
 awaitable<bool> exchange::make_stages()
 {
     constexpr int most_tries = 2;
@@ -43,7 +53,7 @@
     {
         drop_stages();
         m_stages = std::make_unique<stage_runner>(
-            m_context, *m_route, m_facts, yields(),
+            m_context, *m_route, m_facts, likely_zone(), yields(),
             m_began + m_route->aim - m_context.first_event.mean(),
             stages_end() - m_context.first_event.mean());
         end = co_await m_stages->run();
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -74,6 +74,7 @@
         return;
     }
     job.number = m_next_number++;
+    job.asked_at = m_context.now();
     one->asked[job.number] = {
         std::move(done), std::move(wanted), std::move(fetched), false, 0, {}};
     one->used_at = m_context.now();
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -19,6 +19,7 @@
     message.set_result_bytes(job.result_bytes);
     message.set_input_bytes(job.input_bytes);
     message.set_is_late(job.is_late);
+    message.set_zone(job.zone);
     message.set_yields_ns(job.yields.count());
     message.set_due_in_ns((job.due - now).count());
     message.set_expires_in_ns((job.expires - now).count());
@@ -42,6 +43,7 @@
     job.result_bytes = message.result_bytes();
     job.input_bytes = message.input_bytes();
     job.is_late = message.is_late();
+    job.zone = message.zone();
     job.yields = duration(message.yields_ns());
     job.due = now + duration(message.due_in_ns());
     job.expires = now + duration(message.expires_in_ns());
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -15,10 +15,10 @@
 } // namespace
 
 stage_runner::stage_runner(entry_context& context, const catalog::route& route,
-                           const request_facts& facts, duration yields,
-                           instant due, instant expires)
-    : m_context(context), m_route(route), m_facts(facts), m_yields(yields),
-      m_due(due), m_expires(expires),
+                           const request_facts& facts, std::string zone,
+                           duration yields, instant due, instant expires)
+    : m_context(context), m_route(route), m_facts(facts),
+      m_zone(std::move(zone)), m_yields(yields), m_due(due), m_expires(expires),
       m_changed(std::make_shared<signal_point>(context.loop)),
       m_states(route.stages.size())
 {
@@ -89,6 +89,24 @@
     return inputs;
 }
 
+// A stage is best made where its inputs are, and a first one where the request
+// will run.
+std::string stage_runner::zone_of(const catalog::stage& stage) const
+{
+    for (const std::size_t one : stage.after)
+    {
+        const auto& handles = m_states.at(one).handles;
+        if (handles.empty())
+            continue;
+        const std::string where = m_context.speech.maker_of(handles.front());
+        for (const auto* maker :
+             m_context.directory.serving(m_route.stages[one].service))
+            if (maker->address == where)
+                return maker->zone;
+    }
+    return m_zone;
+}
+
 void stage_runner::start_stage(std::size_t index)
 {
     state& own = m_states[index];
@@ -105,6 +123,7 @@
     job.stage = static_cast<std::uint32_t>(index);
     job.pieces = own.pieces;
     job.result_bytes = stage.result_bytes;
+    job.zone = zone_of(stage);
     job.yields = m_yields;
     job.due = m_due;
     job.expires = m_expires;
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -18,8 +18,8 @@
 {
 public:
     stage_runner(entry_context& context, const catalog::route& route,
-                 const request_facts& facts, duration yields, instant due,
-                 instant expires);
+                 const request_facts& facts, std::string zone, duration yields,
+                 instant due, instant expires);
     stage_runner(const stage_runner&) = delete;
     stage_runner& operator=(const stage_runner&) = delete;
 
@@ -59,6 +59,7 @@
     bool is_followed(std::size_t index) const;
     void start_stage(std::size_t index);
     std::vector<std::string> inputs_of(std::size_t index) const;
+    std::string zone_of(const catalog::stage& stage) const;
     /// Takes in what has ended. Returns how the first bad one ended.
     std::optional<decision::job_end> take_ended();
     bool is_fetched(std::size_t index) const;
@@ -72,6 +73,7 @@
     entry_context& m_context;
     const catalog::route& m_route;
     const request_facts& m_facts;
+    std::string m_zone; ///< Where the request itself will probably run.
     duration m_yields;
     instant m_due;
     instant m_expires;
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -81,6 +81,46 @@
     CHECK(made.waiting_pieces() == 5);
 }
 
+// Results of megabytes cross zones although targets of the right zone are idle.
+// 1. Jobs come one by one, each to be used in zone b. 2. The first free target
+// is in zone a. 3. All are made there.
+TEST_CASE("a job waits a little for a target of its zone")
+{
+    call_planner made(shape());
+    made.set_targets({{"t0", "a"}, {"t1", "b"}});
+    const auto of_zone_b = [](std::uint64_t number)
+    {
+        piece_job one = job(number, 4, 3s);
+        one.zone = "b";
+        one.asked_at = start;
+        return one;
+    };
+    made.add(of_zone_b(1));
+    const auto first = made.next_call(start);
+    REQUIRE(first);
+    CHECK(first->target == "t1");
+    // t1 is free again after 240 ms, which is too long to wait.
+    made.add(of_zone_b(2));
+    CHECK(made.next_call(start + 10ms)->target == "t0");
+    made.call_done(*first, 240ms, start + 240ms);
+    made.add(of_zone_b(3));
+    CHECK(made.next_call(start + 240ms)->target == "t1");
+}
+
+TEST_CASE("a job does not wait for a zone where no target is free soon")
+{
+    call_planner made(shape());
+    made.set_targets({{"t0", "a"}, {"t1", "b"}});
+    piece_job one = job(1, 4, 3s);
+    one.zone = "b";
+    one.asked_at = start;
+    planned_call lost;
+    lost.target = "t1";
+    made.call_failed(lost, false, start);
+    made.add(one);
+    REQUIRE(made.next_call(start));
+}
+
 TEST_CASE("a job that no call can hold is split")
 {
     call_planner made = planner(2);
