Soak: the real entries under seeded faults, and make platform-run

tests/soak plays entries as separate processes before stand-ins of the platform (store with pages, history and watches; engines, plain targets, stage targets), harms them by signals, by loopback proxies to the store and to targets, by targets that lose, cut, shed or double answers, crash, leave, and hand on their addresses, by settings torn or changed, by versions in series, and checks what callers and targets see: whole own answers, at most once, true 'not run', leaving targets, versions in force in time and never back, planned stops that cut off nothing, results of other requests, recovery.

Not covered: links between entries (they announce the address they listen at) and clocks (entries use none but the steady one).

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 PYTHON ?= /usr/bin/python3
 CONFIGURE = cmake -S . -B $(BUILD) -G Ninja
 
-.PHONY: all install build run up test fuzz bench path capacity sanitize format lint generate
+.PHONY: all install build run up test fuzz bench path capacity sanitize \
+	soak soak-mutants platform-run format lint generate
 
 all: build
 
@@ -52,6 +53,21 @@
 	cd $(BUILD)-sanitize && ASAN_OPTIONS=detect_leaks=0 \
 	ctest --output-on-failure --no-tests=error -j4 -E "promises|spec"
 
+# Randomized faults on the real program; each seed plays the same troubles.
+SECONDS ?= 20
+ENTRIES ?= 4
+soak: build
+	$(PYTHON) tests/soak/soak.py $(BUILD)/bin/mangofold-platform-entry \
+	--seed $(SEED) --seconds $(SECONDS) --entries $(ENTRIES) --verbose
+
+# Builds each broken program and looks for a seed that tells it from a sound one.
+soak-mutants: build
+	$(PYTHON) tests/soak/mutants.py
+
+# Entries before stand-ins of the platform, until Ctrl-C; prints a curl line.
+platform-run: build
+	$(PYTHON) tests/soak/platform_run.py $(BUILD)/bin/mangofold-platform-entry
+
 path: build
 	$(PYTHON) bench/whole_path.py
 
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,124 @@
+"""Callers: connections they go on using, and requests of five kinds."""
+
+import asyncio
+import itertools
+import random
+
+import wire
+from oracle import Sent
+
+BUDGET_S = 3.0
+KINDS = {
+    "find": ("GET", "/find/x", {}),
+    "book": ("POST", "/book/x", {}),
+    "chat": ("POST", "/chat/x", {"X-Mangofold-Pieces": "2,1"}),
+    "note": ("POST", "/note/x", {"X-Mangofold-Pieces": "1,2"}),
+}
+
+
+class Connection:
+    """A caller's connection to one entry, kept for many requests."""
+
+    def __init__(self, entry, oracle):
+        self.entry = entry
+        self.oracle = oracle
+        self.reader = self.writer = None
+
+    async def ask(self, one, method, path, fields):
+        try:
+            await asyncio.wait_for(self._ask(one, method, path, fields),
+                                   BUDGET_S + 1)
+        except (wire.Closed, OSError, asyncio.TimeoutError):
+            self.close()
+        return one
+
+    async def _ask(self, one, method, path, fields):
+        if self.writer is None:
+            host, port = self.entry.callers.rsplit(":", 1)
+            self.reader, self.writer = await asyncio.open_connection(
+                host, int(port), limit=1 << 20)
+        lines = [f"{method} {path} HTTP/1.1", "Host: h.example",
+                 f"X-Mangofold-Request-Id: {one.request}",
+                 f"X-Mangofold-Time-Budget-Ms: {int(BUDGET_S * 1000)}",
+                 f"X-Mangofold-Piece-Key: key-{one.request}",
+                 "X-Mangofold-Prompt-Prefix: aa:100,bb:20",
+                 "X-Mangofold-Token-Count: 120,40"]
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        if method == "POST":
+            lines.append("Content-Length: 2")
+        body = "hi" if method == "POST" else ""
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+        await self.writer.drain()
+        await self._read(one)
+
+    async def _read(self, one):
+        answer = await wire.read_head(self.reader)
+        one.status = int(answer.first.split()[1])
+        try:
+            if "chunked" in answer.field("transfer-encoding"):
+                while part := await wire.read_chunk(self.reader):
+                    answer.body += part
+            else:
+                await wire.read_body(self.reader, answer)
+            one.is_whole = True
+        finally:
+            one.body = answer.body
+        echoed = answer.field("x-mangofold-request-id")
+        if one.status == 200 and echoed != one.request:
+            self.oracle.faults.append(f"{one.request}: answer of {echoed}")
+        if answer.field("connection") == "close":
+            self.close()
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
+class Caller:
+    _numbers = itertools.count(1)
+
+    def __init__(self, oracle, seed):
+        self.oracle = oracle
+        self.random = random.Random(seed)
+
+    def request(self, kind, entry):
+        one = Sent(f"{next(self._numbers):08x}", kind, entry,
+                   self.oracle.now())
+        self.oracle.sent[one.request] = one
+        return one
+
+    async def run(self, until, pause_s):
+        """Asks one thing after the other, mostly on kept connections."""
+        connection = None
+        while self.oracle.now() < until:
+            await asyncio.sleep(self.random.expovariate(1 / pause_s))
+            if connection is None or self.random.random() < 0.1:
+                if connection:
+                    connection.close()
+                ready = [one for one in self.oracle.fleet
+                         if not one.is_stopping] or self.oracle.fleet
+                connection = Connection(self.random.choice(ready), self.oracle)
+            kind = self.random.choice(list(KINDS))
+            one = self.request(kind, connection.entry)
+            method, path, fields = KINDS[kind]
+            await connection.ask(one, method, path, {
+                **fields, "Authorization": "Bearer always"})
+            self.oracle.note(one)
+            if connection.writer is None:
+                connection = None
+
+    async def probe(self, until):
+        """Asks entries in turn what versions of routes and keys they know."""
+        while self.oracle.now() < until:
+            for entry in self.oracle.fleet:
+                newest = max(self.oracle.published)
+                for version in (newest, newest - 1):
+                    one = self.request("probe", entry)
+                    connection = Connection(entry, self.oracle)
+                    await connection.ask(one, "GET", f"/v{version}/x", {
+                        "Authorization": f"Bearer key-{version}"})
+                    connection.close()
+                    one.ended_at = self.oracle.now()
+                    self.oracle.note_probe(one, version)
+            await asyncio.sleep(0.2)
--- /dev/null
+++ b/tests/soak/disorder.py
@@ -0,0 +1,159 @@
+"""What goes wrong, drawn from a seed: single troubles, series, overlaps."""
+
+import asyncio
+import random
+import signal
+
+
+class Disorder:
+    def __init__(self, seed, world, oracle, kinds=None):
+        self.random = random.Random(seed)
+        self.world = world
+        self.oracle = oracle
+        self.story = []
+        self.began = oracle.now()
+        self.tasks = set()
+        names = [name for name in dir(self) if name.startswith("do_")]
+        self.kinds = [name for name in names
+                      if not kinds or name[3:] in kinds]
+
+    async def run(self, until):
+        if not self.kinds:
+            await asyncio.sleep(until - self.oracle.now())
+        while self.oracle.now() < until and self.kinds:
+            await asyncio.sleep(self.random.expovariate(1 / 0.6))
+            kind = self.random.choice(self.kinds)
+            again = self.random.choice((1, 1, 1, 2, 3))
+            for _ in range(again):
+                self.tasks.add(asyncio.create_task(getattr(self, kind)()))
+                await asyncio.sleep(self.random.uniform(0, 0.4))
+        await asyncio.gather(*self.tasks)
+
+    def tell(self, text):
+        self.story.append(f"{self.oracle.now() - self.began:7.2f} {text}")
+
+    def entry(self):
+        """Returns an entry that nothing else is done to just now."""
+        free = [one for one in self.oracle.fleet if one.is_running()
+                and not one.is_disturbed and not one.is_stopping]
+        if len(free) < 2:  # One always stays, so that somebody answers.
+            return None
+        return self.random.choice(free)
+
+    def target(self):
+        """Returns a target whose service has another one."""
+        free = [one for one in self.world.targets
+                if one.mode == "ok" and one.state == "ready"
+                and self.world.proxies[one.address].mode == "open"]
+        sound = [one for one in free
+                 if sum(other.service == one.service for other in free) > 1]
+        return self.random.choice(sound) if sound else None
+
+    def span(self, most=2.5):
+        return self.random.uniform(0.2, most)
+
+    async def do_kill(self):
+        if one := self.entry():
+            self.tell(f"kill {one.name}")
+            await one.kill(self.span(1))
+
+    async def do_pause(self):
+        if one := self.entry():
+            self.tell(f"pause {one.name}")
+            await one.pause(self.span(4))
+
+    async def do_stop(self):
+        if one := self.entry():
+            self.tell(f"stop {one.name}")
+            await one.stop_in_order(self.oracle.faults)
+
+    async def do_hangup(self):
+        if one := self.entry():
+            torn = self.random.random() < 0.3
+            self.tell(f"settings of {one.name}{' torn' if torn else ''}")
+            one.write_settings(torn)
+            if self.random.random() < 0.6:
+                one.send(signal.SIGHUP)
+            await asyncio.sleep(self.span(2))
+            one.write_settings()
+
+    async def do_store_of_one(self):
+        if one := self.entry():
+            mode = self.random.choice(("cut", "silent", "deaf"))
+            self.tell(f"store is {mode} for {one.name}")
+            one.begin_disturbance()
+            one.store.set_mode(mode)
+            await asyncio.sleep(self.span(4))
+            one.store.set_mode("open")
+            one.store.reset()
+            one.end_disturbance()
+
+    async def do_store(self):
+        if self.oracle.store_calm_since > self.oracle.now():
+            return
+        how = self.random.choice(("down", "slow", "forget"))
+        self.tell(f"store {how}")
+        self.oracle.store_calm_since = float("inf")
+        if how == "forget":
+            self.world.store.forget()
+        self.world.store.is_down = how == "down"
+        for one in self.oracle.fleet:
+            one.store.delay = 0.2 if how == "slow" else 0
+        await asyncio.sleep(self.span())
+        self.world.store.is_down = False
+        for one in self.oracle.fleet:
+            one.store.delay = 0
+        self.oracle.store_calm_since = self.oracle.now()
+
+    async def _harm_target(self, change, undo):
+        one = self.target()
+        if one is None:
+            return
+        self.oracle.targets_calm_since = float("inf")
+        change(one)
+        await asyncio.sleep(self.span())
+        undo(one)
+        others = [other for other in self.world.targets
+                  if other is not one and other.mode != "ok"]
+        if not others:
+            self.oracle.targets_calm_since = self.oracle.now()
+
+    async def do_target_mode(self):
+        mode = self.random.choice(("lost", "cut", "slow", "shed", "extra"))
+
+        def change(one):
+            self.tell(f"{one.service} {one.id} {mode}")
+            one.mode = mode
+        await self._harm_target(change,
+                                lambda one: setattr(one, "mode", "ok"))
+
+    async def do_target_link(self):
+        mode = self.random.choice(("cut", "silent", "deaf"))
+        proxies = self.world.proxies
+
+        def change(one):
+            self.tell(f"link to {one.service} {one.id} {mode}")
+            proxies[one.address].set_mode(mode)
+
+        def undo(one):
+            proxies[one.address].set_mode("open")
+            proxies[one.address].reset()
+        await self._harm_target(change, undo)
+
+    async def do_target_crash(self):
+        if one := self.target():
+            self.tell(f"crash of {one.service} {one.id}")
+            one.mode = "gone"
+            self.oracle.targets_calm_since = float("inf")
+            await self.world.crash(one, self.span(1))
+            self.oracle.targets_calm_since = self.oracle.now()
+
+    async def do_replace(self):
+        if one := self.target():
+            self.tell(f"{one.service} {one.id} leaves")
+            await self.world.replace(one, self.oracle.leaving)
+
+    async def do_publish(self):
+        self.world.publish(self.oracle.published)
+        self.tell(f"version {self.world.version}")
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/soak/mutants.py
@@ -0,0 +1,121 @@
+"""Builds programs with one safeguard off each; the soak must tell each one.
+
+Works on a copy of the tree and leaves the tree itself alone.
+"""
+
+import argparse
+import os
+import re
+import shutil
+import subprocess
+import sys
+
+# Name, file, what is taken out, what takes its place, troubles that show it.
+MUTANTS = [
+    ("sent again after an unknown fate", "packages/decision/sending_record.hpp",
+     "(m_is_repeatable && m_may_have_run < m_max_targets)",
+     "m_may_have_run < 3",
+     ["target_mode", "target_link"]),
+    ("not run is always said", "packages/serving/exchange_refusals.cpp",
+     "if (!m_sends || m_sends->has_surely_not_run())", "if (true)",
+     ["target_mode", "target_link"]),
+    ("a stray answer is taken for one's own",
+     "packages/serving/target_call.cpp",
+     "return !m_id.empty() && !m_facts.id.empty() && m_facts.id != m_id;",
+     "return false;", ["target_mode"]),
+    ("a leaving target goes on getting work",
+     "packages/decision/target_directory.hpp",
+     "return !one.is_removed && !one.value.is_leaving;",
+     "return !one.is_removed;", ["replace"]),
+    ("lost history is not read again", "packages/serving/source_reader.cpp",
+     "        m_has_all = false;\n        co_return true;",
+     "        co_return true;", ["store", "publish"]),
+    ("a stop ends the process at once", "packages/serving/entry_process.cpp",
+     "gone >= least_stop && is_idle", "true", ["stop"]),
+    ("the key is passed on", "platform/request_dialect.cpp",
+     "fields.erase(http::field::authorization);", "", ["publish"]),
+    ("a hangup has no handler", "packages/serving/settings_keeper.cpp",
+     "m_hangup(context.loop, SIGHUP)", "m_hangup(context.loop)", ["hangup"]),
+    ("a stage gets one of its inputs only", "packages/serving/stage_runner.cpp",
+     "        const auto& handles = m_states.at(one).handles;\n"
+     "        inputs.insert(inputs.end(), handles.begin(), handles.end());",
+     "        inputs.push_back(m_states.at(one).handles.front());",
+     ["publish"]),
+]
+
+
+def run(command, folder):
+    return subprocess.run(command, cwd=folder, capture_output=True, text=True,
+                          check=False)
+
+
+def build(folder):
+    done = run(["cmake", "--build", "build"], folder)
+    if done.returncode:
+        sys.exit(f"does not build:\n{done.stdout[-2000:]}")
+
+
+def copy_tree(folder):
+    if not os.path.exists(folder):
+        os.makedirs(folder)
+    listed = run(["git", "ls-files", "CMakeLists.txt", "packages", "platform",
+                  "tests/soak"], ".").stdout.split()
+    for path in listed:
+        there = os.path.join(folder, path)
+        os.makedirs(os.path.dirname(there), exist_ok=True)
+        shutil.copyfile(path, there)
+    run(["cmake", "-S", ".", "-B", "build", "-G", "Ninja",
+         "-DMANGOFOLD_PLATFORM_ONLY=ON"], folder)
+
+
+def find(folder, kinds, options):
+    """Returns the first seed that shows a fault, and the fault."""
+    for seed in range(1, options.seeds + 1):
+        done = run([sys.executable, "tests/soak/soak.py",
+                    "build/bin/mangofold-platform-entry", "--seed", str(seed),
+                    "--seconds", str(options.seconds),
+                    "--base", str(options.base), "--only", *kinds], folder)
+        fault = re.search("^FAULT (.*)", done.stdout, re.MULTILINE)
+        if fault:
+            return seed, fault[1]
+        if done.returncode:
+            sys.exit(f"the soak itself failed:\n{done.stderr[-2000:]}")
+    return None, ""
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--folder", default="build-mutants")
+    parser.add_argument("--seeds", type=int, default=6)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--base", type=int, default=28000)
+    parser.add_argument("--only", help="mutants whose names hold this")
+    options = parser.parse_args()
+    copy_tree(options.folder)
+    missed = 0
+    for name, path, before, after, kinds in MUTANTS:
+        if options.only and options.only not in name:
+            continue
+        there = os.path.join(options.folder, path)
+        with open(there, encoding="utf-8") as file:
+            text = file.read()
+        if before not in text:
+            sys.exit(f"{name}: {path} no longer holds {before!r}")
+        with open(there, "w", encoding="utf-8") as file:
+            file.write(text.replace(before, after))
+        build(options.folder)
+        seed, fault = find(options.folder, kinds, options)
+        with open(there, "w", encoding="utf-8") as file:
+            file.write(text)
+        missed += seed is None
+        print(f"{name}: " + (f"seed {seed}: {fault}" if seed else
+                             "NOT FOUND"), flush=True)
+    build(options.folder)
+    seed, fault = find(options.folder, ["target_mode", "stop", "replace"],
+                       options)
+    print(f"sound program: {f'seed {seed}: {fault}' if seed else 'clean'}")
+    sys.exit(1 if missed or seed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/oracle.py
@@ -0,0 +1,129 @@
+"""Checks what callers and targets saw against the promises."""
+
+import asyncio
+
+from fleet import CONFIG_S, DRAIN_S, TOUCH_S
+from targets import EVENTS
+
+NOT_RUN = (408, 421, 429, 503)
+SLACK_S = 0.5  # For a busy machine, on top of each bound.
+
+
+class Sent:
+    """One request of a caller and how it ended."""
+
+    def __init__(self, request, kind, entry, at):
+        self.request = request
+        self.kind = kind
+        self.entry = entry
+        self.incarnation = entry.incarnation
+        self.at = at
+        self.status = 0  # 0 without a whole head.
+        self.is_whole = False
+        self.body = b""
+        self.ended_at = 0.0
+
+
+class Oracle:
+    def __init__(self, log, fleet):
+        self.log = log
+        self.fleet = fleet
+        self.sent = {}
+        self.faults = log.faults
+        self.published = {}  # Version -> when it was acknowledged.
+        self.leaving = {}  # Target -> when its leaving was acknowledged.
+        self.shown = {}  # (entry, incarnation) -> (version, when shown).
+        self.store_calm_since = 0.0
+        self.targets_calm_since = 0.0
+        self.counts = {}
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def is_calm(self, entry, since):
+        return entry.is_calm(since - TOUCH_S) and \
+            self.store_calm_since < since - TOUCH_S
+
+    def note(self, one):
+        """Checks an end as its caller sees it."""
+        one.ended_at = self.now()
+        end = one.status if one.is_whole else f"{one.status} broken"
+        key = (one.kind, end)
+        self.counts[key] = self.counts.get(key, 0) + 1
+        if one.status in (400, 401, 403, 404) and one.kind != "probe":
+            self.faults.append(f"{one.request}: refused with {one.status}")
+        if one.status == 200 and one.is_whole:
+            self._check_body(one)
+        if not one.is_whole:
+            self._check_lost(one)
+
+    def _check_body(self, one):
+        if one.kind in ("chat", "note"):
+            want = "".join(f"id: {number}\ndata: {one.request}.{number}\n\n"
+                           for number in range(1, EVENTS + 1)).encode()
+        else:
+            want = f"answer {one.request} ".encode()
+        if one.kind in ("chat", "note") and one.body != want or \
+                not one.body.startswith(want):
+            self.faults.append(f"{one.request}: {one.kind} got {one.body!r}")
+
+    def _check_lost(self, one):
+        """A request that only planned work touched must be answered."""
+        if one.kind == "note" or one.status == 200:
+            return  # Its target may have broken it off.
+        if not self.log.runs.get(one.request):
+            return  # It may have crossed the entry's own close, unread.
+        if self.targets_calm_since < one.at - TOUCH_S and \
+                self.is_calm(one.entry, one.at) and \
+                one.incarnation == one.entry.incarnation:
+            self.faults.append(f"{one.request}: cut off by {one.entry.name}, "
+                               f"stopping {one.entry.is_stopping}")
+
+    def note_probe(self, one, version):
+        """Checks which configuration an entry has in force."""
+        key = (one.entry.name, one.incarnation)
+        newest, since = self.shown.get(key, (0, 0.0))
+        serves = one.status == 200 and one.is_whole
+        if serves and version < newest and one.at > since:
+            self.faults.append(f"{one.entry.name}: served version {version} "
+                               f"after {newest}")
+        if serves and version > newest:
+            self.shown[key] = (version, one.ended_at)
+        bound = CONFIG_S + SLACK_S
+        if not self.is_calm(one.entry, one.at - bound) or \
+                one.entry.is_stopping:
+            return
+        if one.status in (401, 404) and version == max(self.published) and \
+                one.at > self.published[version] + bound:
+            self.faults.append(f"{one.entry.name}: no version {version} "
+                               f"{one.at - self.published[version]:.1f} s on")
+        later = self.published.get(version + 1)
+        if serves and later and one.at > later + bound:
+            self.faults.append(f"{one.entry.name}: version {version} still "
+                               f"served {one.at - later:.1f} s on")
+
+    def conclude(self):
+        """Checks what can only be told at the end."""
+        for one in self.sent.values():
+            runs = self.log.runs.get(one.request, [])
+            if one.kind in ("book", "note"):
+                if len(runs) > 1:
+                    self.faults.append(f"{one.request}: {one.kind} ran at "
+                                       f"{runs}")
+                if one.status in NOT_RUN and runs:
+                    self.faults.append(f"{one.request}: {one.status}, but it "
+                                       f"ran at {runs}")
+        for request in self.log.runs:
+            if request not in self.sent:
+                self.faults.append(f"{request}: nobody asked for it")
+        for at, request, target in self.log.arrivals:
+            left = self.leaving.get(target.id)
+            one = self.sent.get(request)
+            if left and one and at > left + DRAIN_S + SLACK_S and \
+                    self.is_calm(one.entry, at - DRAIN_S):
+                self.faults.append(f"{request}: {one.entry.name} sent it to "
+                                   f"{target.id} {at - left:.1f} s after it "
+                                   "began to leave")
+        for entry in self.fleet:
+            for code in entry.ends:
+                self.faults.append(f"{entry.name}: ended by itself: {code}")
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,90 @@
+"""The platform's store, as PROTOCOL describes it for readers."""
+
+import asyncio
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+import wire
+
+PAGE = 5  # Small, so that lists of a few targets come in pages.
+HISTORY = 40  # Changes kept; a watch that is further behind gets 410.
+
+
+class Store:
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.events = []
+        self.changed = asyncio.Event()
+        self.is_down = False
+
+    def _note(self, event):
+        self.events = (self.events + [event])[-HISTORY:]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, key, value):
+        self.revision += 1
+        raw = base64.b64encode(json.dumps(value).encode()).decode()
+        created = self.items.get(key, {}).get("create_rev", self.revision)
+        self.items[key] = {"key": key, "value": raw, "rev": self.revision,
+                           "create_rev": created, "lease": 0}
+        self._note(self.items[key])
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self._note({"key": key, "rev": self.revision, "removed": True})
+
+    def forget(self):
+        """Drops the history, as a compaction does."""
+        self.events = []
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def handle(self, message, writer):
+        if self.is_down:
+            writer.write(wire.answer(503))
+            return
+        url = urlsplit(message.first.split()[1])
+        query = {name: value[0] for name, value in parse_qs(url.query).items()}
+        calls = {"/api/kv-key": self._key, "/api/kv-range": self._range,
+                 "/api/kv-watch": self._watch}
+        status, body = await calls[url.path](query)
+        writer.write(wire.answer(status, json.dumps(body).encode(),
+                                 Content_Type="application/json"))
+
+    async def _key(self, query):
+        item = self.items.get(query["key"])
+        if item is None:
+            return 404, {}
+        return 200, {**item, "current_rev": self.revision}
+
+    async def _range(self, query):
+        keys = sorted(key for key in self.items
+                      if key.startswith(query["prefix"])
+                      and key > query.get("after", ""))
+        return 200, {"items": [self.items[key] for key in keys[:PAGE]],
+                     "more_pages": len(keys) > PAGE,
+                     "current_rev": self.revision}
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        deadline = asyncio.get_running_loop().time() + \
+            int(query["wait_ms"]) / 1000
+        while True:
+            # What was dropped can't be told apart from what never was.
+            oldest = self.events[0]["rev"] if self.events else \
+                self.revision + 1
+            if after + 1 < oldest and after < self.revision:
+                return 410, {}
+            events = [one for one in self.events if one["rev"] > after
+                      and one["key"].startswith(query.get("prefix", ""))]
+            left = deadline - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return 200, {"events": events, "current_rev": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
--- /dev/null
+++ b/tests/soak/targets.py
@@ -0,0 +1,177 @@
+"""Targets of the three sorts, and what they saw."""
+
+import asyncio
+import collections
+import itertools
+import json
+
+import wire
+
+EVENTS = 6  # Of a whole stream.
+STEP_S = 0.02  # Between events.
+CALL_S = 0.03  # Of a call of pieces.
+
+
+class Log:
+    """What all targets saw: runs by request, pieces by result."""
+
+    def __init__(self):
+        self.runs = collections.defaultdict(list)
+        self.arrivals = []  # (time, request, target)
+        self.results = {}  # Result -> (request, stage).
+        self.faults = []
+
+    def fault(self, text):
+        self.faults.append(text)
+
+
+class Target:
+    _numbers = itertools.count(1)
+
+    def __init__(self, log, service, address, zone):
+        self.log = log
+        self.service = service
+        self.address = address  # As listed; a proxy may stand there.
+        self.zone = zone
+        self.id = f"i-{next(self._numbers):06x}"
+        self.mode = "ok"
+        self.state = "ready"
+        self.server = None
+
+    def entry(self):
+        return {"backend": self.service, "address": self.address,
+                "zone": self.zone, "version": "v1", "capacity": 8,
+                "state": self.state, "warmup_left_ms": 0, "sequence": 1}
+
+    async def start(self, address):
+        self.server = await wire.serve(address, self.handle)
+
+    def stop(self):
+        self.server.close()
+
+    def fields(self, message):
+        return {"X-Mangofold-Request-Id": message.field(
+                    "x-mangofold-request-id"),
+                "X-Mangofold-Response-Seal": "s"}
+
+    async def handle(self, message, writer):
+        named = message.field("x-mangofold-target-instance")
+        request = message.field("x-mangofold-request-id")
+        if named and named != self.id:
+            writer.write(wire.answer(421))
+            return
+        if self.mode == "shed" and request:
+            writer.write(wire.answer(503, X_Mangofold_Not_Executed="1"))
+            return
+        if request:
+            now = asyncio.get_running_loop().time()
+            self.log.arrivals.append((now, request, self))
+        await self.work(message, writer)
+
+    def run(self, request):
+        self.log.runs[request].append(self.id)
+
+
+class Plain(Target):
+    async def work(self, message, writer):
+        request = message.field("x-mangofold-request-id")
+        if message.field("authorization"):
+            self.log.fault(f"{request}: the key was passed on")
+        self.run(request)
+        await asyncio.sleep(0.5 if self.mode == "slow" else 0.005)
+        if self.mode == "lost":
+            writer.transport.abort()
+            return
+        body = f"answer {request} {message.first.split()[1]}".encode()
+        raw = wire.answer(200, body, **self.fields(message))
+        if self.mode == "cut":
+            writer.write(raw[:-4])
+            writer.close()
+            return
+        writer.write(raw)
+        if self.mode == "extra":
+            writer.write(wire.answer(200, b"stray", **{
+                **self.fields(message), "X-Mangofold-Request-Id": "other"}))
+
+
+class Engine(Target):
+    def check_inputs(self, message, request):
+        handles = [one for one in
+                   message.field("x-mangofold-inputs").split(",") if one]
+        if len(set(handles)) != len(handles):
+            self.log.fault(f"{request}: one input twice")
+        for handle in handles:
+            made_for = self.log.results.get(handle)
+            if made_for is None:
+                return 409
+            if made_for[0] != request:
+                self.log.fault(f"{request}: input of {made_for[0]}")
+        wanted = message.field("x-mangofold-pieces").split(",")
+        if int(wanted[-1] or 0) != len(handles):
+            self.log.fault(f"{request}: {len(handles)} of {wanted[-1]} inputs")
+        return 200
+
+    async def work(self, message, writer):
+        request = message.field("x-mangofold-request-id")
+        if "x-mangofold-inputs" not in message.fields:
+            writer.write(wire.answer(400, X_Mangofold_Not_Executed="1"))
+            return
+        if self.check_inputs(message, request) == 409:
+            writer.write(wire.answer(409, X_Mangofold_Not_Executed="1"))
+            return
+        self.run(request)
+        first = int(message.field("last-event-id") or 0) + 1
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked"]
+        head += [f"{name}: {value}"
+                 for name, value in self.fields(message).items()]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(0.3 if self.mode == "slow" else STEP_S)
+            if self.mode in ("lost", "cut") and number > EVENTS // 2:
+                writer.transport.abort()
+                return
+            event = f"id: {number}\ndata: {request}.{number}\n\n"
+            writer.write(wire.chunk(event.encode()))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+class Stage(Target):
+    _results = itertools.count(1)
+
+    def __init__(self, log, service, address, zone, slots=1):
+        super().__init__(log, service, address, zone)
+        self.turn = asyncio.Semaphore(slots)
+
+    async def work(self, message, writer):
+        body = json.loads(message.body)
+        if "handles" in body:
+            for handle in body["handles"]:
+                self.log.results.pop(handle, None)
+            writer.write(wire.answer(200, b"{}"))
+            return
+        async with self.turn:
+            await asyncio.sleep(1 if self.mode == "slow" else CALL_S)
+        if self.mode == "lost":
+            writer.transport.abort()
+            return
+        items = [self.make(item) for item in body["items"]]
+        writer.write(wire.answer(200, json.dumps({"items": items}).encode(),
+                                 Content_Type="application/json"))
+
+    def make(self, item):
+        request = item["id"]
+        if item["stage"] == 0 and item.get("key") != f"key-{request}":
+            self.log.fault(f"{request}: stage 0 with key {item.get('key')}")
+        for handle in item.get("inputs", []):
+            made_for = self.log.results.get(handle)
+            if made_for is None:
+                return {"why": "gone"}
+            if made_for != (request, item["stage"] - 1):
+                self.log.fault(f"{request}: piece with input of {made_for}")
+        if item["stage"] > 0 and not item.get("inputs"):
+            self.log.fault(f"{request}: a later piece without inputs")
+        handle = f"{self.address}/{next(self._results):x}"
+        self.log.results[handle] = (request, item["stage"])
+        return {"handle": handle}
--- /dev/null
+++ b/tests/soak/wire.py
@@ -0,0 +1,86 @@
+"""HTTP/1.1 as the stand-ins and callers of the soak need it."""
+
+import asyncio
+
+
+class Closed(Exception):
+    """The other side ended or broke the connection."""
+
+
+class Message:
+    """A request or an answer: its first line, fields and body."""
+
+    def __init__(self, first, fields, body=b""):
+        self.first = first
+        self.fields = fields
+        self.body = body
+
+    def field(self, name, default=""):
+        return self.fields.get(name.lower(), default)
+
+
+async def read_head(reader):
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError,
+            asyncio.LimitOverrunError) as fault:
+        raise Closed(str(fault)) from fault
+    lines = raw.decode("latin-1").split("\r\n")
+    fields = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            fields[name.lower()] = value.strip()
+    return Message(lines[0], fields)
+
+
+async def read_chunk(reader):
+    """Returns the next chunk of a chunked body, empty at its end."""
+    try:
+        size = int(await reader.readuntil(b"\r\n"), 16)
+        return (await reader.readexactly(size + 2))[:-2]
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError) as fault:
+        raise Closed(str(fault)) from fault
+
+
+async def read_body(reader, message):
+    if "chunked" in message.field("transfer-encoding"):
+        while chunk := await read_chunk(reader):
+            message.body += chunk
+        return
+    size = int(message.field("content-length", "0"))
+    try:
+        message.body = await reader.readexactly(size)
+    except (asyncio.IncompleteReadError, ConnectionError) as fault:
+        raise Closed(str(fault)) from fault
+
+
+def answer(status, body=b"", **fields):
+    """Returns the bytes of an answer; _ in a field's name stands for -."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}"
+              for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+async def serve(address, handle):
+    """Serves requests at address; handle(message, writer) answers each."""
+    host, port = address.rsplit(":", 1)
+
+    async def keep(reader, writer):
+        try:
+            while True:
+                message = await read_head(reader)
+                await read_body(reader, message)
+                await handle(message, writer)
+                await writer.drain()
+        except (Closed, ConnectionError, asyncio.CancelledError):
+            pass  # It has left, or the run is over.
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(keep, host, int(port), limit=1 << 20)
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,117 @@
+"""A small platform around the entries: store, operator and targets."""
+
+import asyncio
+
+import wire
+from fleet import DRAIN_S
+from proxy import Proxy
+from store import Store
+from targets import Engine, Log, Plain, Stage
+
+SERVICES = {"desk": Plain, "models": Engine, "encode": Stage, "rank": Stage}
+BEAT_S = 0.4  # A silent target's entry goes after three of these.
+
+
+def configuration(version):
+    """Returns one version: routes for all, and one that only it has."""
+    def route(name, kind, service, **more):
+        return {"name": name, "host": "h.example", "prefix": f"/{name}/",
+                "route_type": kind, "timeout_ms": 3000,
+                "target_latency_ms": 800, "priority": 0, "backend": service,
+                "max_attempts": 1, "public": False, **more}
+    stages = [{"backend": "encode", "after": [], "bytes": 8000},
+              {"backend": "rank", "after": [0], "bytes": 6000}]
+    pieces = {"capacity": 1, "queue": 2, "batch": 8, "call_ms": 30.0,
+              "item_ms": 1.0, "room_mb": 1.0, "handle_s": 4.0,
+              "link_mbps": 1000}
+    keys = ["always"] + [f"key-{one}" for one in (version - 1, version)]
+    return {
+        "version": version,
+        "routes": [
+            route("find", "idempotent", "desk", max_attempts=2),
+            route("book", "non_idempotent", "desk"),
+            route("chat", "streaming", "models", stages=stages,
+                  stream_resume=True, gap_aim_ms=300, max_attempts=2),
+            route("note", "streaming", "models", stages=stages,
+                  stream_resume=False, gap_aim_ms=300),
+            route(f"v{version}", "idempotent", "desk", max_attempts=2)],
+        "backends": [
+            {"name": "desk", "max_connections": 200},
+            {"name": "models", "max_connections": 200,
+             "engine": {"capacity": 16, "kv_tokens": 100000}},
+            {"name": "encode", "max_connections": 200, "pieces": pieces},
+            {"name": "rank", "max_connections": 200, "pieces": pieces}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "club", "api_keys": keys, "priority": 1}]}
+
+
+class World:
+    def __init__(self, base):
+        self.base = base
+        self.store = Store()
+        self.store_address = f"127.0.0.1:{base}"
+        self.log = Log()
+        self.targets = []
+        self.proxies = {}  # Of targets, by their listed address.
+        self.version = 1
+        self._next_port = base + 1
+
+    def port(self):
+        self._next_port += 1
+        return f"127.0.0.1:{self._next_port}"
+
+    async def start(self, copies):
+        await wire.serve(self.store_address, self.store.handle)
+        self.store.put("op/config", configuration(self.version))
+        for number in range(copies):
+            for service in SERVICES:
+                await self.add(service, "ab"[number % 2])
+
+    async def add(self, service, zone, listed=None):
+        """Starts a target; `listed` is an address that was used before."""
+        real = self.port()
+        if listed is None:
+            listed = self.port()
+            self.proxies[listed] = Proxy(listed, real)
+            await self.proxies[listed].start()
+        self.proxies[listed].target = real
+        self.proxies[listed].set_mode("open")
+        one = SERVICES[service](self.log, service, listed, zone)
+        await one.start(real)
+        self.targets.append(one)
+        self.store.put(f"servers/{one.id}", one.entry())
+        return one
+
+    def forget(self, one):
+        one.stop()
+        self.targets.remove(one)
+        self.store.remove(f"servers/{one.id}")
+
+    async def crash(self, one, down_s):
+        """Ends a target without a word; another takes its address."""
+        proxy = self.proxies[one.address]
+        proxy.set_mode("cut")
+        one.stop()
+        for handle, _ in list(self.log.results.items()):
+            if handle.startswith(one.address + "/"):
+                del self.log.results[handle]
+        await asyncio.sleep(3 * BEAT_S)
+        self.targets.remove(one)
+        self.store.remove(f"servers/{one.id}")
+        await asyncio.sleep(down_s)
+        await self.add(one.service, one.zone, one.address)
+
+    async def replace(self, one, leaving):
+        """Empties a target as planned, after another has come."""
+        await self.add(one.service, one.zone)
+        one.state = "draining"
+        self.store.put(f"servers/{one.id}", one.entry())
+        leaving[one.id] = asyncio.get_running_loop().time()
+        await asyncio.sleep(DRAIN_S * 4)
+        self.forget(one)
+
+    def publish(self, published):
+        self.version += 1
+        self.store.put("op/config", configuration(self.version))
+        published[self.version] = asyncio.get_running_loop().time()
