Gathering: what can be in time no longer counts the waits of what will be late

What waits at later stages, and will be late, counted as a wait for those that go before it there, so they counted as late themselves.

Change: gatherers tell both waits. An engine's time before its first event is learned by route, with its spread; a line for each answered request says where its time went.

--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -171,7 +171,8 @@
         piece_job& job = state.job;
         if (!job.is_begun())
             job.is_late =
-                now + with_margin(call + later.time_after(job, call)) > job.due;
+                now + with_margin(call + later.time_after(job, call, false)) >
+                job.due;
         if (waits_for_zone(job, target, now))
             continue;
         const bool is_elsewhere = !job.zone.empty() && job.zone != target.zone;
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -29,9 +29,10 @@
 struct outlook
 {
     /// Returns the time that the stages after a job's own will take, where
-    /// its own takes \a call.
-    std::function<duration(const piece_job&, duration call)> time_after =
-        [](const piece_job&, duration) { return duration::zero(); };
+    /// its own takes \a call; \a is_late as at later_work::wait_at().
+    std::function<duration(const piece_job&, duration call, bool is_late)>
+        time_after = [](const piece_job&, duration, bool)
+    { return duration::zero(); };
     /// Whether a request that no stage was made of yet may begin now.
     std::function<bool(const piece_job&, duration call)> may_begin =
         [](const piece_job&, duration) { return true; };
@@ -101,8 +102,9 @@
     /// Whether pieces of the job \a number are in no call yet.
     bool has_waiting(std::uint64_t number) const;
 
-    /// Returns the expected time until a new job would be begun.
-    duration expected_wait(instant now) const;
+    /// Returns the expected time until a new job would be begun; one that
+    /// can be in time goes before those that will be late.
+    duration expected_wait(instant now, bool is_late = true) const;
 
     /// Returns the time that a call takes, by those that were made.
     duration usual_call() const;
@@ -115,6 +117,7 @@
     std::uint64_t kept_bytes() const;
 
     std::size_t waiting_pieces() const { return m_waiting_pieces; }
+    std::size_t waiting_in_time() const;
     std::size_t waiting_jobs() const { return m_jobs.size(); }
 
 private:
--- a/packages/decision/call_planner_estimates.cpp
+++ b/packages/decision/call_planner_estimates.cpp
@@ -36,7 +36,16 @@
     return duration(static_cast<duration::rep>(1 / pieces_per_ns));
 }
 
-duration call_planner::expected_wait(instant now) const
+std::size_t call_planner::waiting_in_time() const
+{
+    std::size_t pieces = 0;
+    for (const auto& [number, state] : m_jobs)
+        if (!state.job.is_late)
+            pieces += state.waiting.size();
+    return pieces;
+}
+
+duration call_planner::expected_wait(instant now, bool is_late) const
 {
     instant first_free = now + m_shape.per_call * 2;
     for (const auto& [id, target] : m_targets)
@@ -45,7 +54,8 @@
                      target.running >= m_shape.slots || target.aside_until > now
                          ? std::max({target.free_at, target.aside_until, now})
                          : now);
-    return time_of_piece(now) * static_cast<duration::rep>(m_waiting_pieces) +
+    const std::size_t ahead = is_late ? m_waiting_pieces : waiting_in_time();
+    return time_of_piece(now) * static_cast<duration::rep>(ahead) +
            (first_free - now);
 }
 
--- a/packages/decision/call_planner_jobs.cpp
+++ b/packages/decision/call_planner_jobs.cpp
@@ -94,9 +94,10 @@
         const bool is_under_way =
             state.waiting.size() + state.made.size() < state.job.pieces;
         if (!is_under_way &&
-            state.job.expires <
-                now + m_shape.per_call +
-                    later.time_after(state.job, m_shape.per_call))
+            state.job.expires < now + m_shape.per_call +
+                                    later.time_after(state.job,
+                                                     m_shape.per_call,
+                                                     state.job.is_late))
             jobs.push_back(taken(one));
         one = next;
     }
--- a/packages/decision/later_work.hpp
+++ b/packages/decision/later_work.hpp
@@ -10,6 +10,16 @@
 namespace mangofold::decision
 {
 
+/// What waits at a service, as who gathers it says.
+struct service_wait
+{
+    duration in_time{}; ///< Until a new piece that can be in time would begin.
+    duration all{};     ///< Until one that will be late would.
+    duration call{};    ///< That a call takes.
+
+    friend bool operator==(const service_wait&, const service_wait&) = default;
+};
+
 /// What a gatherer knows of the work that waits at the services of later
 /// stages, so that it begins no request whose next stage cannot take it soon.
 ///
@@ -18,20 +28,20 @@
 class later_work
 {
 public:
-    /// Notes that a new piece at \a service would be begun after \a wait and
-    /// be made \a call later, as who gathers it said at \a now.
-    void note_wait(const std::string& service, duration wait, duration call,
+    /// Notes what waited at \a service at \a now.
+    void note_wait(const std::string& service, const service_wait& said,
                    instant now);
 
-    /// Notes that \a pieces for \a service were begun here and will come
-    /// there in \a arrives_in; one takes \a per_piece of the whole service.
-    void note_begun(const std::string& service, std::uint32_t pieces,
-                    duration per_piece, instant now, duration arrives_in);
+    /// Notes that \a work for \a service was begun here and will come there
+    /// in \a arrives_in; one piece takes \a per_piece of the whole service.
+    void note_begun(const later_pieces& work, duration per_piece, instant now,
+                    duration arrives_in, bool is_late);
 
     /// Returns how long a new piece would wait at \a service that comes there
-    /// in \a arrives_in: until then it works off what is there already.
+    /// in \a arrives_in: until then it works off what is there already. One
+    /// that can be in time does not wait for those that will be late.
     duration wait_at(const std::string& service, instant now,
-                     duration arrives_in) const;
+                     duration arrives_in, bool is_late) const;
 
     /// Returns the time that a call there takes, or \a usual where nobody
     /// has said.
@@ -42,11 +52,11 @@
     {
         instant arrives{};
         duration time{};
+        bool is_late = false;
     };
     struct line
     {
-        duration wait{};
-        duration call{};
+        service_wait said;
         instant said_at{};
         std::deque<begun> coming;
     };
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -134,6 +134,8 @@
     }
     if (m_refusal != refusal::none)
         co_await refuse();
+    else if (m_answered != 0)
+        log_answer();
 }
 
 awaitable<void> exchange::serve()
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -81,6 +81,7 @@
     awaitable<void> refuse();
     unsigned refusal_status() const;
     void log_end(unsigned status) const;
+    void log_answer() const;
     duration left() const;
     bool is_over() const { return left() <= duration::zero(); }
     bool is_engine() const;
@@ -107,7 +108,10 @@
     bool m_is_noted = false;      ///< How the newest send ended was noted.
     double m_tokens_ahead = 0;
     std::string m_last_target;
-    instant m_sent_at{}; ///< The newest send.
+    instant m_sent_at{};     ///< The newest send.
+    instant m_stages_at{};   ///< The stages were made.
+    instant m_first_at{};    ///< Of an answer's bytes from a target.
+    unsigned m_answered = 0; ///< The status that a target gave.
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -34,6 +34,7 @@
 awaitable<exchange::attempt_end> exchange::pass_on(target_call& call)
 {
     const unsigned status = call.head().result_int();
+    m_answered = status;
     const bool is_sound = call.facts().is_sealed && call.facts().is_plain;
     if (is_success(status) && !is_sound)
     {
@@ -78,6 +79,7 @@
         co_return attempt_end::given_up;
     }
     m_context.count("requests_answered", "status", std::to_string(status));
+    m_first_at = m_context.now();
     const std::string body = call.take_body();
     co_await m_session->send_answer(
         status, m_context.speech.returned(call.head()), body);
@@ -126,9 +128,12 @@
             {
                 // The engine has its inputs: their room is free for others.
                 m_is_first_read = true;
+                if (m_first_at == instant{})
+                    m_first_at = m_context.now();
                 m_context.engines.note_read(call.target().id, m_tokens_ahead);
                 m_context.engines.note_answered(call.target().id);
-                m_context.first_event.add(m_context.now() - m_sent_at);
+                m_context.first_event_of(m_route->name)
+                    .add(m_context.now() - m_sent_at);
                 if (m_stages)
                     m_stages->release();
             }
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -81,6 +81,27 @@
         R"({"error":")" + std::string(to_string(m_refusal)) + "\"}");
 }
 
+void exchange::log_answer() const
+{
+    const auto ms_to = [this](instant then)
+    {
+        return static_cast<std::uint64_t>(
+            std::max<std::int64_t>(0, (then - m_began).count() / 1000000));
+    };
+    runtime::event("request_answered")
+        .with("request", m_facts.id)
+        .with("status", m_answered)
+        .with("route", m_route->name)
+        .with("target", m_last_target)
+        .with("sends", m_sends->sends())
+        .with("stages_ms", ms_to(m_stages_at))
+        .with("sent_ms", ms_to(m_sent_at))
+        .with("first_ms", ms_to(m_first_at))
+        .with("end_ms", ms_to(m_context.now()))
+        .with("catalog", m_catalog->version())
+        .info();
+}
+
 void exchange::log_end(unsigned status) const
 {
     runtime::event("request_refused")
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -49,16 +49,21 @@
 {
     constexpr int most_tries = 2;
     auto end = decision::job_end::failed;
+    // How long an engine takes depends on the prompt, and so on the route:
+    // with one mean for all, long prompts came late by the difference.
+    const decision::moving_mean& engine =
+        m_context.first_event_of(m_route->name);
     for (int one = 0; one < most_tries && !is_over(); ++one)
     {
         drop_stages();
         m_stages = std::make_unique<stage_runner>(
             m_context, *m_route, m_facts, likely_zone(), yields(),
-            m_began + m_route->aim - m_context.first_event.mean(),
-            stages_end() - m_context.first_event.mean());
+            m_began + m_route->aim - engine.above(1),
+            stages_end() - engine.mean());
         end = co_await m_stages->run();
         if (m_session->has_left())
             co_return false;
+        m_stages_at = m_context.now();
         if (end == decision::job_end::made)
             co_return true;
         // A result that went with its maker is made again, from the start.
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -30,13 +30,11 @@
 
 gatherer::gatherer(entry_context& context) : m_context(context)
 {
-    m_outlook.time_after = [this](const decision::piece_job& job, duration call)
-    { return foresee(job, call).time_after; };
+    m_outlook.time_after =
+        [this](const decision::piece_job& job, duration call, bool is_late)
+    { return foresee(job, call, is_late).time_after; };
     m_outlook.may_begin = [this](const decision::piece_job& job, duration call)
-    {
-        const foresight& seen = foresee(job, call);
-        return job.is_late ? seen.may_begin_late : seen.may_begin;
-    };
+    { return foresee(job, call, job.is_late).may_begin; };
 }
 
 gatherer::line* gatherer::line_of(const std::string& service)
@@ -245,8 +243,8 @@
         error_code ignored; // Nobody cancels it.
         timer.expires_after(tick);
         co_await timer.async_wait(into(ignored));
-        for (const auto& [service, value] : backlogs())
-            note_backlog(service, value);
+        for (const auto& [service, said] : waits())
+            note_wait(service, said);
         for (auto& [service, one] : m_lines)
         {
             if (!one->asked.empty())
--- a/packages/serving/gatherer.hpp
+++ b/packages/serving/gatherer.hpp
@@ -36,15 +36,11 @@
                  const std::vector<std::string>& handles);
 
     /// Returns what waits at each service gathered here.
-    struct backlog
-    {
-        duration wait{}; ///< Until a new piece would be begun.
-        duration call{}; ///< That a call takes.
-    };
-    std::map<std::string, backlog> backlogs() const;
+    std::map<std::string, decision::service_wait> waits() const;
 
     /// Notes what waits at a service gathered elsewhere.
-    void note_backlog(const std::string& service, const backlog& value);
+    void note_wait(const std::string& service,
+                   const decision::service_wait& said);
 
     /// Drives what depends on time only. Never returns.
     awaitable<void> run();
@@ -80,13 +76,15 @@
     {
         std::vector<std::string> services;
         duration call{};
+        bool is_late = false; ///< They will be late.
         duration time_after{};
-        bool may_begin = true;      ///< While it can be in time.
-        bool may_begin_late = true; ///< Though it will be late.
+        bool may_begin = true;
     };
 
-    const foresight& foresee(const decision::piece_job& job, duration call);
-    foresight look_ahead(const decision::piece_job& job, duration call) const;
+    const foresight& foresee(const decision::piece_job& job, duration call,
+                             bool is_late);
+    foresight look_ahead(const decision::piece_job& job, duration call,
+                         bool is_late) const;
     const catalog::call_shape* shape_of(const std::string& service) const;
     void note_begun(const line& one, const decision::planned_call& plan);
     line* line_of(const std::string& service);
--- a/packages/serving/gatherer_outlook.cpp
+++ b/packages/serving/gatherer_outlook.cpp
@@ -30,11 +30,12 @@
 // this one is done. That keeps each of them busy, and little waiting there.
 // One that will be late only takes what the others leave.
 gatherer::foresight gatherer::look_ahead(const decision::piece_job& job,
-                                         duration call) const
+                                         duration call, bool is_late) const
 {
     const instant now = m_context.now();
     foresight seen;
     seen.call = call;
+    seen.is_late = is_late;
     duration arrives_in = call;
     for (const decision::later_pieces& one : job.later)
     {
@@ -42,11 +43,11 @@
         const auto* shape = shape_of(one.service);
         if (shape == nullptr)
             continue;
-        const duration wait = m_later.wait_at(one.service, now, arrives_in);
-        seen.may_begin =
-            seen.may_begin && wait <= shape->per_call * begin_within;
-        seen.may_begin_late =
-            seen.may_begin_late && wait <= shape->per_call * late_within;
+        const duration wait =
+            m_later.wait_at(one.service, now, arrives_in, is_late);
+        const duration most =
+            shape->per_call * (is_late ? late_within : begin_within);
+        seen.may_begin = seen.may_begin && wait <= most;
         arrives_in += wait + m_later.call_at(one.service, shape->per_call);
     }
     seen.time_after = arrives_in - call;
@@ -54,7 +55,7 @@
 }
 
 const gatherer::foresight& gatherer::foresee(const decision::piece_job& job,
-                                             duration call)
+                                             duration call, bool is_late)
 {
     const instant now = m_context.now();
     if (now > m_foreseen_at + foreseen_for)
@@ -63,14 +64,14 @@
         m_foreseen_at = now;
     }
     for (const foresight& one : m_foreseen)
-        if (one.call == call &&
+        if (one.call == call && one.is_late == is_late &&
             std::equal(one.services.begin(), one.services.end(),
                        job.later.begin(), job.later.end(),
                        [](const std::string& service,
                           const decision::later_pieces& later)
                        { return service == later.service; }))
             return one;
-    return m_foreseen.emplace_back(look_ahead(job, call));
+    return m_foreseen.emplace_back(look_ahead(job, call, is_late));
 }
 
 const catalog::call_shape* gatherer::shape_of(const std::string& service) const
@@ -103,29 +104,30 @@
                 (shape->per_call / shape->most_pieces + shape->per_piece) /
                 targets;
             const duration wait =
-                m_later.wait_at(next.service, now, arrives_in);
-            m_later.note_begun(next.service, next.pieces, per_piece, now,
-                               arrives_in);
+                m_later.wait_at(next.service, now, arrives_in, job->is_late);
+            m_later.note_begun(next, per_piece, now, arrives_in, job->is_late);
             arrives_in += wait + m_later.call_at(next.service, shape->per_call);
         }
     }
 }
 
-std::map<std::string, gatherer::backlog> gatherer::backlogs() const
+std::map<std::string, decision::service_wait> gatherer::waits() const
 {
     const instant now = m_context.now();
-    std::map<std::string, backlog> found;
+    std::map<std::string, decision::service_wait> found;
     for (const auto& [service, one] : m_lines)
         if (one->used_at + still_gathered > now)
-            found[service] = {one->planner.expected_wait(now),
+            found[service] = {one->planner.expected_wait(now, false),
+                              one->planner.expected_wait(now, true),
                               one->planner.usual_call()};
     return found;
 }
 
-void gatherer::note_backlog(const std::string& service, const backlog& value)
+void gatherer::note_wait(const std::string& service,
+                         const decision::service_wait& said)
 {
     m_foreseen.clear();
-    m_later.note_wait(service, value.wait, value.call, m_context.now());
+    m_later.note_wait(service, said, m_context.now());
 }
 
 } // namespace mangofold::serving
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -91,12 +91,13 @@
         own.add_entries(one);
     own.set_cores(m_context.settings.cores);
     own.set_is_stopping(m_context.is_stopping);
-    for (const auto& [service, value] : m_gatherer.backlogs())
+    for (const auto& [service, said] : m_gatherer.waits())
     {
         peer::Backlog& one = *own.add_backlogs();
         one.set_service(service);
-        one.set_wait_ns(value.wait.count());
-        one.set_call_ns(value.call.count());
+        one.set_in_time_ns(said.in_time.count());
+        one.set_wait_ns(said.all.count());
+        one.set_call_ns(said.call.count());
     }
     return own;
 }
@@ -123,8 +124,9 @@
     for (const std::string& one : theirs.entries())
         add(one);
     for (const peer::Backlog& one : theirs.backlogs())
-        m_gatherer.note_backlog(
-            one.service(), {duration(one.wait_ns()), duration(one.call_ns())});
+        m_gatherer.note_wait(one.service(), {duration(one.in_time_ns()),
+                                             duration(one.wait_ns()),
+                                             duration(one.call_ns())});
     peer::Want want;
     const instant now = m_context.now();
     if (now < m_asked_at + ask_again)
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -290,7 +290,7 @@
     made.add(job(1, 10, 500ms));
     made.add(job(2, 10, 900ms));
     outlook later;
-    later.time_after = [](const piece_job& one, duration)
+    later.time_after = [](const piece_job& one, duration, bool)
     { return one.number == 1 ? duration(400ms) : duration(100ms); };
     CHECK(made.next_call(start, later)->pieces[0].job == 2);
     CHECK(made.take_expired(start + 3800ms, later).empty());
