Gathering: what has begun is finished: no rank and no second judgement hold it back

A large stage beside the chain starts when the chain is nearly done, has no inputs, and so was judged like a new request: late, and put behind all others. And a less urgent rank counted as due 0.4 s later at each stage, not only where it begins.

Change: a job tells whether its request has begun; ranks decide who begins.

Tests: 'a stage beside a chain is one of a request that has begun', 'one that has begun does not yield any more'.

--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -169,17 +169,20 @@
         if (state.waiting.empty())
             continue;
         piece_job& job = state.job;
-        if (!job.is_begun())
+        if (!job.is_begun)
             job.is_late =
                 now + with_margin(call + later.time_after(job, call, false)) >
                 job.due;
         if (waits_for_zone(job, target, now))
             continue;
-        const bool is_elsewhere = !job.zone.empty() && job.zone != target.zone;
-        order.push_back(
-            {{job.is_late,
-              job.due + job.yields + (is_elsewhere ? call : duration::zero())},
-             &state});
+        // Ranks decide who begins. Of those that have begun, a less urgent
+        // one that is held back ends late, and its work was for little.
+        instant counts_as = job.due;
+        if (!job.is_begun)
+            counts_as += job.yields;
+        if (!job.zone.empty() && job.zone != target.zone)
+            counts_as += call;
+        order.push_back({{job.is_late, counts_as}, &state});
     }
     std::sort(order.begin(), order.end());
     std::vector<job_state*> jobs;
@@ -205,7 +208,7 @@
         if (space == 0 || (is_one_job && !call.pieces.empty()))
             break;
         const piece_job& job = state->job;
-        if (!job.is_begun() && !later.may_begin(job, usual_call()))
+        if (!job.is_begun && !later.may_begin(job, usual_call()))
             continue;
         const std::uint64_t bytes = state->job.result_bytes;
         const std::uint64_t fits =
--- a/packages/decision/piece_job.hpp
+++ b/packages/decision/piece_job.hpp
@@ -30,19 +30,17 @@
     std::vector<std::string> inputs; ///< Results it needs otherwise.
     std::uint64_t result_bytes = 0;  ///< Of one piece, roughly.
     std::uint64_t input_bytes = 0;   ///< That one piece needs, roughly.
-    std::string zone;     ///< Where its results are best made, if anywhere.
-    instant asked_at{};   ///< At who gathers.
-    duration yields{};    ///< How much later than due it counts as due, since
-                          ///< others are more urgent.
-    instant due{};        ///< All stages should be made, to be useful in full.
-    instant expires{};    ///< All stages must be made, to be of any use.
-    bool is_late = false; ///< It was begun although it would be late.
+    std::string zone;      ///< Where its results are best made, if anywhere.
+    instant asked_at{};    ///< At who gathers.
+    duration yields{};     ///< How much later than due it counts as due, since
+                           ///< others are more urgent.
+    instant due{};         ///< All stages should be made, to be useful in full.
+    instant expires{};     ///< All stages must be made, to be of any use.
+    bool is_begun = false; ///< Other stages of its request are under way.
+    bool is_late = false;  ///< It was begun although it would be late.
     /// Work that waits for it at other services, in pieces.
     std::vector<later_pieces> later;
 
-    /// Whether earlier stages of the request have been made for it.
-    bool is_begun() const { return !inputs.empty(); }
-
     friend bool operator==(const piece_job&, const piece_job&) = default;
 };
 
--- a/packages/serving/gatherer_outlook.cpp
+++ b/packages/serving/gatherer_outlook.cpp
@@ -88,7 +88,7 @@
     for (const decision::piece_ref& ref : plan.pieces)
     {
         const decision::piece_job* job = one.planner.find(ref.job);
-        if (job == nullptr || ref.job == last || job->is_begun())
+        if (job == nullptr || ref.job == last || job->is_begun)
             continue;
         last = ref.job;
         duration arrives_in = plan.expected;
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -20,6 +20,7 @@
     message.set_input_bytes(job.input_bytes);
     message.set_is_late(job.is_late);
     message.set_zone(job.zone);
+    message.set_is_begun(job.is_begun);
     message.set_yields_ns(job.yields.count());
     message.set_due_in_ns((job.due - now).count());
     message.set_expires_in_ns((job.expires - now).count());
@@ -44,6 +45,7 @@
     job.input_bytes = message.input_bytes();
     job.is_late = message.is_late();
     job.zone = message.zone();
+    job.is_begun = message.is_begun();
     job.yields = duration(message.yields_ns());
     job.due = now + duration(message.due_in_ns());
     job.expires = now + duration(message.expires_in_ns());
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -66,6 +66,13 @@
     return longest;
 }
 
+bool stage_runner::has_begun() const
+{
+    return std::any_of(m_states.begin(), m_states.end(),
+                       [](const state& one)
+                       { return one.pieces > 0 && one.now != step::waiting; });
+}
+
 bool stage_runner::is_followed(std::size_t index) const
 {
     for (std::size_t other = 0; other < m_states.size(); ++other)
@@ -116,6 +123,8 @@
         own.now = step::done;
         return;
     }
+    // Asked before this one counts as running itself.
+    const bool is_begun = has_begun();
     own.now = step::running;
     own.wait = std::make_shared<piece_wait>(m_changed);
     decision::piece_job job;
@@ -127,6 +136,7 @@
     job.yields = m_yields;
     job.due = m_due;
     job.expires = m_expires;
+    job.is_begun = is_begun;
     job.is_late = m_is_late;
     for (const std::size_t one : way_to_end(index))
         if (one != index)
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -56,6 +56,7 @@
     };
 
     bool can_start(std::size_t index) const;
+    bool has_begun() const;
     bool is_followed(std::size_t index) const;
     void start_stage(std::size_t index);
     std::vector<std::string> inputs_of(std::size_t index) const;
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -260,7 +260,7 @@
 {
     call_planner made = planner(1);
     piece_job begun = job(1, 10, 50ms);
-    begun.inputs = {"x/1"};
+    begun.is_begun = true;
     made.add(begun);
     made.add(job(2, 10, 900ms));
     CHECK(made.next_call(start)->pieces[0].job == 1);
@@ -307,6 +307,20 @@
     CHECK(made.next_call(start)->pieces[0].job == 2);
 }
 
+// A less urgent request ends late although it began in time.
+// 1. It began when it was due to. 2. At its next stage more urgent ones wait
+// that are due a little later. 3. It waits behind them.
+TEST_CASE("one that has begun does not yield any more")
+{
+    call_planner made = planner(1);
+    piece_job begun = job(1, 10, 800ms);
+    begun.yields = 300ms;
+    begun.is_begun = true;
+    made.add(begun);
+    made.add(job(2, 10, 1s));
+    CHECK(made.next_call(start)->pieces[0].job == 1);
+}
+
 TEST_CASE("the pieces of a job that nobody wants are not made")
 {
     call_planner made = planner(1);
--- a/tests/serving/stream_test.cpp
+++ b/tests/serving/stream_test.cpp
@@ -252,6 +252,32 @@
     CHECK(has(maker.requests()[2], "/let-go"));
 }
 
+// A long draft is late although its chain of stages was made in time.
+// 1. Its large stage follows no other, and starts when the chain is as near
+// to the end. 2. It looks like the first stage of a new request, and by now
+// of one that will be late. 3. It waits behind all that can be in time.
+TEST_CASE("a stage beside a chain is one of a request that has begun")
+{
+    serving_fixture entry;
+    entry.add_target(
+        "pieces",
+        [](const std::string& text, std::size_t number)
+        {
+            const bool is_release = has(text, "/let-go");
+            return scripted_target::reaction{
+                answer("", is_release ? "" : "x/" + std::to_string(number)),
+                end::keep};
+        });
+    const auto caller = entry.connect();
+    entry.send(*caller, request("/beside/", "r1", "Pieces: 111\r\n"));
+    entry.run_until([&] { return entry.jobs.size() == 3; });
+    CHECK(entry.jobs[0].stage == 1);
+    CHECK_FALSE(entry.jobs[0].is_begun);
+    CHECK(entry.jobs[1].is_begun);
+    CHECK(entry.jobs[2].is_begun);
+    CHECK(entry.jobs[1].stage + entry.jobs[2].stage == 2);
+}
+
 // A caller's request fails although its stages could be made again.
 // 1. The maker of a first result dies. 2. The second stage finds its input
 // gone.
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -43,7 +43,13 @@
     catalog::route staged = route("staged", "events");
     staged.is_stream = true;
     staged.stages = {{"pieces", {}, 10}, {"pieces", {0}, 10}};
-    made.routes = {route("once", "plain"), again, events, once_events, staged};
+    catalog::route beside = staged;
+    beside.name = "beside";
+    beside.prefix = "/beside/";
+    beside.stages = {
+        {"pieces", {}, 900}, {"pieces", {}, 10}, {"pieces", {1}, 10}};
+    made.routes = {
+        route("once", "plain"), again, events, once_events, staged, beside};
     made.services = {{"plain", 10, {}, {}},
                      {"events", 10, {}, catalog::engine_shape{4, 1000}},
                      {"pieces",
@@ -154,6 +160,7 @@
 void serving_fixture::make(const std::string& service, decision::piece_job job,
                            piece_wait_ptr wait)
 {
+    jobs.push_back(job);
     gathering->add(
         service, std::move(job),
         [wait](piece_outcome value)
