Soak: links between entries, and stray answers that come late

An entry can announce another address than it listens at (announced_peers), so that a proxy can stand before it; the soak cuts, silences, deafens and slows what other entries send to one.

--- a/packages/serving/node_settings.hpp
+++ b/packages/serving/node_settings.hpp
@@ -27,6 +27,8 @@
     runtime::address callers;            ///< Where callers connect.
     runtime::address readiness;          ///< Where the balancer asks.
     runtime::address peers;              ///< Where other entries connect.
+    runtime::address announced;          ///< As they are told to; the same
+                                         ///< unless something stands between.
     runtime::address source;             ///< Of configuration and target list.
     std::vector<runtime::address> seeds; ///< Some entries; may be stale.
     duration grace{};                    ///< From the signal to the end.
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -50,7 +50,7 @@
         co_return false;
     m_socket = std::make_shared<frame_socket>(std::move(*socket));
     peer::Frame hello;
-    hello.mutable_hello()->set_address(m_context.settings.peers.text());
+    hello.mutable_hello()->set_address(m_context.settings.announced.text());
     m_socket->send(hello);
     co_return true;
 }
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -33,7 +33,7 @@
 peer_mesh::peer_mesh(entry_context& context, source_reader& source,
                      gatherer& own)
     : m_context(context), m_source(source), m_gatherer(own),
-      m_roster(context.settings.peers.text(), context.settings.cores)
+      m_roster(context.settings.announced.text(), context.settings.cores)
 {
 }
 
--- a/packages/serving/settings_keeper.cpp
+++ b/packages/serving/settings_keeper.cpp
@@ -17,7 +17,7 @@
 bool has_same_places(const node_settings& left, const node_settings& right)
 {
     return left.callers == right.callers && left.readiness == right.readiness &&
-           left.peers == right.peers;
+           left.peers == right.peers && left.announced == right.announced;
 }
 
 bool has_same_retries(const node_settings& left, const node_settings& right)
@@ -69,6 +69,7 @@
         read.callers = m_context.settings.callers;
         read.readiness = m_context.settings.readiness;
         read.peers = m_context.settings.peers;
+        read.announced = m_context.settings.announced;
     }
     if (!has_same_retries(read, m_context.settings))
         m_context.retries.clear();
--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -77,6 +77,18 @@
             await asyncio.sleep(self.span(2))
             one.write_settings()
 
+    async def do_peers(self):
+        """Harms what other entries send to one; its own way out stays."""
+        if one := self.entry():
+            mode = self.random.choice(("cut", "silent", "deaf", "slow"))
+            self.tell(f"other entries' way to {one.name} {mode}")
+            one.link.delay = 0.15 if mode == "slow" else 0
+            one.link.set_mode("open" if mode == "slow" else mode)
+            await asyncio.sleep(self.span(4))
+            one.link.delay = 0
+            one.link.set_mode("open")
+            one.link.reset()
+
     async def do_store_of_one(self):
         if one := self.entry():
             mode = self.random.choice(("cut", "silent", "deaf"))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,6 +23,8 @@
         port = base + 10 * number
         self.callers, self.readiness, self.peers, at_store = (
             f"127.0.0.1:{port + one}" for one in range(4))
+        # Other entries reach this one through here.
+        self.link = Proxy(f"127.0.0.1:{port + 4}", self.peers)
         self.store = Proxy(at_store, store)
         self.path = os.path.join(folder, self.name + ".toml")
         self.log_path = os.path.join(folder, self.name + ".log")
@@ -40,6 +42,7 @@
 region = "r"
 seeds = [{", ".join(f'"{one}"' for one in self.seeds)}]
 heartbeat_ms = 400
+announced_peers = "{self.link.address}"
 [bind]
 frontend = "{self.callers}"
 readiness = "{self.readiness}"
@@ -62,6 +65,12 @@
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(text[:len(text) // 2] if torn else text)
 
+    async def open(self):
+        """Starts it, and what stands before its store and its peers."""
+        await self.store.start()
+        await self.link.start()
+        self.start()
+
     def start(self):
         self.write_settings()
         log = open(self.log_path, "a", encoding="utf-8")
--- a/tests/soak/platform_run.py
+++ b/tests/soak/platform_run.py
@@ -12,14 +12,13 @@
 async def run(options, folder):
     world = World(options.base)
     await world.start(options.copies)
-    seeds = [f"127.0.0.1:{options.base + 1002}"]
+    seeds = [f"127.0.0.1:{options.base + 1004}"]
     fleet = [Entry(options.program, number, options.base + 1000,
                    world.store_address, folder, seeds)
              for number in range(options.entries)]
     try:
         for entry in fleet:
-            await entry.store.start()
-            entry.start()
+            await entry.open()
         await wait_ready(fleet)
         print("Ctrl-C ends it. Events of a request with two stages:\n"
               f"curl -N http://{fleet[0].callers}/chat/x -H 'Host: h.example' "
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -54,7 +54,7 @@
 async def soak(options, folder):
     world = World(options.base)
     await world.start(options.copies)
-    seeds = [f"127.0.0.1:{options.base + 1002 + 10 * one}" for one in (0, 1)]
+    seeds = [f"127.0.0.1:{options.base + 1004 + 10 * one}" for one in (0, 1)]
     fleet = [Entry(options.program, number, options.base + 1000,
                    world.store_address, folder, seeds)
              for number in range(options.entries)]
@@ -63,8 +63,7 @@
     tasks = []
     try:
         for entry in fleet:
-            await entry.store.start()
-            entry.start()
+            await entry.open()
         await wait_ready(fleet)
         for entry in fleet:
             tasks.append(asyncio.create_task(entry.watch()))
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -88,10 +88,9 @@
             writer.write(raw[:-4])
             writer.close()
             return
-        writer.write(raw)
-        if self.mode == "extra":
-            writer.write(wire.answer(200, b"stray", **{
-                **self.fields(message), "X-Mangofold-Request-Id": "other"}))
+        # The second answer to the request before comes where this one's is due.
+        writer.write(getattr(writer, "stray", b"") + raw)
+        writer.stray = raw if self.mode == "extra" else b""
 
 
 class Engine(Target):
