--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -37,15 +37,6 @@
     /// Returns the retry budget of \a service.
     decision::retry_budget& retries_of(const std::string& service);
 
-    /// Returns the time from a send of a request of \a route to an engine to
-    /// its first event.
-    decision::moving_mean& first_event_of(const std::string& route)
-    {
-        // Before the first is known: a token takes a tenth of a second or two.
-        constexpr duration guess = std::chrono::milliseconds(150);
-        return first_events.try_emplace(route, guess).first->second;
-    }
-
     /// Counts an event with a label.
     void count(const std::string& name, const std::string& of,
                std::string_view value)
@@ -65,7 +56,15 @@
     decision::target_standing standing;
     decision::engine_choice engines;
     decision::random_source random;
-    std::map<std::string, decision::moving_mean> first_events; ///< By route.
+    /// What is known of the engines' answers to the requests of a route.
+    struct stream_times
+    {
+        /// From a send to the first event. Before one is known: a first token
+        /// takes a tenth of a second or two.
+        decision::moving_mean first{std::chrono::milliseconds(150)};
+        decision::moving_mean rest{duration::zero()}; ///< To the last one.
+    };
+    std::map<std::string, stream_times> streams; ///< By route.
     piece_maker* pieces = nullptr;
     std::map<std::string, decision::retry_budget> retries;
     std::size_t entries_known = 1; ///< Entries that answer, and this one.
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -132,8 +132,8 @@
                     m_first_at = m_context.now();
                 m_context.engines.note_read(call.target().id, m_tokens_ahead);
                 m_context.engines.note_answered(call.target().id);
-                m_context.first_event_of(m_route->name)
-                    .add(m_context.now() - m_sent_at);
+                m_context.streams[m_route->name].first.add(m_context.now() -
+                                                           m_sent_at);
                 if (m_stages)
                     m_stages->release();
             }
@@ -168,6 +168,8 @@
                                  : attempt_end::try_again;
     }
     m_context.count("requests_answered", "status", "200");
+    if (m_sends->sends() == 1)
+        m_context.streams[m_route->name].rest.add(m_context.now() - m_first_at);
     if (!co_await m_session->send("0\r\n\r\n"))
         m_session->close_after();
     co_return attempt_end::answered;
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -27,12 +27,18 @@
 }
 
 // A caller leaves a stream that stays silent, long before its deadline where
-// that is far.
+// that is far. And a stream that begins just before the deadline is cut there,
+// which nobody has any use of.
 instant exchange::stages_end() const
 {
+    const auto known = m_context.streams.find(m_route->name);
+    const duration rest = known == m_context.streams.end()
+                              ? duration::zero()
+                              : known->second.rest.mean();
+    const instant whole = m_deadline - rest;
     return m_route->patience == duration::zero()
-               ? m_deadline
-               : std::min(m_deadline, m_began + m_route->patience - answer_way);
+               ? whole
+               : std::min(whole, m_began + m_route->patience - answer_way);
 }
 
 // Results are fetched by the engine that the request goes to. Where that will
@@ -49,17 +55,16 @@
 {
     constexpr int most_tries = 2;
     auto end = decision::job_end::failed;
-    // How long an engine takes depends on the prompt, and so on the route:
-    // with one mean for all, long prompts came late by the difference.
-    const decision::moving_mean& engine =
-        m_context.first_event_of(m_route->name);
+    // How long an engine takes depends on the prompt and the answer, and so on
+    // the route.
+    const auto& engine = m_context.streams[m_route->name];
     for (int one = 0; one < most_tries && !is_over(); ++one)
     {
         drop_stages();
         m_stages = std::make_unique<stage_runner>(
             m_context, *m_route, m_facts, likely_zone(), yields(),
-            m_began + m_route->aim - engine.above(1),
-            stages_end() - engine.mean());
+            m_began + m_route->aim - engine.first.above(1),
+            stages_end() - engine.first.mean());
         end = co_await m_stages->run();
         if (m_session->has_left())
             co_return false;
--- a/tests/serving/stream_test.cpp
+++ b/tests/serving/stream_test.cpp
@@ -278,6 +278,24 @@
     CHECK(entry.jobs[1].stage + entry.jobs[2].stage == 2);
 }
 
+// A caller waits to its deadline and gets a stream that is cut there.
+// 1. Streams of the route take two seconds. 2. The stages of a request wait
+// until a second is left. 3. Its stream begins, which cannot end in time, and
+// took the place of another one's.
+TEST_CASE("stages end early enough for the whole stream")
+{
+    serving_fixture entry;
+    auto& times = entry.context->streams["staged"];
+    for (int one = 0; one < 300; ++one)
+        times.rest.add(2s);
+    const auto caller = entry.connect();
+    entry.send(*caller, request("/staged/", "r1", "Pieces: 11\r\n"));
+    entry.run_until([&] { return entry.jobs.size() == 1; });
+    const auto left = entry.jobs[0].expires - entry.time.now();
+    CHECK(left < 3s);
+    CHECK(left > 2s);
+}
+
 // A caller's request fails although its stages could be made again.
 // 1. The maker of a first result dies. 2. The second stage finds its input
 // gone.
