Soak: two hundred entries, and a store that drops what watches have not heard of

The stand-in's watches now hear nothing of changes made while it forgets, and get 410 after that; before, a change was told before the history went. In between it told a revision that covered unheard changes, which the protocol does not allow: 200 entries then took version 2 from a restarted one 8 s late.

--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -107,12 +107,15 @@
         self.tell(f"store {how}")
         self.oracle.store_calm_since = float("inf")
         if how == "forget":
-            self.world.store.forget()
+            self.world.store.is_blind = True
+            self.world.publish(self.oracle.published)
         self.world.store.is_down = how == "down"
         for one in self.oracle.fleet:
             one.store.delay = 0.2 if how == "slow" else 0
         await asyncio.sleep(self.span())
         self.world.store.is_down = False
+        if how == "forget":
+            self.world.store.forget()
         for one in self.oracle.fleet:
             one.store.delay = 0
         self.oracle.store_calm_since = self.oracle.now()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,7 +23,8 @@
         port = base + 10 * number
         self.callers, self.readiness, self.peers, at_store = (
             f"127.0.0.1:{port + one}" for one in range(4))
-        # Other entries reach this one through here.
+        # Other entries reach this one through here, unless told to go direct.
+        self.is_direct = False
         self.link = Proxy(f"127.0.0.1:{port + 4}", self.peers)
         self.store = Proxy(at_store, store)
         self.path = os.path.join(folder, self.name + ".toml")
@@ -42,7 +43,7 @@
 region = "r"
 seeds = [{", ".join(f'"{one}"' for one in self.seeds)}]
 heartbeat_ms = 400
-announced_peers = "{self.link.address}"
+announced_peers = "{self.peers if self.is_direct else self.link.address}"
 [bind]
 frontend = "{self.callers}"
 readiness = "{self.readiness}"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -54,10 +54,13 @@
 async def soak(options, folder):
     world = World(options.base)
     await world.start(options.copies)
-    seeds = [f"127.0.0.1:{options.base + 1004 + 10 * one}" for one in (0, 1)]
+    port = 1002 if options.direct else 1004  # As Entry gives them away.
+    seeds = [f"127.0.0.1:{options.base + port + 10 * one}" for one in (0, 1)]
     fleet = [Entry(options.program, number, options.base + 1000,
                    world.store_address, folder, seeds)
              for number in range(options.entries)]
+    for entry in fleet:
+        entry.is_direct = options.direct
     oracle = Oracle(world.log, fleet)
     oracle.published[1] = oracle.now()
     tasks = []
@@ -112,6 +115,8 @@
     parser.add_argument("--pause", type=float, default=0.15)
     parser.add_argument("--base", type=int, default=26000,
                         help="first port; below those the kernel gives away")
+    parser.add_argument("--direct", action="store_true",
+                        help="no proxy before entries; for large fleets")
     parser.add_argument("--only", nargs="*", help="kinds of trouble")
     parser.add_argument("--verbose", action="store_true")
     parser.add_argument("--logs", help="keeps the entries' logs there")
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -18,8 +18,13 @@
         self.events = []
         self.changed = asyncio.Event()
         self.is_down = False
+        self.is_blind = False  # Watches hear nothing of changes meanwhile.
+        self.told = 1  # The newest revision that watches may have heard of.
 
     def _note(self, event):
+        if self.is_blind:
+            return
+        self.told = self.revision
         self.events = (self.events + [event])[-HISTORY:]
         self.changed.set()
         self.changed = asyncio.Event()
@@ -38,7 +43,9 @@
             self._note({"key": key, "rev": self.revision, "removed": True})
 
     def forget(self):
-        """Drops the history, as a compaction does."""
+        """Drops the history with what watches have not heard of."""
+        self.is_blind = False
+        self.told = self.revision
         self.events = []
         self.changed.set()
         self.changed = asyncio.Event()
@@ -75,15 +82,14 @@
             int(query["wait_ms"]) / 1000
         while True:
             # What was dropped can't be told apart from what never was.
-            oldest = self.events[0]["rev"] if self.events else \
-                self.revision + 1
-            if after + 1 < oldest and after < self.revision:
+            oldest = self.events[0]["rev"] if self.events else self.told + 1
+            if after + 1 < oldest and after < self.told:
                 return 410, {}
             events = [one for one in self.events if one["rev"] > after
                       and one["key"].startswith(query.get("prefix", ""))]
             left = deadline - asyncio.get_running_loop().time()
             if events or left <= 0:
-                return 200, {"events": events, "current_rev": self.revision}
+                return 200, {"events": events, "current_rev": self.told}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except asyncio.TimeoutError:
