Membership: an entry whose connection was only reset keeps its work

A reset made each entry hand its work to the next one and back 0.4 s later; several entries then sent calls to the same targets, and none knew what room the others had taken (617 inputs gone, 653 results without room).

Change: a connection that was reset, not silent, is made again at once, and what was asked on it is asked again there. It is lost only if that fails.

Ruled out: a longer time before work is handed over; it would cost the cases in which the entry is really gone.

--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -17,6 +17,9 @@
 
 constexpr duration connect_time = std::chrono::milliseconds(500);
 
+/// A connection that ended sooner is not made again without a pause.
+constexpr duration least_connection = std::chrono::milliseconds(500);
+
 /// The pause before an entry that could not be reached is tried again.
 constexpr duration retry_pause = std::chrono::milliseconds(400);
 
@@ -58,12 +61,23 @@
 awaitable<void> peer_link::run()
 {
     const auto keep = shared_from_this();
+    bool is_connected = false;
     while (!m_is_closed)
     {
-        if (co_await connect())
+        if (!is_connected)
+            is_connected = co_await connect();
+        if (is_connected)
         {
+            ask_again();
+            m_is_silent = false;
+            const instant began = m_context.now();
             start(m_context.loop, ping());
             co_await listen();
+            is_connected = false;
+            if (may_be_back(began))
+                is_connected = co_await connect();
+            if (is_connected)
+                continue;
             lose();
         }
         loop_timer timer(m_context.loop, retry_pause);
@@ -72,6 +86,22 @@
     }
 }
 
+// A connection that is reset says little about the other entry. Handing its
+// work to the next one for the moment until it is back would have both send
+// calls to the same targets, neither of them full. One that fell silent is
+// not waited for.
+bool peer_link::may_be_back(instant began) const
+{
+    return !m_is_closed && !m_is_silent &&
+           m_context.now() >= began + least_connection;
+}
+
+void peer_link::ask_again()
+{
+    for (const auto& [number, one] : m_asked)
+        m_socket->send(job_frame(one.service, one.job, m_context.now()));
+}
+
 void peer_link::close()
 {
     m_is_closed = true;
@@ -102,6 +132,7 @@
         if (now - m_heard_at > watch.silence)
         {
             runtime::event("entry_silent").with("entry", m_address).warn();
+            m_is_silent = true;
             socket->close();
         }
     }
--- a/packages/serving/peer_link.hpp
+++ b/packages/serving/peer_link.hpp
@@ -75,6 +75,8 @@
     awaitable<void> listen();
     void take(const peer::Frame& frame);
     void drop_unwanted();
+    bool may_be_back(instant began) const;
+    void ask_again();
     void lose();
 
     entry_context& m_context;
@@ -85,6 +87,7 @@
     std::uint64_t m_next_number = 1;
     instant m_heard_at{};
     bool m_is_alive = false;
+    bool m_is_silent = false; ///< It answers no more, and was closed here.
     signal_point m_watch_now; ///< It was given work.
     bool m_is_closed = false;
 };
