Gathering: what a lost call may have made keeps its room

Cause: a call whose answer is lost is made all the same, and its results lie at the target until their time is over, with names that nobody knows. The next calls there were made as if there were room.

Change: a lost call's bytes count as kept for a result's lifetime.

Ruled out: asking targets for their free room: a priced call for what is known.

Test: 'what a lost call may have made takes room until its time is over'.

--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -302,6 +302,17 @@
     one.free_at = one.aside_until;
 }
 
+// Nobody knows the names of these results, so nobody can let go of them. Calls
+// that are made as if there were room come back without most of their pieces.
+void call_planner::call_lost(const planned_call& call, instant now)
+{
+    call_failed(call, false, now);
+    const auto found = m_targets.find(call.target);
+    if (found != m_targets.end() && call.bytes > 0)
+        found->second.keep("lost/" + std::to_string(++m_lost_calls), call.bytes,
+                           now + m_shape.result_lifetime);
+}
+
 void call_planner::no_room(const std::string& target, instant now)
 {
     const auto found = m_targets.find(target);
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -68,6 +68,9 @@
     void call_done(const planned_call& call, duration took, instant now);
     /// ... refused since its queue is full, or without an answer, ...
     void call_failed(const planned_call& call, bool is_full, instant now);
+    /// ... and of one without an answer, that it may have been made: its
+    /// results then lie there until their time is over.
+    void call_lost(const planned_call& call, instant now);
 
     /// ... and each of its pieces: made, ...
     void piece_made(const piece_ref& piece, const std::string& target,
@@ -146,6 +149,7 @@
     std::map<std::uint64_t, job_state> m_jobs;
     std::vector<std::uint64_t> m_finished;
     std::size_t m_waiting_pieces = 0;
+    std::uint64_t m_lost_calls = 0;
     double m_usual_call_ns = 0; ///< Moving average; 0 before the first.
 };
 
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -186,7 +186,11 @@
     }
     else
     {
-        one.planner.call_failed(plan, is_full, now);
+        const bool is_unsent = got == target_call::state::not_sent;
+        if (is_full || is_unsent)
+            one.planner.call_failed(plan, is_full, now);
+        else
+            one.planner.call_lost(plan, now);
         m_context.count("calls_failed", "why", is_full ? "full" : "lost");
         lose(one, plan);
         is_full ? sent->finish() : sent->abort();
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -121,6 +121,25 @@
     REQUIRE(made.next_call(start));
 }
 
+// For seconds after a reset of connections calls come back without room.
+// 1. A call is made and its answer is lost. 2. Its results lie at the target,
+// and nobody knows their names. 3. More calls are made there than fit.
+TEST_CASE("what a lost call may have made takes room until its time is over")
+{
+    call_planner made = planner(1);
+    for (std::uint64_t one = 1; one <= 3; ++one)
+    {
+        made.add(job(one, 10, 9s));
+        const auto call = made.next_call(start + one * 1s);
+        REQUIRE(call);
+        made.call_lost(*call, start + one * 1s);
+        made.cancel(one);
+    }
+    made.add(job(4, 10, 9s));
+    CHECK_FALSE(made.next_call(start + 4s + 500ms));
+    CHECK(made.next_call(start + 5s));
+}
+
 TEST_CASE("a job that no call can hold is split")
 {
     call_planner made = planner(2);
