--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -86,6 +86,10 @@
         one = Sent(f"{next(self._numbers):08x}", kind, entry,
                    self.oracle.now())
         self.oracle.sent[one.request] = one
+        if kind in KINDS:
+            pieces = KINDS[kind][2].get("X-Mangofold-Pieces", "")
+            self.oracle.log.pieces[one.request] = [
+                int(count) for count in pieces.split(",") if count]
         return one
 
     async def run(self, until, pause_s):
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -19,6 +19,7 @@
         self.runs = collections.defaultdict(list)
         self.arrivals = []  # (time, request, target)
         self.results = {}  # Result -> (request, stage).
+        self.pieces = {}  # Request -> the pieces that its stages have.
         self.faults = []
 
     def fault(self, text):
@@ -169,8 +170,12 @@
                 return {"why": "gone"}
             if made_for != (request, item["stage"] - 1):
                 self.log.fault(f"{request}: piece with input of {made_for}")
-        if item["stage"] > 0 and not item.get("inputs"):
-            self.log.fault(f"{request}: a later piece without inputs")
+        if item["stage"] > 0:
+            wanted = self.log.pieces[request][item["stage"] - 1]
+            got = item.get("inputs", [])
+            if len(set(got)) != wanted or len(got) != wanted:
+                self.log.fault(f"{request}: a later piece with {len(got)} of "
+                               f"{wanted} inputs")
         handle = f"{self.address}/{next(self._results):x}"
         self.log.results[handle] = (request, item["stage"])
         return {"handle": handle}
