Soak: a machine that stood still does not count against the bounds

The soak now notes its own stalls of more than 0.25 s (half the slack of each bound) and asks for no bound in a span that holds one.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -70,6 +70,7 @@
         await wait_ready(fleet)
         for entry in fleet:
             tasks.append(asyncio.create_task(entry.watch()))
+        tasks.append(asyncio.create_task(oracle.watch_machine()))
         disorder = Disorder(options.seed, world, oracle, options.only)
         until = oracle.now() + options.seconds
         callers = [Caller(oracle, f"{options.seed}.{number}")
