--- a/packages/decision/entry_roster.cpp
+++ b/packages/decision/entry_roster.cpp
@@ -11,9 +11,9 @@
 {
 
 /// An entry gathers where it has at least this share of the processor of the
-/// largest one. A gatherer answers for the whole fleet; on deployments of
-/// uneven entries, one with a tenth of a core that was elected made every
-/// request of its service late.
+/// largest one. A gatherer answers for the whole fleet. Where entries have a
+/// tenth to a half of a core, the small ones were late by seconds until they
+/// neither gathered nor were asked ten times a second by all others.
 constexpr double enough_of_largest = 0.5;
 
 /// How often an entry that gathers is asked whether it is there, and the time
