--- a/packages/serving/asio.hpp
+++ b/packages/serving/asio.hpp
@@ -46,4 +46,11 @@
     return std::max(then - now, duration::zero());
 }
 
+/// Returns \a time in whole milliseconds, for logs.
+inline std::uint64_t whole_milliseconds(duration time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 } // namespace mangofold::serving
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -28,6 +28,10 @@
 /// How often log lines are written: one call for what came meanwhile.
 constexpr duration log_interval = std::chrono::milliseconds(100);
 
+/// Lateness that is worth a line: more than a turn of this loop should take
+/// by far, and at most five lines a second.
+constexpr duration much_late = 2 * log_interval;
+
 constexpr unsigned ok = 200;
 constexpr unsigned unavailable = 503;
 
@@ -122,12 +126,26 @@
     for (;;)
     {
         error_code ignored; // Nobody cancels it.
-        timer.expires_after(log_interval);
+        const instant due = m_context.now() + log_interval;
+        timer.expires_at(due);
         co_await timer.async_wait(into(ignored));
+        note_lateness(m_context.now() - due);
         spdlog::default_logger()->flush();
     }
 }
 
+// All that callers, targets and other entries send waits as long as a timer
+// does: an entry that is late by much keeps none of its times.
+void entry_process::note_lateness(duration late)
+{
+    m_context.metrics.set_gauge({"loop_late_seconds", {}},
+                                std::chrono::duration<double>(late).count());
+    if (late >= much_late)
+        runtime::event("loop_late")
+            .with("late_ms", whole_milliseconds(late))
+            .warn();
+}
+
 void entry_process::run()
 {
     start(m_context.loop, watch_signals());
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -1,5 +1,6 @@
 #include "serving/peer_mesh.hpp"
 
+#include "runtime/event.hpp"
 #include "serving/peer_messages.hpp"
 
 #include <algorithm>
@@ -137,11 +138,20 @@
     want.set_targets(wants_targets(theirs));
     if (want.catalog() || want.targets())
         m_asked_at = now;
+    if (want.catalog())
+        runtime::event("catalog_asked_for")
+            .with("entry", address)
+            .with("version", theirs.catalog_version())
+            .with("before", version)
+            .info();
+    if (want.targets())
+        m_context.count("relay_asked", "what", "targets");
     return want;
 }
 
 void peer_mesh::take_catalog(const std::string& text)
 {
+    runtime::event("catalog_received").with("bytes", text.size()).info();
     m_source.adopt(text, "entry");
 }
 
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -76,7 +76,8 @@
     const auto sent = std::make_shared<target_call>(
         m_context.links, m_context.speech,
         call_target{"source", m_context.settings.source});
-    const instant end = m_context.now() + most;
+    const instant began = m_context.now();
+    const instant end = began + most;
     auto got = co_await sent->begin(request, {}, most);
     while (got == target_call::state::good && !sent->is_complete())
         got = co_await sent->more(
@@ -84,6 +85,12 @@
     m_last_status = 0;
     if (got != target_call::state::good)
     {
+        const std::size_t received = sent->received_bytes();
+        if (received > 0)
+            runtime::event("source_answer_cut")
+                .with("received_bytes", received)
+                .with("after_ms", whole_milliseconds(m_context.now() - began))
+                .warn();
         sent->abort();
         co_return std::nullopt;
     }
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -51,6 +51,11 @@
 
     /// Returns the part of the body that has come and was not taken.
     std::string take_body();
+    /// Returns how many bytes of the body have come and were not taken.
+    std::size_t received_bytes() const
+    {
+        return m_parser ? m_parser->get().body().size() : 0;
+    }
     bool is_complete() const { return m_parser && m_parser->is_done(); }
 
     /// Gives the connection back where it is in order, closes it otherwise.
