Relay: one copy of a catalog at a time, in parts, and none that the source brings

Cause: an entry that heard of a newer catalog asked another entry every 250 ms until one copy had come whole. A copy of 0.8 MB takes 0.7 s of a link of 10 Mbit/s for itself, so every question made all copies slower; the link carried little else for up to 17 s. Whole frames held up answers and finished pieces behind them, and an entry of which half a frame had come counted as silent, so work moved between gatherers twice a second. The source's own answer was given up after a fixed time whatever its size, and begun anew. Its class: asking again sooner than an answer can come, so that load grows with slowness. Ruled out: the processor (5 to 7 of 9 percent at most), the store (no call late or lost at entries with wide links).

What changed: decision/catch_up lets one copy at a time be under way, leaves a fifth of the bound to the source and half of it where the source's answer is coming, asks another holder only when nothing comes, and ever less often. Catalogs and lists of targets go in parts that urgent frames pass; what is not needed any more is stopped. Bytes of half a frame are a sign of life. The same cause elsewhere: the list of targets went the same way and is mended with it.

--- a/packages/serving/frame_socket.cpp
+++ b/packages/serving/frame_socket.cpp
@@ -1,5 +1,7 @@
 #include "serving/frame_socket.hpp"
 
+#include <boost/asio/socket_base.hpp>
+
 namespace mangofold::serving
 {
 
@@ -16,6 +18,10 @@
 /// reading for seconds.
 constexpr std::size_t most_queued = 8U << 20U;
 
+/// What the kernel may hold unsent: urgent frames wait behind that. A tenth
+/// of a second of a link of 10 Mbit/s, and 5 Mbit/s over the longest ways.
+constexpr int most_unsent = 128 << 10;
+
 std::size_t length_of(const std::string& bytes)
 {
     std::size_t length = 0;
@@ -28,27 +34,54 @@
 
 frame_socket::frame_socket(tcp::socket socket) : m_socket(std::move(socket))
 {
-    error_code ignored; // Without it small frames only wait longer.
+    error_code ignored; // Without these urgent frames only wait longer.
     m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.set_option(asio::socket_base::send_buffer_size(most_unsent),
+                        ignored);
 }
 
-void frame_socket::send(const peer::Frame& frame)
+void frame_socket::queue(const peer::Frame& frame)
 {
-    if (!m_socket.is_open())
-        return;
     const std::size_t length = frame.ByteSizeLong();
     for (std::size_t at = length_bytes; at > 0; --at)
         m_queued.push_back(
             static_cast<char>((length >> (byte_bits * (at - 1))) & 0xffU));
     frame.AppendToString(&m_queued);
+}
+
+void frame_socket::send(const peer::Frame& frame)
+{
+    if (!m_socket.is_open())
+        return;
+    queue(frame);
     if (m_queued.size() > most_queued)
         return close();
     if (m_writing.empty())
         write_next();
 }
 
+// What is large must not hold up what is urgent: an answer that waits behind
+// a whole catalog on a narrow link comes when its request is late, and its
+// entry counts as silent until then.
+void frame_socket::send_in_parts(part_source parts)
+{
+    m_parts = std::move(parts);
+    if (m_socket.is_open() && m_writing.empty())
+        write_next();
+}
+
 void frame_socket::write_next()
 {
+    if (m_queued.empty() && m_parts)
+    {
+        peer::Frame part;
+        if (m_parts(part))
+            queue(part);
+        else
+            m_parts = nullptr;
+    }
+    if (m_queued.empty())
+        return;
     m_writing.swap(m_queued);
     asio::async_write(
         m_socket, asio::buffer(m_writing),
@@ -57,7 +90,7 @@
             self->m_writing.clear();
             if (fault)
                 self->close();
-            else if (!self->m_queued.empty())
+            else
                 self->write_next();
         });
 }
@@ -89,6 +122,7 @@
         if (fault)
             break;
         m_received.append(m_chunk.data(), count);
+        m_bytes_read += count;
     }
     close();
     co_return std::nullopt;
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -114,6 +114,7 @@
     const auto keep = shared_from_this();
     const frame_socket_ptr socket = m_socket;
     m_heard_at = m_context.now();
+    std::uint64_t read_before = 0;
     while (socket->is_open())
     {
         peer::Frame frame;
@@ -129,6 +130,10 @@
         if (is_given_work || now - asked_at > watch.interval * stood_still)
             m_heard_at = now;
         drop_unwanted();
+        // A frame that is long on its way over a narrow link is no silence.
+        if (socket->bytes_read() !=
+            std::exchange(read_before, socket->bytes_read()))
+            m_heard_at = now;
         if (now - m_heard_at > watch.silence)
         {
             runtime::event("entry_silent").with("entry", m_address).warn();
@@ -153,23 +158,13 @@
     switch (frame.content_case())
     {
     case peer::Frame::kPong:
-    {
-        if (!m_is_alive)
-            runtime::event("entry_found").with("entry", m_address).info();
-        m_is_alive = true;
-        const peer::Want want =
-            m_listener.note_holding(m_address, frame.pong().holding());
-        if (!want.catalog() && !want.targets())
-            return;
-        peer::Frame ask;
-        *ask.mutable_want() = want;
-        m_socket->send(ask);
-        return;
-    }
+        return take_pong(frame.pong());
     case peer::Frame::kCatalog:
-        return m_listener.take_catalog(frame.catalog().text());
+        return m_listener.take_catalog(m_address, frame.catalog().text());
+    case peer::Frame::kCatalogPart:
+        return take_part(frame.catalog_part());
     case peer::Frame::kTargets:
-        return m_listener.take_targets(frame.targets());
+        return m_listener.take_targets(m_address, frame.targets());
     case peer::Frame::kJobEnd:
     {
         const auto asked = m_asked.find(frame.job_end().number());
@@ -195,6 +190,36 @@
     }
 }
 
+void peer_link::take_pong(const peer::Pong& pong)
+{
+    if (!m_is_alive)
+        runtime::event("entry_found").with("entry", m_address).info();
+    m_is_alive = true;
+    const peer::Want want = m_listener.note_holding(m_address, pong.holding());
+    if (!want.catalog() && !want.targets())
+        return;
+    peer::Frame ask;
+    *ask.mutable_want() = want;
+    ask.mutable_want()->set_in_parts(true);
+    m_socket->send(ask);
+}
+
+void peer_link::take_part(const peer::CatalogPart& part)
+{
+    m_listener.note_catalog_part(m_address);
+    if (const auto text = m_catalog.add(part))
+        m_listener.take_catalog(m_address, *text);
+}
+
+void peer_link::drop_copy()
+{
+    if (!m_socket)
+        return;
+    peer::Frame frame;
+    frame.mutable_want();
+    m_socket->send(frame);
+}
+
 void peer_link::ask(const std::string& service, decision::piece_job job,
                     piece_wait_ptr wait)
 {
--- a/packages/serving/peer_link.hpp
+++ b/packages/serving/peer_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/entry_roster.hpp"
+#include "serving/catalog_parts.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/frame_socket.hpp"
 #include "serving/piece_maker.hpp"
@@ -34,8 +35,14 @@
     /// for.
     virtual peer::Want note_holding(const std::string& address,
                                     const peer::Holding& theirs) = 0;
-    virtual void take_catalog(const std::string& text) = 0;
-    virtual void take_targets(const peer::Targets& targets) = 0;
+    /// Takes in the catalog that the entry at \a address sent.
+    virtual void take_catalog(const std::string& address,
+                              const std::string& text) = 0;
+    /// Notes that a part of a catalog came from the entry at \a address.
+    virtual void note_catalog_part(const std::string& address) = 0;
+    /// Takes in a part of the list of targets.
+    virtual void take_targets(const std::string& address,
+                              const peer::Targets& targets) = 0;
     /// Returns how to watch the entry at \a address.
     virtual decision::entry_roster::watch watch_of(const std::string& address,
                                                    bool holds_work) const = 0;
@@ -69,11 +76,16 @@
     void release(const std::string& service,
                  const std::vector<std::string>& handles);
 
+    /// Tells the other entry to send no more of what it sends in parts.
+    void drop_copy();
+
 private:
     awaitable<bool> connect();
     awaitable<void> ping();
     awaitable<void> listen();
     void take(const peer::Frame& frame);
+    void take_pong(const peer::Pong& pong);
+    void take_part(const peer::CatalogPart& part);
     void drop_unwanted();
     bool may_be_back(instant began) const;
     void ask_again();
@@ -90,6 +102,7 @@
     bool m_is_silent = false; ///< It answers no more, and was closed here.
     signal_point m_watch_now; ///< It was given work.
     bool m_is_closed = false;
+    catalog_collector m_catalog;
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -20,15 +20,6 @@
 /// How many other entries one tells of at a time.
 constexpr std::size_t told_at_once = 8;
 
-/// What the source says reaches all entries within some tens of milliseconds
-/// of each other. A difference from another entry that is younger than this
-/// passes by itself.
-constexpr duration settles_within = std::chrono::milliseconds(400);
-
-/// What one entry sends is under way for this long at most before another
-/// one is asked for the same.
-constexpr duration ask_again = std::chrono::milliseconds(250);
-
 } // namespace
 
 peer_mesh::peer_mesh(entry_context& context, source_reader& source,
@@ -80,6 +71,8 @@
 void peer_mesh::note_lost(const std::string& address)
 {
     m_roster.note_lost(address);
+    m_lacks_catalog.note_end(address, m_context.now());
+    m_lacks_targets.note_end(address, m_context.now());
 }
 
 peer::Holding peer_mesh::holding() const
@@ -103,19 +96,62 @@
     return own;
 }
 
-// The list of targets is long, and what changed in it mostly comes from the
-// source too, a moment earlier or later.
-bool peer_mesh::wants_targets(const peer::Holding& theirs)
+void peer_mesh::drop_copy(const std::string& address)
+{
+    const auto found = m_links.find(address);
+    if (found != m_links.end())
+        found->second->drop_copy();
+}
+
+void peer_mesh::note_level(decision::catch_up& lacking)
+{
+    // What another entry still sends only takes room on the way.
+    if (!lacking.under_way().empty())
+        drop_copy(lacking.under_way());
+    lacking.note_level();
+}
+
+bool peer_mesh::asks(decision::catch_up& lacking, const std::string& address)
 {
-    const decision::target_directory& own = m_context.directory;
-    if (theirs.targets_digest() == own.digest())
+    lacking.set_bound(m_context.settings.adoption_time);
+    const std::string before = lacking.under_way();
+    if (!lacking.asks(address, m_source.state(), m_context.now()))
         return false;
-    if (m_seen_changes != own.changes())
+    if (!before.empty() && before != address)
+        drop_copy(before);
+    return true;
+}
+
+bool peer_mesh::wants_catalog(const std::string& address,
+                              const peer::Holding& theirs)
+{
+    const std::uint64_t own =
+        m_context.catalog ? m_context.catalog->version() : 0;
+    m_newest_version = std::max(m_newest_version, theirs.catalog_version());
+    if (own >= m_newest_version)
+        note_level(m_lacks_catalog);
+    if (theirs.catalog_version() <= own || !asks(m_lacks_catalog, address))
+        return false;
+    runtime::event("catalog_asked_for")
+        .with("entry", address)
+        .with("version", theirs.catalog_version())
+        .with("before", own)
+        .info();
+    return true;
+}
+
+bool peer_mesh::wants_targets(const std::string& address,
+                              const peer::Holding& theirs)
+{
+    if (theirs.targets_digest() == m_context.directory.digest())
     {
-        m_seen_changes = own.changes();
-        m_changed_at = m_context.now();
+        note_level(m_lacks_targets);
+        return false;
     }
-    return !own.has_source() || m_context.now() > m_changed_at + settles_within;
+    if (!asks(m_lacks_targets, address))
+        return false;
+    m_context.count("relay_asked", "what", "targets");
+    return true;
 }
 
 peer::Want peer_mesh::note_holding(const std::string& address,
@@ -129,36 +165,38 @@
                                              duration(one.wait_ns()),
                                              duration(one.call_ns())});
     peer::Want want;
-    const instant now = m_context.now();
-    if (now < m_asked_at + ask_again)
-        return want;
-    const std::uint64_t version =
-        m_context.catalog ? m_context.catalog->version() : 0;
-    want.set_catalog(theirs.catalog_version() > version);
-    want.set_targets(wants_targets(theirs));
-    if (want.catalog() || want.targets())
-        m_asked_at = now;
-    if (want.catalog())
-        runtime::event("catalog_asked_for")
-            .with("entry", address)
-            .with("version", theirs.catalog_version())
-            .with("before", version)
-            .info();
-    if (want.targets())
-        m_context.count("relay_asked", "what", "targets");
+    want.set_catalog(wants_catalog(address, theirs));
+    // One thing at a time: both would share the way.
+    if (m_lacks_catalog.under_way().empty())
+        want.set_targets(wants_targets(address, theirs));
     return want;
 }
 
-void peer_mesh::take_catalog(const std::string& text)
+void peer_mesh::note_catalog_part(const std::string& address)
+{
+    m_lacks_catalog.note_part(address, m_context.now());
+}
+
+void peer_mesh::take_catalog(const std::string& address,
+                             const std::string& text)
 {
-    runtime::event("catalog_received").with("bytes", text.size()).info();
+    runtime::event("catalog_received")
+        .with("entry", address)
+        .with("bytes", text.size())
+        .info();
+    m_lacks_catalog.note_end(address, m_context.now());
     m_source.adopt(text, "entry");
 }
 
-void peer_mesh::take_targets(const peer::Targets& targets)
+void peer_mesh::take_targets(const std::string& address,
+                             const peer::Targets& targets)
 {
     serving::take_targets(targets, m_context.directory);
     m_context.knows_targets = m_context.knows_targets || targets.targets_size();
+    if (targets.has_more())
+        m_lacks_targets.note_part(address, m_context.now());
+    else
+        m_lacks_targets.note_end(address, m_context.now());
 }
 
 void peer_mesh::take_back(std::vector<orphaned_job> jobs)
--- a/packages/serving/peer_mesh.hpp
+++ b/packages/serving/peer_mesh.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/catch_up.hpp"
 #include "serving/gatherer.hpp"
 #include "serving/peer_link.hpp"
 #include "serving/source_reader.hpp"
@@ -41,24 +42,31 @@
     decision::entry_roster::watch watch_of(const std::string& address,
                                            bool holds_work) const override;
     void note_lost(const std::string& address) override;
-    void take_catalog(const std::string& text) override;
-    void take_targets(const peer::Targets& targets) override;
+    void take_catalog(const std::string& address,
+                      const std::string& text) override;
+    void note_catalog_part(const std::string& address) override;
+    void take_targets(const std::string& address,
+                      const peer::Targets& targets) override;
     void take_back(std::vector<orphaned_job> jobs) override;
 
 private:
     void forget_lost();
     void update_services();
-    bool wants_targets(const peer::Holding& theirs);
+    bool wants_catalog(const std::string& address, const peer::Holding& theirs);
+    bool wants_targets(const std::string& address, const peer::Holding& theirs);
+    bool asks(decision::catch_up& lacking, const std::string& address);
+    void note_level(decision::catch_up& lacking);
+    void drop_copy(const std::string& address);
     bool is_seed(const std::string& address) const;
 
     entry_context& m_context;
     source_reader& m_source;
     gatherer& m_gatherer;
     decision::entry_roster m_roster;
-    std::uint64_t m_services_of = 0; ///< Catalog version.
-    std::uint64_t m_seen_changes = 0;
-    instant m_changed_at{}; ///< The directory, as seen here.
-    instant m_asked_at{};   ///< Another entry for what it holds.
+    std::uint64_t m_services_of = 0;    ///< Catalog version.
+    std::uint64_t m_newest_version = 0; ///< Of a catalog that any entry holds.
+    decision::catch_up m_lacks_catalog;
+    decision::catch_up m_lacks_targets;
     std::map<std::string, std::shared_ptr<peer_link>> m_links;
     std::map<std::string, instant> m_added_at;
     work_sink m_sink;
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -76,23 +76,42 @@
     return outcome;
 }
 
-peer::Frame targets_frame(const decision::target_directory& directory)
+namespace
 {
-    peer::Frame frame;
-    peer::Targets& message = *frame.mutable_targets();
-    for (const decision::listed_target& one : directory.all())
+
+/// Some 10 KB: what is urgent waits behind one part at most.
+constexpr std::size_t targets_in_part = 100;
+
+void write_target(const decision::listed_target& one, peer::Target& target)
+{
+    target.set_id(one.id);
+    target.set_service(one.service);
+    target.set_address(one.address);
+    target.set_zone(one.zone);
+    target.set_slots(one.slots);
+    target.set_is_leaving(one.is_leaving);
+    target.set_is_removed(one.address.empty());
+    target.set_revision(one.revision);
+}
+
+} // namespace
+
+frame_socket::part_source
+target_parts(const decision::target_directory& directory)
+{
+    return [all = directory.all(), at = std::size_t{0},
+            is_done = false](peer::Frame& frame) mutable
     {
-        peer::Target& target = *message.add_targets();
-        target.set_id(one.id);
-        target.set_service(one.service);
-        target.set_address(one.address);
-        target.set_zone(one.zone);
-        target.set_slots(one.slots);
-        target.set_is_leaving(one.is_leaving);
-        target.set_is_removed(one.address.empty());
-        target.set_revision(one.revision);
-    }
-    return frame;
+        if (is_done)
+            return false;
+        peer::Targets& message = *frame.mutable_targets();
+        const std::size_t end = std::min(at + targets_in_part, all.size());
+        for (; at < end; ++at)
+            write_target(all[at], *message.add_targets());
+        is_done = at == all.size();
+        message.set_has_more(!is_done);
+        return true;
+    };
 }
 
 void take_targets(const peer::Targets& message,
--- a/packages/serving/peer_messages.hpp
+++ b/packages/serving/peer_messages.hpp
@@ -4,6 +4,7 @@
 #include "decision/target_directory.hpp"
 #include "peer.pb.h"
 #include "serving/asio.hpp"
+#include "serving/frame_socket.hpp"
 #include "serving/piece_maker.hpp"
 
 #include <string>
@@ -20,8 +21,9 @@
 peer::Frame job_end_frame(std::uint64_t number, const piece_outcome& outcome);
 piece_outcome outcome_of(const peer::JobEnd& message);
 
-/// Returns the frame with all that \a directory knows.
-peer::Frame targets_frame(const decision::target_directory& directory);
+/// Returns what sends all that \a directory knows, in parts.
+frame_socket::part_source
+target_parts(const decision::target_directory& directory);
 
 /// Takes in what another entry knows of targets.
 void take_targets(const peer::Targets& message,
--- a/packages/serving/peer_server.cpp
+++ b/packages/serving/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "serving/peer_server.hpp"
 
+#include "serving/catalog_parts.hpp"
 #include "serving/peer_messages.hpp"
 #include "serving/request_server.hpp"
 
@@ -48,14 +49,7 @@
         *reply.mutable_pong()->mutable_holding() = m_holding();
         return socket->send(reply);
     case peer::Frame::kWant:
-        if (frame.want().catalog())
-        {
-            reply.mutable_catalog()->set_text(m_catalog_text());
-            socket->send(reply);
-        }
-        if (frame.want().targets())
-            socket->send(targets_frame(m_context.directory));
-        return;
+        return take_want(frame.want(), *socket);
     case peer::Frame::kJob:
         return take_job(frame.job(), socket, asked);
     case peer::Frame::kJobDropped:
@@ -74,6 +68,22 @@
     }
 }
 
+void peer_server::take_want(const peer::Want& want, frame_socket& socket)
+{
+    if (want.targets())
+        return socket.send_in_parts(target_parts(m_context.directory));
+    if (!want.catalog())
+        return socket.drop_parts();
+    const auto text = m_catalog_text();
+    if (!text)
+        return;
+    if (want.in_parts())
+        return socket.send_in_parts(catalog_parts(text));
+    peer::Frame reply;
+    reply.mutable_catalog()->set_text(*text);
+    socket.send(reply);
+}
+
 void peer_server::take_job(const peer::Job& message,
                            const frame_socket_ptr& socket, asked_jobs& asked)
 {
--- a/packages/serving/peer_server.hpp
+++ b/packages/serving/peer_server.hpp
@@ -18,7 +18,7 @@
 public:
     /// Takes the address at which an entry that connected can be reached.
     using arrival = std::function<void(const std::string& address)>;
-    using text_source = std::function<std::string()>;
+    using text_source = std::function<std::shared_ptr<const std::string>()>;
     using holding_source = std::function<peer::Holding()>;
 
     peer_server(entry_context& context, gatherer& own, arrival arrived,
@@ -35,6 +35,7 @@
     awaitable<void> serve(frame_socket_ptr socket);
     void take(const peer::Frame& frame, const frame_socket_ptr& socket,
               asked_jobs& asked);
+    void take_want(const peer::Want& want, frame_socket& socket);
     void take_job(const peer::Job& message, const frame_socket_ptr& socket,
                   asked_jobs& asked);
 
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -11,6 +11,14 @@
 /// How long a plain read may take before it is asked again.
 constexpr duration read_time = std::chrono::milliseconds(700);
 
+/// What an answer earns its further time with, in bytes a second: a twentieth
+/// of a link of 10 Mbit/s. One that comes more slowly is given up.
+constexpr double least_rate = 62500;
+
+/// How long an answer that has begun may bring nothing: several times what a
+/// lost packet takes to be sent again.
+constexpr duration longest_gap = std::chrono::seconds(2);
+
 /// A watch waits as long as a configuration may take to be in force. One that
 /// was cut without a word is noticed when it should have ended; until then
 /// other entries tell what they heard. Calls are priced, and a fleet of
@@ -56,7 +64,7 @@
             .with("before", present)
             .with("from", from)
             .info();
-        m_catalog_text = text;
+        m_catalog_text = std::make_shared<const std::string>(text);
         m_context.catalog =
             std::make_shared<catalog::catalog_index>(std::move(read));
     }
@@ -69,6 +77,33 @@
     }
 }
 
+decision::catch_up::source_state source_reader::state() const
+{
+    return {m_context.directory.has_source(),
+            m_received_at && m_context.now() < *m_received_at + read_time};
+}
+
+// An answer that grows is not given up, whatever its size: asked for again it
+// would come no sooner and fill the link twice.
+awaitable<target_call::state>
+source_reader::read_body(target_call& call, instant began, duration most)
+{
+    auto got = target_call::state::good;
+    while (got == target_call::state::good && !call.is_complete())
+    {
+        const duration earned =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                static_cast<double>(call.received_bytes()) / least_rate));
+        const instant end = began + most + earned;
+        const std::size_t before = call.received_bytes();
+        const duration left = until(end, m_context.now());
+        got = co_await call.more(std::clamp(left, duration(1), longest_gap));
+        if (call.received_bytes() > before)
+            m_received_at = m_context.now();
+    }
+    co_return got;
+}
+
 awaitable<std::optional<std::string>>
 source_reader::ask(http_request request, duration most, unsigned& status)
 {
@@ -77,11 +112,10 @@
         m_context.links, m_context.speech,
         call_target{"source", m_context.settings.source});
     const instant began = m_context.now();
-    const instant end = began + most;
     auto got = co_await sent->begin(request, {}, most);
-    while (got == target_call::state::good && !sent->is_complete())
-        got = co_await sent->more(
-            std::max(until(end, m_context.now()), duration(1)));
+    if (got == target_call::state::good)
+        got = co_await read_body(*sent, began, most);
+    m_received_at.reset();
     m_last_status = 0;
     if (got != target_call::state::good)
     {
--- a/packages/serving/source_reader.hpp
+++ b/packages/serving/source_reader.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "decision/catch_up.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/source.hpp"
 #include "serving/target_call.hpp"
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -24,12 +26,20 @@
     /// one. \a from says who brought it.
     void adopt(const std::string& text, std::string_view from);
 
-    /// Returns the catalog in force as it was written.
-    const std::string& catalog_text() const { return m_catalog_text; }
+    /// Returns the catalog in force as it was written, or nothing.
+    std::shared_ptr<const std::string> catalog_text() const
+    {
+        return m_catalog_text;
+    }
+
+    /// Returns how the source is doing, for whoever weighs other ways.
+    decision::catch_up::source_state state() const;
 
 private:
     awaitable<std::optional<std::string>> ask(http_request request,
                                               duration most, unsigned& status);
+    awaitable<target_call::state> read_body(target_call& call, instant began,
+                                            duration most);
     awaitable<bool> read_catalog();
     awaitable<bool> read_targets();
     awaitable<bool> watch();
@@ -40,7 +50,8 @@
 
     entry_context& m_context;
     const source_dialect& m_dialect;
-    std::string m_catalog_text;
+    std::shared_ptr<const std::string> m_catalog_text;
+    std::optional<instant> m_received_at; ///< Of an answer that is coming.
     std::uint64_t m_revision = 0;
     bool m_has_all = false;
     std::optional<bool> m_is_there;
--- /dev/null
+++ b/tests/decision/catch_up_test.cpp
@@ -0,0 +1,136 @@
+#include "decision/catch_up.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr catch_up::source_state away{false, false};
+constexpr catch_up::source_state quiet{true, false};
+constexpr catch_up::source_state receiving{true, true};
+
+instant at(duration since_start)
+{
+    return instant(since_start);
+}
+
+catch_up bound_of_2s()
+{
+    catch_up lacking;
+    lacking.set_bound(2s);
+    return lacking;
+}
+
+/// Returns how often holders are asked within \a most, where each offers what
+/// is lacking every 100 ms and a copy of \a need ms comes over one link that
+/// all copies under way share; one that is no longer wanted still comes.
+struct shared_link
+{
+    int asked = 0;
+    duration level_at{};
+
+    shared_link(duration need, duration most)
+    {
+        catch_up lacking = bound_of_2s();
+        duration owed{};
+        for (duration now{}; now < most && level_at == duration{}; now += 10ms)
+        {
+            if (lacking.asks("a", away, at(now)) ||
+                lacking.asks("b", away, at(now)))
+            {
+                ++asked;
+                owed += need;
+            }
+            if (owed > 0ms)
+            {
+                owed -= 10ms;
+                lacking.note_part(lacking.under_way(), at(now));
+                if (owed <= 0ms)
+                    level_at = now;
+            }
+        }
+    }
+};
+
+} // namespace
+
+// An entry with a narrow link is seconds behind: copies of a large catalog
+// are asked for while one is under way, and all of them share the link.
+TEST_CASE("while parts of a copy come no other copy is asked for")
+{
+    for (const duration need : {100ms, 700ms, 3000ms, 20000ms})
+    {
+        CAPTURE(need.count());
+        const shared_link link(need, 60s);
+        CHECK(link.asked == 1);
+        CHECK(link.level_at <= need);
+    }
+}
+
+// The holder is gone or its way is cut: nothing of the copy comes.
+TEST_CASE("another holder is asked when nothing comes, less and less often")
+{
+    catch_up lacking = bound_of_2s();
+    int asked = 0;
+    for (duration now{}; now < 60s; now += 50ms)
+        asked += lacking.asks(asked % 2 == 0 ? "a" : "b", away, at(now));
+    CHECK(asked >= 5);
+    CHECK(asked <= 12);
+    CHECK(lacking.under_way() == "a");
+}
+
+TEST_CASE("what the source brings is left to it for a part of the bound")
+{
+    catch_up lacking = bound_of_2s();
+    CHECK_FALSE(lacking.asks("a", quiet, at(0ms)));
+    CHECK_FALSE(lacking.asks("a", quiet, at(399ms)));
+    CHECK_FALSE(lacking.asks("a", receiving, at(999ms)));
+    CHECK(lacking.asks("a", receiving, at(1000ms)));
+    catch_up other = bound_of_2s();
+    CHECK_FALSE(other.asks("a", quiet, at(0ms)));
+    CHECK(other.asks("a", quiet, at(400ms)));
+}
+
+TEST_CASE("an entry without its source asks at once")
+{
+    catch_up lacking = bound_of_2s();
+    CHECK(lacking.asks("a", away, at(0ms)));
+}
+
+// A holder's catalog cannot be read, or it never has what it said.
+TEST_CASE("copies that even nothing out are asked for less and less often")
+{
+    catch_up lacking = bound_of_2s();
+    int asked = 0;
+    for (duration now{}; now < 60s; now += 50ms)
+    {
+        if (!lacking.asks("a", away, at(now)))
+            continue;
+        ++asked;
+        lacking.note_end("a", at(now));
+    }
+    CHECK(asked <= 12);
+}
+
+TEST_CASE("once level the next difference is evened out without delay")
+{
+    catch_up lacking = bound_of_2s();
+    for (duration now{}; now < 30s; now += 50ms)
+        lacking.asks("a", away, at(now));
+    lacking.note_level();
+    CHECK(lacking.under_way().empty());
+    CHECK(lacking.asks("b", away, at(31s)));
+}
+
+TEST_CASE("what comes from somebody else does not keep a stalled copy alive")
+{
+    catch_up lacking = bound_of_2s();
+    CHECK(lacking.asks("a", away, at(0ms)));
+    lacking.note_part("b", at(400ms));
+    lacking.note_end("b", at(400ms));
+    CHECK(lacking.under_way() == "a");
+    CHECK(lacking.asks("b", away, at(500ms)));
+}
--- a/tests/serving/peer_link_test.cpp
+++ b/tests/serving/peer_link_test.cpp
@@ -21,16 +21,23 @@
     decision::entry_roster::watch watch_of(const std::string&,
                                            bool) const override
     {
-        return {1s, 10s};
+        return watch;
     }
     void note_lost(const std::string&) override { ++losses; }
-    void take_catalog(const std::string&) override {}
-    void take_targets(const peer::Targets&) override {}
+    void take_catalog(const std::string&, const std::string& text) override
+    {
+        catalogs.push_back(text);
+    }
+    void note_catalog_part(const std::string&) override { ++parts; }
+    void take_targets(const std::string&, const peer::Targets&) override {}
     void take_back(std::vector<orphaned_job> jobs) override
     {
         taken_back += jobs.size();
     }
 
+    decision::entry_roster::watch watch{1s, 10s};
+    std::vector<std::string> catalogs;
+    std::size_t parts = 0;
     std::size_t losses = 0;
     std::size_t taken_back = 0;
 };
@@ -76,6 +83,72 @@
     CHECK(one.link->is_alive());
 }
 
+namespace
+{
+
+/// An entry that answers the first question, and then sends one byte of a
+/// long frame at a time.
+struct slow_entry
+{
+    explicit slow_entry(asio::io_context& loop)
+        : acceptor(loop, {asio::ip::address_v4::loopback(), 0}), socket(loop)
+    {
+        start(loop, accept());
+    }
+
+    awaitable<void> accept()
+    {
+        error_code fault;
+        co_await acceptor.async_accept(socket, into(fault));
+        // An empty pong: field 3 of two bytes, without a length of its own.
+        send(std::string("\0\0\0\2\x1a\0", 6));
+        send(std::string("\0\1\0\0", 4));
+    }
+
+    void send(const std::string& bytes)
+    {
+        asio::write(socket, asio::buffer(bytes));
+    }
+
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+};
+
+} // namespace
+
+// Seen: the entry that gathers is lost and found by turns while a large
+// catalog is under way over a narrow link, and its work moves each time.
+// 1. It sends something long. 2. Bytes come all the time, but no whole frame.
+// 3. Only whole frames counted as a sign of life.
+TEST_CASE("an entry whose bytes still come is not silent")
+{
+    test::serving_fixture entry;
+    quiet_listener listener;
+    listener.watch = {100ms, 500ms};
+    slow_entry other(entry.loop);
+    const auto link = std::make_shared<peer_link>(
+        *entry.context, listener,
+        "127.0.0.1:" + std::to_string(other.acceptor.local_endpoint().port()));
+    start(entry.loop, link->run());
+    entry.run_until([&] { return link->is_alive(); });
+    for (int step = 0; step < 20; ++step)
+    {
+        other.send("x");
+        entry.settle();
+        entry.time.advance(100ms);
+        entry.settle();
+    }
+    CHECK(listener.losses == 0);
+    entry.time.advance(100ms);
+    for (int step = 0; step < 6; ++step)
+    {
+        entry.settle();
+        entry.time.advance(100ms);
+    }
+    entry.settle();
+    CHECK(listener.losses == 1);
+}
+
 TEST_CASE("the work of an entry that is gone is taken back at once")
 {
     link_fixture one;
--- a/tests/serving/source_reader_test.cpp
+++ b/tests/serving/source_reader_test.cpp
@@ -15,8 +15,10 @@
 /// A source whose link passes a tenth of the catalog at a time.
 struct narrow_source
 {
-    narrow_source(asio::io_context& its_loop, duration its_pause)
-        : loop(its_loop), pause(its_pause), acceptor(its_loop)
+    narrow_source(asio::io_context& its_loop, std::size_t bytes,
+                  duration its_pause)
+        : loop(its_loop), pause(its_pause), acceptor(its_loop),
+          catalog(std::string(bytes - 1, '0') + "7")
     {
         listen_at(acceptor, {"127.0.0.1", 0});
         start(loop, accept());
@@ -49,16 +51,15 @@
                 ++catalogs_asked;
             if (asked.starts_with("GET /watch"))
                 continue; // Nothing changes.
-            const std::string body = asked.starts_with("GET /catalog")
-                                         ? std::string(99, '0') + "7"
-                                         : std::string();
+            const std::string body =
+                asked.starts_with("GET /catalog") ? catalog : std::string();
             co_await answer(socket, body);
         }
     }
 
     awaitable<void> answer(tcp::socket& socket, const std::string& body)
     {
-        constexpr std::size_t part = 10;
+        const std::size_t part = body.size() / 10;
         error_code fault;
         const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " +
                                  std::to_string(body.size()) + "\r\n\r\n";
@@ -75,9 +76,38 @@
     asio::io_context& loop;
     duration pause;
     tcp::acceptor acceptor;
+    std::string catalog;
     std::size_t catalogs_asked = 0;
 };
 
+/// An entry that starts, with such a source.
+struct starting_entry : test::serving_fixture
+{
+    starting_entry(std::size_t bytes, duration pause)
+        : source(loop, bytes, pause), reader(*context, speaks)
+    {
+        context->settings.source = {"127.0.0.1",
+                                    source.acceptor.local_endpoint().port()};
+        context->settings.adoption_time = 3s;
+        context->catalog = nullptr;
+        start(loop, reader.run());
+    }
+
+    void pass(duration most)
+    {
+        constexpr duration step = 50ms;
+        for (duration gone{}; gone < most && !context->catalog; gone += step)
+        {
+            time.advance(step);
+            settle();
+        }
+    }
+
+    test::plain_source speaks;
+    narrow_source source;
+    source_reader reader;
+};
+
 } // namespace
 
 // Seen: an entry with a narrow link never has a large catalog in force after
@@ -87,21 +117,27 @@
 // again, from the first byte.
 TEST_CASE("an answer of the source that comes slowly is read whole")
 {
-    test::serving_fixture entry;
-    narrow_source source(entry.loop, 200ms);
-    entry.context->settings.source = {"127.0.0.1",
-                                      source.acceptor.local_endpoint().port()};
-    entry.context->settings.adoption_time = 3s;
-    entry.context->catalog = nullptr;
-    test::plain_source speaks;
-    source_reader reader(*entry.context, speaks);
-    start(entry.loop, reader.run());
-    for (int step = 0; step < 80 && !entry.context->catalog; ++step)
-    {
-        entry.time.advance(50ms);
-        entry.settle();
-    }
+    constexpr std::size_t size = 300000;
+    starting_entry entry(size, 200ms);
+    entry.pass(4s);
     REQUIRE(entry.context->catalog);
     CHECK(entry.context->catalog->version() == 7);
-    CHECK(source.catalogs_asked == 1);
+    CHECK(entry.source.catalogs_asked == 1);
+}
+
+// A source that stands still, or passes some bytes a second, must not keep
+// its reader from asking again.
+TEST_CASE("an answer that comes with a few bytes a second is given up")
+{
+    starting_entry entry(100, 200ms);
+    entry.pass(4s);
+    CHECK_FALSE(entry.context->catalog);
+    CHECK(entry.source.catalogs_asked >= 2);
+}
+
+TEST_CASE("a large answer that stops midway is given up")
+{
+    starting_entry entry(300000, 3s);
+    entry.pass(8s);
+    CHECK(entry.source.catalogs_asked >= 2);
 }
