Serving: a close that came while the process was behind counts from then

Cause: a caller's close was heeded 0.3 s after it was read, as if it had just come, and a request found together with its close was sent on before the close was looked at. Its class: the age of something taken from when it was read.

What changed: decision/turn_lateness tells from a timer's own turns how long anything may have waited unseen; a close is then taken to be that old, and before each send an entry that is behind by half a second looks whether the caller is still there. In a loop that is in time nothing changes and nothing is asked of the kernel.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -18,10 +18,12 @@
 constexpr std::size_t read_ahead = 65536;
 
 /// How long a caller that closed its side may still want its answer. Some
-/// close it as soon as their request is sent; work for one that has really
-/// gone must end within half a second.
+/// close it as soon as their request is sent.
 constexpr duration half_closed_time = std::chrono::milliseconds(300);
 
+/// Work for a caller who has really gone must end this long after its close.
+constexpr duration left_time = std::chrono::milliseconds(500);
+
 unsigned status_of(const error_code& fault)
 {
     if (fault == http::error::header_limit)
@@ -99,18 +101,48 @@
 {
     m_is_ended = true;
     m_more.raise();
-    if (is_orderly && (m_is_busy || !m_received.empty()))
+    // A close that may have come long ago was read late: the caller's time is
+    // over already.
+    const duration unseen = m_handler.lateness();
+    const bool may_want_answer =
+        is_orderly && (m_is_busy || !m_received.empty());
+    if (may_want_answer && unseen < left_time)
     {
-        loop_timer timer(m_loop, half_closed_time);
+        loop_timer timer(m_loop,
+                         std::min(half_closed_time, left_time - unseen));
         error_code ignored; // Nobody cancels it.
         co_await timer.async_wait(into(ignored));
     }
+    note_left();
+}
+
+void caller_session::note_left()
+{
     m_has_left = true;
     m_more.raise();
     if (m_on_left)
         std::exchange(m_on_left, nullptr)();
 }
 
+// A process that was stopped or is behind finds a request and the close after
+// it at the same time, and comes to the request first. Sent on, it would keep
+// a target busy for a caller who left long ago.
+bool caller_session::has_left_unseen()
+{
+    if (m_has_left || m_handler.lateness() < left_time)
+        return m_has_left;
+    error_code fault;
+    m_socket.non_blocking(true, fault);
+    char one = 0;
+    const std::size_t count = m_socket.receive(
+        asio::buffer(&one, 1), tcp::socket::message_peek, fault);
+    const bool is_waiting =
+        fault == asio::error::would_block || fault == asio::error::try_again;
+    if (!is_waiting && count == 0)
+        note_left();
+    return m_has_left;
+}
+
 unsigned caller_session::parse(parser& reading)
 {
     while (!m_received.empty() && !reading.is_done())
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -29,6 +29,9 @@
 
     /// Whether the process is about to end: answers then close.
     virtual bool is_stopping() const = 0;
+
+    /// Returns how long what is found now may have waited unseen.
+    virtual duration lateness() const = 0;
 };
 
 /// One connection of a caller: reads its requests one after the other, and
@@ -52,6 +55,10 @@
     /// side and time enough for a short answer has passed.
     bool has_left() const { return m_has_left; }
 
+    /// Whether the caller has gone, also where its close has come and was not
+    /// read yet since this process is behind.
+    bool has_left_unseen();
+
     /// Sets what is done as soon as the caller leaves; empty for nothing.
     void set_on_left(std::function<void()> action)
     {
@@ -75,6 +82,7 @@
 
     awaitable<void> read_all();
     awaitable<void> leave(bool is_orderly);
+    void note_left();
     awaitable<bool> read_request();
     /// Parses what has come. Returns the status to reject it with, or 0.
     unsigned parse(parser& reading);
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -7,6 +7,7 @@
 #include "decision/retry_budget.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/target_standing.hpp"
+#include "decision/turn_lateness.hpp"
 #include "runtime/clock.hpp"
 #include "runtime/metrics.hpp"
 #include "serving/dialect.hpp"
@@ -20,6 +21,9 @@
 namespace mangofold::serving
 {
 
+/// How often the loop notes a turn of its own.
+constexpr duration turn_interval = std::chrono::milliseconds(100);
+
 /// What the parts of one entry process share. Used on its one thread only.
 struct entry_context
 {
@@ -68,6 +72,8 @@
     piece_maker* pieces = nullptr;
     std::map<std::string, decision::retry_budget> retries;
     std::size_t entries_known = 1; ///< Entries that answer, and this one.
+    /// How far behind the loop is; whoever runs it notes its turns.
+    decision::turn_lateness lateness{turn_interval};
     bool is_stopping = false;
     bool takes_requests = true; ///< False near the end of a stop.
 };
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -26,10 +26,10 @@
 constexpr duration tidy_interval = std::chrono::seconds(1);
 
 /// How often log lines are written: one call for what came meanwhile.
-constexpr duration log_interval = std::chrono::milliseconds(100);
+constexpr duration log_interval = turn_interval;
 
-/// Lateness that is worth a line: more than a turn of this loop should take
-/// by far, and at most five lines a second.
+/// Lateness that is worth a line: more than turns of this loop should take by
+/// far.
 constexpr duration much_late = 2 * log_interval;
 
 constexpr unsigned ok = 200;
@@ -126,18 +126,20 @@
     for (;;)
     {
         error_code ignored; // Nobody cancels it.
-        const instant due = m_context.now() + log_interval;
-        timer.expires_at(due);
+        timer.expires_after(log_interval);
         co_await timer.async_wait(into(ignored));
-        note_lateness(m_context.now() - due);
+        note_turn();
         spdlog::default_logger()->flush();
     }
 }
 
 // All that callers, targets and other entries send waits as long as a timer
 // does: an entry that is late by much keeps none of its times.
-void entry_process::note_lateness(duration late)
+void entry_process::note_turn()
 {
+    const instant now = m_context.now();
+    m_context.lateness.note_turn(now);
+    const duration late = m_context.lateness.late(now);
     m_context.metrics.set_gauge({"loop_late_seconds", {}},
                                 std::chrono::duration<double>(late).count());
     if (late >= much_late)
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -33,7 +33,7 @@
     awaitable<void> stop();
     awaitable<void> tidy();
     awaitable<void> write_logs();
-    void note_lateness(duration late);
+    void note_turn();
     status_server::reply answer_status(const std::string& path) const;
 
     entry_context m_context;
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -148,7 +148,7 @@
     constexpr int most_rounds = 6;
     for (int round = 0; round < most_rounds; ++round)
     {
-        if (m_session->has_left())
+        if (m_session->has_left_unseen())
             co_return;
         if (has_stages && !m_stages)
         {
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -66,7 +66,7 @@
             m_began + m_route->aim - engine.first.above(1),
             stages_end() - engine.first.mean());
         end = co_await m_stages->run();
-        if (m_session->has_left())
+        if (m_session->has_left_unseen())
             co_return false;
         m_stages_at = m_context.now();
         if (end == decision::job_end::made)
--- a/packages/serving/request_server.hpp
+++ b/packages/serving/request_server.hpp
@@ -22,6 +22,10 @@
                            http_request request) override;
     catalog::caller_limits limits() const override;
     bool is_stopping() const override { return m_context.is_stopping; }
+    duration lateness() const override
+    {
+        return m_context.lateness.late(m_context.now());
+    }
 
     std::size_t requests_in_progress() const { return m_in_progress; }
     /// Returns the port on which it listens.
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -78,6 +78,18 @@
     server = std::make_unique<request_server>(*context);
     start(loop, server->run());
     start(loop, gathering->run());
+    start(loop, note_turns());
+}
+
+awaitable<void> serving_fixture::note_turns()
+{
+    for (;;)
+    {
+        context->lateness.note_turn(context->now());
+        loop_timer timer(loop, turn_interval);
+        error_code ignored; // Nobody cancels it.
+        co_await timer.async_wait(into(ignored));
+    }
 }
 
 serving_fixture::~serving_fixture()
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -63,6 +63,7 @@
                  std::vector<std::string> handles) override;
 
 private:
+    serving::awaitable<void> note_turns();
     serving::awaitable<void> receive(std::shared_ptr<caller> one);
 
     std::vector<std::unique_ptr<scripted_target>> m_targets;
