--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -5,6 +5,9 @@
 import signal
 
 
+GROW_PAUSE_S = 3  # So that a narrow link could carry all versions.
+
+
 class Disorder:
     def __init__(self, seed, world, oracle, kinds=None):
         self.random = random.Random(seed)
@@ -13,6 +16,7 @@
         self.story = []
         self.began = oracle.now()
         self.tasks = set()
+        self.grown_at = 0.0
         names = [name for name in dir(self) if name.startswith("do_")]
         self.kinds = [name for name in names
                       if not kinds or name[3:] in kinds]
@@ -172,3 +176,15 @@
         self.world.publish(self.oracle.published)
         self.tell(f"version {self.world.version}")
         await asyncio.sleep(0)
+
+    async def do_grow(self):
+        """A large configuration, and one more version right after it."""
+        if self.oracle.now() < self.grown_at + GROW_PAUSE_S:
+            return
+        self.grown_at = self.oracle.now()
+        self.world.more_routes = min(1500, self.world.more_routes + 500)
+        for _ in range(2):
+            self.world.publish(self.oracle.published)
+            self.tell(f"version {self.world.version}, "
+                      f"{self.world.more_routes} routes more")
+            await asyncio.sleep(0.3)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -5,7 +5,7 @@
 import signal
 import subprocess
 
-from proxy import Proxy
+from proxy import Link, Proxy
 
 GRACE_S = 4
 DRAIN_S = 1.0  # In which a leaving target stops getting new work.
@@ -16,7 +16,8 @@
 class Entry:
     """One entry, started again whenever it has ended."""
 
-    def __init__(self, program, number, base, store, folder, seeds):
+    def __init__(self, program, number, base, store, folder, seeds,
+                 downlinks, bytes_per_s=0):
         self.program = program
         self.name = f"entry-{number}"
         self.zone = "ab"[number % 2]
@@ -25,8 +26,11 @@
             f"127.0.0.1:{port + one}" for one in range(4))
         # Other entries reach this one through here, unless told to go direct.
         self.is_direct = False
-        self.link = Proxy(f"127.0.0.1:{port + 4}", self.peers)
-        self.store = Proxy(at_store, store)
+        self.downlink = Link(bytes_per_s)
+        self.link = Proxy(f"127.0.0.1:{port + 4}", self.peers,
+                          there=self.downlink, callers=downlinks)
+        downlinks[self.link.address] = self.downlink
+        self.store = Proxy(at_store, store, back=self.downlink)
         self.path = os.path.join(folder, self.name + ".toml")
         self.log_path = os.path.join(folder, self.name + ".log")
         self.seeds = seeds
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -10,7 +10,9 @@
 import subprocess
 import sys
 
-# Name, file, what is taken out, what takes its place, troubles that show it.
+# Name, file, what is taken out, what takes its place, troubles that show it,
+# and what else the soak is told.
+NARROW = ["--entries", "6", "--narrow", "3"]
 MUTANTS = [
     ("sent again after an unknown fate", "packages/decision/sending_record.hpp",
      "(m_is_repeatable && m_may_have_run < m_max_targets)",
@@ -42,6 +44,13 @@
      "        inputs.insert(inputs.end(), handles.begin(), handles.end());",
      "        inputs.push_back(m_states.at(one).handles.front());",
      ["publish"]),
+    ("copies of a catalog are asked for while one comes",
+     "packages/decision/catch_up.cpp",
+     "        if (!is_stalled(now))\n            return false;\n", "",
+     ["grow"], NARROW),
+    ("an answer of the source has one time whatever its size",
+     "packages/serving/source_reader.cpp",
+     "began + most + earned", "began + most", ["kill", "grow"], NARROW),
 ]
 
 
@@ -69,13 +78,14 @@
          "-DMANGOFOLD_PLATFORM_ONLY=ON"], folder)
 
 
-def find(folder, kinds, options):
+def find(folder, kinds, options, more=()):
     """Returns the first seed that shows a fault, and the fault."""
     for seed in range(1, options.seeds + 1):
         done = run([sys.executable, "tests/soak/soak.py",
                     "build/bin/mangofold-platform-entry", "--seed", str(seed),
                     "--seconds", str(options.seconds),
-                    "--base", str(options.base), "--only", *kinds], folder)
+                    "--base", str(options.base), *more, "--only", *kinds],
+                   folder)
         fault = re.search("^FAULT (.*)", done.stdout, re.MULTILINE)
         if fault:
             return seed, fault[1]
@@ -94,7 +104,7 @@
     options = parser.parse_args()
     copy_tree(options.folder)
     missed = 0
-    for name, path, before, after, kinds in MUTANTS:
+    for name, path, before, after, kinds, *more in MUTANTS:
         if options.only and options.only not in name:
             continue
         there = os.path.join(options.folder, path)
@@ -105,7 +115,7 @@
         with open(there, "w", encoding="utf-8") as file:
             file.write(text.replace(before, after))
         build(options.folder)
-        seed, fault = find(options.folder, kinds, options)
+        seed, fault = find(options.folder, kinds, options, *more)
         with open(there, "w", encoding="utf-8") as file:
             file.write(text)
         missed += seed is None
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,24 @@
 """A loopback proxy that harms the connections through it."""
 
 import asyncio
+import re
+
+
+class Link:
+    """The way to one process, which all its connections share."""
+
+    def __init__(self, bytes_per_s=0):
+        self.bytes_per_s = bytes_per_s  # 0: as fast as the machine.
+        self.free_at = 0.0
+        self.carried = 0
+
+    async def carry(self, count):
+        self.carried += count
+        if not self.bytes_per_s:
+            return
+        now = asyncio.get_running_loop().time()
+        self.free_at = max(now, self.free_at) + count / self.bytes_per_s
+        await asyncio.sleep(self.free_at - now)
 
 
 class Proxy:
@@ -8,10 +26,14 @@
 
     mode: "open"; "cut" refuses and resets; "silent" takes connections and
     passes nothing on; "deaf" passes on what the caller sends and loses the
-    answers.
+    answers. `there` is the link to the target; `back` the one to whoever
+    connects, found by the address that it tells first where `callers` knows it.
     """
 
-    def __init__(self, address, target):
+    def __init__(self, address, target, there=None, back=None, callers=None):
+        self.there = there or Link()
+        self.back = back or Link()
+        self.callers = callers or {}
         self.address = address
         self.target = target
         self.mode = "open"
@@ -49,13 +71,23 @@
             writer.transport.abort()
             return
         self.writers |= {writer, out}
-        await asyncio.gather(self._pump(reader, out, False),
-                             self._pump(there, writer, True))
+        first = await reader.read(4096)
+        back = self._link_of(first)
+        out.write(first)
+        await asyncio.gather(self._pump(reader, out, self.there, False),
+                             self._pump(there, writer, back, True))
         self.writers -= {writer, out}
 
-    async def _pump(self, reader, writer, is_answer):
+    def _link_of(self, first):
+        told = re.search(rb"127\.0\.0\.1:\d+", first)
+        address = told[0].decode() if told else ""
+        return self.callers.get(address, self.back)
+
+    async def _pump(self, reader, writer, link, is_answer):
         try:
-            while data := await reader.read(65536):
+            while data := await reader.read(
+                    8192 if link.bytes_per_s else 65536):
+                await link.carry(len(data))
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 while self.mode == "silent":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -56,8 +56,10 @@
     await world.start(options.copies)
     port = 1002 if options.direct else 1004  # As Entry gives them away.
     seeds = [f"127.0.0.1:{options.base + port + 10 * one}" for one in (0, 1)]
+    downlinks = {}
     fleet = [Entry(options.program, number, options.base + 1000,
-                   world.store_address, folder, seeds)
+                   world.store_address, folder, seeds, downlinks,
+                   options.narrow_rate if number < options.narrow else 0)
              for number in range(options.entries)]
     for entry in fleet:
         entry.is_direct = options.direct
@@ -118,6 +120,10 @@
                         help="first port; below those the kernel gives away")
     parser.add_argument("--direct", action="store_true",
                         help="no proxy before entries; for large fleets")
+    parser.add_argument("--narrow", type=int, default=0,
+                        help="entries with a narrow link")
+    parser.add_argument("--narrow-rate", type=float, default=8e5,
+                        help="its bytes a second")
     parser.add_argument("--only", nargs="*", help="kinds of trouble")
     parser.add_argument("--verbose", action="store_true")
     parser.add_argument("--logs", help="keeps the entries' logs there")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,8 +12,8 @@
 BEAT_S = 0.4  # A silent target's entry goes after three of these.
 
 
-def configuration(version):
-    """Returns one version: routes for all, and one that only it has."""
+def configuration(version, more_routes=0):
+    """Returns one version: routes for all, one that only it has, and more."""
     def route(name, kind, service, **more):
         return {"name": name, "host": "h.example", "prefix": f"/{name}/",
                 "route_type": kind, "timeout_ms": 3000,
@@ -34,7 +34,9 @@
                   stream_resume=True, gap_aim_ms=300, max_attempts=2),
             route("note", "streaming", "models", stages=stages,
                   stream_resume=False, gap_aim_ms=300),
-            route(f"v{version}", "idempotent", "desk", max_attempts=2)],
+            route(f"v{version}", "idempotent", "desk", max_attempts=2),
+            *(route(f"more{number}", "idempotent", "desk")
+              for number in range(more_routes))],
         "backends": [
             {"name": "desk", "max_connections": 200},
             {"name": "models", "max_connections": 200,
@@ -55,6 +57,7 @@
         self.targets = []
         self.proxies = {}  # Of targets, by their listed address.
         self.version = 1
+        self.more_routes = 0
         self._next_port = base + 1
 
     def port(self):
@@ -113,5 +116,6 @@
 
     def publish(self, published):
         self.version += 1
-        self.store.put("op/config", configuration(self.version))
+        self.store.put("op/config",
+                       configuration(self.version, self.more_routes))
         published[self.version] = asyncio.get_running_loop().time()
