--- a/packages/decision/catch_up.cpp
+++ b/packages/decision/catch_up.cpp
@@ -17,6 +17,11 @@
 /// enough for a copy from another entry.
 constexpr int receives_per_bound = 2;
 
+/// Patience and pause double with each copy in vain, so that what is asked
+/// for falls behind what a link can carry; up to half of the bound, so that
+/// after any series of them a way that is whole again is used in time.
+constexpr int doubles_per_bound = 2;
+
 } // namespace
 
 void catch_up::note_level()
@@ -35,6 +40,13 @@
            (source.is_receiving ? receives_per_bound : waits_per_bound);
 }
 
+duration catch_up::doubled(duration value) const
+{
+    const duration longest =
+        std::max(m_bound / doubles_per_bound, first_patience);
+    return std::min(value * 2, longest);
+}
+
 bool catch_up::is_stalled(instant now) const
 {
     return now >= m_heard_at + m_patience;
@@ -49,7 +61,7 @@
         if (!is_stalled(now))
             return false;
         m_holder.clear();
-        m_patience = std::min(m_patience * 2, longest);
+        m_patience = doubled(m_patience);
     }
     if (now < m_not_before || now < *m_lacking_since + wait_for(source))
         return false;
@@ -70,7 +82,13 @@
         return;
     m_holder.clear();
     m_not_before = now + m_pause;
-    m_pause = std::min(m_pause * 2, longest);
+    m_pause = doubled(m_pause);
+}
+
+void catch_up::note_lost(const std::string& holder)
+{
+    if (holder == m_holder)
+        m_holder.clear();
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/catch_up.hpp
+++ b/packages/decision/catch_up.hpp
@@ -37,14 +37,17 @@
     /// Notes that a part of the copy came from \a holder.
     void note_part(const std::string& holder, instant now);
 
-    /// Notes that nothing more will come from \a holder.
+    /// Notes that the whole copy came from \a holder, ...
     void note_end(const std::string& holder, instant now);
+    /// ... or that \a holder can be reached no more.
+    void note_lost(const std::string& holder);
 
     /// Returns who was asked and is not done; empty for nobody.
     const std::string& under_way() const { return m_holder; }
 
 private:
     duration wait_for(source_state source) const;
+    duration doubled(duration value) const;
     bool is_stalled(instant now) const;
 
     /// How long a copy under way may bring nothing before another holder is
@@ -53,10 +56,6 @@
     static constexpr duration first_patience = std::chrono::milliseconds(500);
     /// The pause after a copy that did not even things out.
     static constexpr duration first_pause = std::chrono::milliseconds(500);
-    /// Both double with each copy in vain up to this, so that what is asked
-    /// for falls behind what any link can carry.
-    static constexpr duration longest = std::chrono::seconds(8);
-
     duration m_bound{};
     std::string m_holder;
     instant m_heard_at{};
--- a/packages/decision/target_directory.cpp
+++ b/packages/decision/target_directory.cpp
@@ -10,9 +10,24 @@
 
 bool target_directory::note(const listed_target& one)
 {
-    record& known = m_records[one.start.id];
-    if (one.revision <= known.value.revision)
+    // An entry that cannot reach the list tells of targets that were gone
+    // before this one read all of it. Taken for news, they would get work.
+    const auto known = m_records.find(one.start.id);
+    const bool is_told_before =
+        known != m_records.end() && one.revision <= known->second.newest;
+    if (one.revision <= m_whole_at && !is_told_before)
+    {
+        note_gone(one.start.id, m_whole_at);
         return false;
+    }
+    return take(one);
+}
+
+bool target_directory::take(const listed_target& one)
+{
+    record& known = m_records[one.start.id];
+    if (one.revision <= known.newest)
+        return one.is_leaving && take_leaving(known, one);
     // A target that was seen leaving never serves again, even where a stale
     // source lists it as serving with a newer number; one that starts again
     // under its id does.
@@ -22,21 +37,37 @@
     known.value.is_leaving = known.left == one.start;
     known.is_removed = false;
     known.lapsed_at.reset();
-    m_newest = std::max(m_newest, one.revision);
+    note_word(known, one.revision);
+    return true;
+}
+
+// Having left holds for good, so also an older word of it is news where the
+// newer one only says otherwise: a late writer, or a list that ran out.
+bool target_directory::take_leaving(record& known, const listed_target& one)
+{
+    if (known.value.start != one.start || known.value.is_leaving)
+        return false;
+    known.left = one.start;
+    known.value.is_leaving = true;
     ++m_changes;
     return true;
 }
 
+void target_directory::note_word(record& known, std::uint64_t revision)
+{
+    known.newest = std::max(known.newest, revision);
+    m_newest = std::max(m_newest, revision);
+    ++m_changes;
+}
+
 bool target_directory::note_removed(const std::string& id,
                                     std::uint64_t revision, instant now)
 {
     record& known = m_records[id];
-    if (revision <= known.value.revision)
+    if (revision <= known.newest)
         return false;
     known.value.start.id = id;
-    known.value.revision = revision;
-    m_newest = std::max(m_newest, revision);
-    ++m_changes;
+    note_word(known, revision);
     // While the list is away its entries run out although the targets live.
     // Dropping them at once would leave a whole service without targets;
     // those that live are listed again within the return time.
@@ -53,16 +84,16 @@
 void target_directory::note_gone(const std::string& id, std::uint64_t revision)
 {
     record& known = m_records[id];
-    const bool is_news = revision > known.value.revision ||
-                         (revision == known.value.revision && known.lapsed_at);
-    if (!is_news)
+    // Of a target that ran out here, any word later than its listing tells
+    // that it is gone for good.
+    const std::uint64_t before =
+        known.lapsed_at ? known.value.revision : known.newest;
+    if (revision <= before)
         return;
     known.value.start.id = id;
-    known.value.revision = revision;
     known.is_removed = true;
     known.lapsed_at.reset();
-    m_newest = std::max(m_newest, revision);
-    ++m_changes;
+    note_word(known, revision);
 }
 
 // Whoever wrote over a good entry may mean that target or another one at its
@@ -71,11 +102,9 @@
 bool target_directory::note_unreadable(const std::string& id,
                                        std::uint64_t revision)
 {
-    const auto known = m_records.find(id);
-    if (known != m_records.end() && revision <= known->second.value.revision)
-        return false;
+    const std::uint64_t before = m_changes;
     note_gone(id, revision);
-    return true;
+    return m_changes != before;
 }
 
 std::uint64_t target_directory::digest() const
@@ -88,7 +117,7 @@
         const int state =
             (known.is_removed ? 2 : 0) + (known.value.is_leaving ? 1 : 0);
         m_digest += election_rank(
-            id, std::to_string(known.value.revision * 4 +
+            id, std::to_string(known.newest * 4 +
                                static_cast<std::uint64_t>(state)));
     }
     m_digest_of = m_changes;
@@ -101,17 +130,18 @@
     std::set<std::string> present;
     for (const listed_target& one : list)
     {
-        note(one);
+        take(one);
         present.insert(one.start.id);
     }
     std::vector<std::string> missing;
     for (const auto& [id, known] : m_records)
         if (!known.is_removed && !known.lapsed_at && !present.contains(id) &&
-            known.value.revision < revision)
+            known.newest < revision)
             missing.push_back(id);
     for (const std::string& id : missing)
         note_removed(id, revision, now);
     m_newest = std::max(m_newest, revision);
+    m_whole_at = std::max(m_whole_at, revision);
 }
 
 void target_directory::set_source(bool is_there, instant now)
@@ -135,8 +165,7 @@
         return;
     for (auto& [id, known] : m_records)
     {
-        if (!known.lapsed_at ||
-            now < std::max(*known.lapsed_at, *m_back_at) + return_time)
+        if (!known.lapsed_at || now < *m_back_at + return_time)
             continue;
         known.lapsed_at.reset();
         known.is_removed = true;
@@ -168,9 +197,13 @@
     std::vector<listed_target> found;
     for (const auto& [id, known] : m_records)
     {
+        // One that only ran out here is told as it was listed: whether it is
+        // gone is not known yet.
         found.push_back(known.value);
-        if (known.is_removed)
-            found.back().address.clear();
+        if (!known.is_removed)
+            continue;
+        found.back().address.clear();
+        found.back().revision = known.newest;
     }
     return found;
 }
--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -91,7 +91,8 @@
 private:
     struct record
     {
-        listed_target value;
+        listed_target value;      ///< As it was last listed.
+        std::uint64_t newest = 0; ///< Revision of the newest word about it.
         bool is_removed = false;
         std::optional<instant> lapsed_at; ///< Removed, but may come back.
         std::optional<target_start> left; ///< The newest seen leaving.
@@ -102,12 +103,16 @@
         return !one.is_removed && !one.value.is_leaving;
     }
     bool is_unsettled(instant now) const;
+    bool take(const listed_target& one);
+    bool take_leaving(record& known, const listed_target& one);
+    void note_word(record& known, std::uint64_t revision);
 
     std::map<std::string, record> m_records;
     bool m_is_source_there = false;
     std::optional<instant> m_lost_at;
     std::optional<instant> m_back_at;
     std::uint64_t m_newest = 0;
+    std::uint64_t m_whole_at = 0; ///< Revision of the newest whole list.
     std::uint64_t m_changes = 0;
     mutable std::uint64_t m_digest = 0;
     mutable std::uint64_t m_digest_of = ~std::uint64_t{0}; ///< m_changes.
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -117,6 +117,8 @@
         timer.expires_after(tidy_interval);
         co_await timer.async_wait(into(ignored));
         m_context.links.drop_old();
+        // A watch can wait for seconds, which a target that is gone must not.
+        m_context.directory.expire(m_context.now());
     }
 }
 
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -71,8 +71,8 @@
 void peer_mesh::note_lost(const std::string& address)
 {
     m_roster.note_lost(address);
-    m_lacks_catalog.note_end(address, m_context.now());
-    m_lacks_targets.note_end(address, m_context.now());
+    m_lacks_catalog.note_lost(address);
+    m_lacks_targets.note_lost(address);
 }
 
 peer::Holding peer_mesh::holding() const
--- a/tests/decision/target_directory_test.cpp
+++ b/tests/decision/target_directory_test.cpp
@@ -177,3 +177,82 @@
     CHECK(directory.note(target("t1", 9)));
     CHECK(directory.find("t1") != nullptr);
 }
+
+// A request reaches a target that was removed long ago.
+// 1. A target is removed. 2. An entry starts and reads the whole list. 3. An
+// entry that cannot reach the list tells it of the target.
+TEST_CASE("what a whole list lacks is not news from others")
+{
+    target_directory directory = settled();
+    directory.note_all({target("t1", 5)}, 9, start);
+    CHECK_FALSE(directory.note(target("gone", 8)));
+    CHECK(directory.find("gone") == nullptr);
+    // The other entry is told that it is gone.
+    const auto all = directory.all();
+    REQUIRE(all.size() == 2);
+    CHECK(all[0].start.id == "gone");
+    CHECK(all[0].address.empty());
+    CHECK(all[0].revision == 9);
+    CHECK(directory.note(target("gone", 10)));
+    CHECK(directory.find("gone") != nullptr);
+}
+
+// A target that is gone gets work for seconds after the list is back.
+// 1. An entry is cut off; a target leaves and is removed. 2. The entry is back
+// and takes what the list lacks for run out. 3. Others saw it go.
+TEST_CASE("a target that seemed to run out is gone once others saw it go")
+{
+    for (const bool has_left : {true, false})
+    {
+        target_directory directory = settled();
+        directory.note(target("t1", 5));
+        directory.set_source(false, start + 1s);
+        directory.set_source(true, start + 5s);
+        directory.note_all({}, 9, start + 5s);
+        REQUIRE(directory.find("t1") != nullptr);
+        if (has_left)
+            directory.note(target("t1", 7, true));
+        else
+            directory.note_gone("t1", 8);
+        CHECK(directory.find("t1") == nullptr);
+    }
+}
+
+// Others are told of a target that ran out here as if it had been listed.
+TEST_CASE("a target that seemed to run out is told as it was listed")
+{
+    target_directory directory = settled();
+    directory.note(target("t1", 5));
+    directory.set_source(false, start + 1s);
+    directory.note_removed("t1", 9, start + 2s);
+    REQUIRE(directory.all().size() == 1);
+    CHECK(directory.all()[0].revision == 5);
+    target_directory other = settled();
+    other.note_removed("t1", 9, start);
+    CHECK_FALSE(other.note(directory.all()[0]));
+}
+
+// A target that left gets work again from entries that did not hear of it.
+// 1. It says that it leaves. 2. A late writer lists it as serving. 3. An entry
+// that only read the list then is told by one that saw it leave.
+TEST_CASE("having left is news also where the word of it is not newer")
+{
+    target_directory directory = settled();
+    directory.note(target("t1", 9));
+    CHECK(directory.note(target("t1", 9, true)));
+    CHECK(directory.find("t1") == nullptr);
+    CHECK_FALSE(directory.note(target("t1", 9, true)));
+}
+
+// What seemed to run out late after the list's return stayed for as long again.
+TEST_CASE("what seemed to run out ends a fixed time after the list's return")
+{
+    target_directory directory = settled();
+    directory.note(target("t1", 5));
+    directory.set_source(false, start + 1s);
+    directory.set_source(true, start + 5s);
+    directory.note_removed("t1", 9, start + 7s);
+    CHECK(directory.find("t1") != nullptr);
+    directory.expire(start + 5s + target_directory::return_time);
+    CHECK(directory.find("t1") == nullptr);
+}
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -44,6 +44,11 @@
      "        inputs.insert(inputs.end(), handles.begin(), handles.end());",
      "        inputs.push_back(m_states.at(one).handles.front());",
      ["publish"]),
+    ("a caller who leaves is not noticed",
+     "packages/serving/caller_session.cpp",
+     "    m_has_left = true;\n    m_more.raise();\n    if (m_on_left)\n"
+     "        std::exchange(m_on_left, nullptr)();\n", "    m_more.raise();\n",
+     ["target_mode"]),
     ("a bad entry leaves the good one before it in use",
      "packages/serving/source_reader.cpp",
      "            note_unreadable(one);\n            break;",
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -6,6 +6,7 @@
 from targets import EVENTS
 
 NOT_RUN = (408, 421, 429, 503)
+LEFT_S = 0.5  # After which nothing is sent on for a caller who has left.
 SLACK_S = 0.5  # For a busy machine, on top of each bound.
 STALL_S = 0.25  # Half of it: a stall that the slack may not cover.
 
@@ -23,6 +24,7 @@
         self.is_whole = False
         self.body = b""
         self.ended_at = 0.0
+        self.left_at = None  # When its caller closed the connection.
 
 
 class Oracle:
@@ -59,6 +61,10 @@
     def note(self, one):
         """Checks an end as its caller sees it."""
         one.ended_at = self.now()
+        if one.left_at:
+            key = (one.kind, "left")
+            self.counts[key] = self.counts.get(key, 0) + 1
+            return
         end = one.status if one.is_whole else f"{one.status} broken"
         key = (one.kind, end)
         self.counts[key] = self.counts.get(key, 0) + 1
@@ -137,6 +143,7 @@
                                    f"{target.id} {at - left:.1f} s after it "
                                    "began to leave")
         self._check_unlisted()
+        self._check_left()
         for entry in self.fleet:
             for code in entry.ends:
                 self.faults.append(f"{entry.name}: ended by itself: {code}")
@@ -152,3 +159,12 @@
                     self.faults.append(f"{request}: sent to {named} "
                                        f"{at - began:.1f} s after its entry "
                                        "turned bad")
+
+    def _check_left(self):
+        """Nothing is sent on for a caller who has left."""
+        for at, request, _ in self.log.arrivals:
+            one = self.sent.get(request)
+            if one and one.left_at and at > one.left_at + LEFT_S + SLACK_S \
+                    and self.is_calm(one.entry, one.left_at):
+                self.faults.append(f"{request}: sent on {at - one.left_at:.1f}"
+                                   " s after its caller had left")
