Serving: bytes from outside that ended calls or filled the memory

A caller's piece key or request id that is no text could not be written into the call that held its piece: the call ended without a word and its place at the target was never given back. A caller who says that a stage has four billion pieces had each of them noted. A target's unreadable idle time ended whatever waited for its answer. Work that ended with an exception left no line, and a request that did so counted as in progress for good. Ruled out by the same tests: store answers, entries, frames of other entries, event streams, settings files.

--- /dev/null
+++ b/packages/serving/asio.cpp
@@ -0,0 +1,20 @@
+#include "serving/asio.hpp"
+
+#include "runtime/event.hpp"
+
+namespace mangofold::serving
+{
+
+void note_failed(const std::exception_ptr& fault)
+{
+    try
+    {
+        std::rethrow_exception(fault);
+    }
+    catch (const std::exception& what)
+    {
+        runtime::event("work_failed").with("fault", what.what()).error();
+    }
+}
+
+} // namespace mangofold::serving
--- a/packages/serving/asio.hpp
+++ b/packages/serving/asio.hpp
@@ -7,7 +7,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -15,6 +14,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <optional>
 
 namespace mangofold::serving
@@ -33,11 +33,19 @@
     return asio::redirect_error(asio::use_awaitable, fault);
 }
 
+/// Logs the end of work that was started on its own and failed.
+void note_failed(const std::exception_ptr& fault);
+
 /// Starts \a work on its own.
 template<typename Awaitable>
 void start(asio::io_context& loop, Awaitable&& work)
 {
-    asio::co_spawn(loop, std::forward<Awaitable>(work), asio::detached);
+    asio::co_spawn(loop, std::forward<Awaitable>(work),
+                   [](const std::exception_ptr& fault)
+                   {
+                       if (fault)
+                           note_failed(fault);
+                   });
 }
 
 /// Returns the time from \a now until \a then, never negative.
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -51,6 +51,7 @@
     try
     {
         m_facts = m_context.speech.facts(m_request);
+        check_facts(m_facts);
     }
     catch (const facts_error& fault)
     {
--- a/packages/serving/facts.hpp
+++ b/packages/serving/facts.hpp
@@ -46,6 +46,9 @@
                            const request_facts&) = default;
 };
 
+/// Throws facts_error where \a facts cannot be worked with, whoever sent them.
+void check_facts(const request_facts& facts);
+
 /// What the system itself says on a request to a target.
 struct send_marks
 {
--- a/packages/serving/request_server.cpp
+++ b/packages/serving/request_server.cpp
@@ -71,9 +71,19 @@
                                        http_request request)
 {
     ++m_in_progress;
-    exchange one(m_context, std::move(session), std::move(request));
-    co_await one.run();
+    std::exception_ptr fault;
+    try
+    {
+        exchange one(m_context, std::move(session), std::move(request));
+        co_await one.run();
+    }
+    catch (...)
+    {
+        fault = std::current_exception();
+    }
     --m_in_progress;
+    if (fault)
+        std::rethrow_exception(fault);
 }
 
 catalog::caller_limits request_server::limits() const
--- /dev/null
+++ b/tests/platform/outside_bytes_test.cpp
@@ -0,0 +1,260 @@
+#include "platform/catalog_reader.hpp"
+#include "platform/request_dialect.hpp"
+#include "platform/settings_reader.hpp"
+#include "platform/store_dialect.hpp"
+#include "serving/catalog_parts.hpp"
+#include "serving/event_stream.hpp"
+#include "serving/peer_messages.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace mangofold;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string text_of(const std::vector<char>& bytes)
+{
+    return {bytes.begin(), bytes.end()};
+}
+
+/// Bytes that can stand in a header's value.
+rc::Gen<std::string> header_value()
+{
+    return rc::gen::container<std::string>(
+        rc::gen::map(rc::gen::inRange(0, 223),
+                     [](int one)
+                     {
+                         const int printable = one < 95 ? one + 32 : one + 33;
+                         return static_cast<char>(printable);
+                     }));
+}
+
+serving::http_request request_with(const char* name, const std::string& value)
+{
+    serving::http_request one{serving::http::verb::post, "/a/b", 11};
+    one.set("Host", "h.example");
+    one.set("X-Mangofold-Request-Id", "0123456789abcdef");
+    one.set("X-Mangofold-Pieces", "1,2");
+    one.set("X-Mangofold-Piece-Key", "7c1e");
+    one.set(name, value);
+    return one;
+}
+
+const char* const request_headers[] = {"Host",
+                                       "X-Mangofold-Request-Id",
+                                       "X-Mangofold-Pieces",
+                                       "X-Mangofold-Piece-Key",
+                                       "X-Mangofold-Token-Count",
+                                       "X-Mangofold-Prompt-Prefix",
+                                       "X-Mangofold-Time-Budget-Ms",
+                                       "Authorization",
+                                       "Last-Event-Id"};
+
+/// Whether \a read gives a value or says by facts_error that it cannot.
+template<typename Read>
+bool is_read_or_refused(Read read)
+{
+    try
+    {
+        read();
+        return true;
+    }
+    catch (const serving::facts_error&)
+    {
+        return true;
+    }
+}
+
+} // namespace
+
+// An entry that gathers makes no more calls at some target.
+// 1. A caller sends a key of bytes that no JSON text can hold. 2. The call that
+// holds a piece of it cannot be written. 3. Its place at the target is never
+// given back.
+TEST_CASE("a request whose names cannot be passed on is refused")
+{
+    const platform::request_dialect speech;
+    for (const char* name : {"X-Mangofold-Piece-Key", "X-Mangofold-Request-Id"})
+    {
+        for (const char* value : {"\xff\xfe", "a b", "a\x7f"})
+            CHECK_THROWS_AS(
+                serving::check_facts(speech.facts(request_with(name, value))),
+                serving::facts_error);
+    }
+}
+
+// An entry runs out of memory, with all its callers.
+// 1. A caller says that a stage has billions of pieces. 2. Each of them is
+// noted as waiting.
+TEST_CASE("a request with more pieces than any has is refused")
+{
+    const platform::request_dialect speech;
+    const auto pieces = [&](const char* value)
+    {
+        const auto facts =
+            speech.facts(request_with("X-Mangofold-Pieces", value));
+        serving::check_facts(facts);
+        return facts.pieces;
+    };
+    CHECK_THROWS_AS(pieces("1,4000000000"), serving::facts_error);
+    CHECK_THROWS_AS(pieces("1,99999999999"), serving::facts_error);
+    CHECK_THROWS_AS(pieces("-1"), serving::facts_error);
+    CHECK(pieces("1,1000") == std::vector<std::uint32_t>{1, 1000});
+}
+
+// A caller's connection is reset, or a place at a target is never given back.
+// 1. A target says nonsense of how long it keeps connections. 2. Reading that
+// ended all that waited for the answer.
+TEST_CASE("an answer with an unreadable idle time is an answer")
+{
+    const platform::request_dialect speech;
+    serving::http_answer answer{serving::http::status::ok, 11};
+    answer.set("X-Mangofold-Response-Seal", "s");
+    for (const char* value : {"timeout=", "timeout=x", "timeout=-1",
+                              "timeout=99999999999999999999", "\xff"})
+    {
+        answer.set("Keep-Alive", value);
+        const auto facts = speech.answer(answer.base());
+        CHECK(facts.is_sealed);
+        CHECK_FALSE(facts.idle_time);
+    }
+}
+
+TEST_CASE("whatever a caller's headers hold, they are read or refused")
+{
+    const platform::request_dialect speech;
+    CHECK(rc::check(
+        [&]
+        {
+            const char* name = *rc::gen::elementOf(std::vector<const char*>(
+                std::begin(request_headers), std::end(request_headers)));
+            const auto request = request_with(name, *header_value());
+            RC_ASSERT(is_read_or_refused(
+                [&]
+                {
+                    const auto facts = speech.facts(request);
+                    serving::check_facts(facts);
+                    // What is read can be told to a target.
+                    serving::piece_order order;
+                    order.request = facts.id;
+                    order.key = facts.piece_key;
+                    speech.make_pieces("i-1", {order});
+                    speech.forwarded(request, {});
+                }));
+        }));
+}
+
+TEST_CASE("whatever a target answers, it is read or refused")
+{
+    const platform::request_dialect speech;
+    CHECK(rc::check(
+        [&](const std::vector<char>& bytes)
+        {
+            RC_ASSERT(is_read_or_refused(
+                [&] { speech.piece_results(text_of(bytes)); }));
+        }));
+    CHECK(rc::check(
+        [&]
+        {
+            serving::http_answer answer{serving::http::status::ok, 11};
+            for (const char* name :
+                 {"Keep-Alive", "X-Mangofold-Request-Id", "Connection"})
+                answer.set(name, *header_value());
+            speech.answer(answer.base());
+            speech.returned(answer.base());
+        }));
+    for (const char* body :
+         {"{}", "[]", R"({"items":3})", R"({"items":[3]})",
+          R"({"items":[{"handle":3}]})", R"({"items":[{"why":[]}]})"})
+        CHECK(is_read_or_refused([&] { speech.piece_results(body); }));
+}
+
+TEST_CASE("whatever a stream holds, whole events only come out of it")
+{
+    CHECK(rc::check(
+        [](const std::vector<std::vector<char>>& chunks)
+        {
+            serving::event_stream events(std::nullopt);
+            std::string out;
+            for (const auto& chunk : chunks)
+                out += events.add(text_of(chunk));
+            RC_ASSERT(out.empty() || out.ends_with("\n\n") ||
+                      out.ends_with("\r\n\r\n") || out.ends_with("\r\r"));
+        }));
+}
+
+TEST_CASE("whatever the store answers, it is read or refused")
+{
+    const platform::store_dialect store;
+    CHECK(rc::check(
+        [&](const std::vector<char>& bytes)
+        {
+            const std::string text = text_of(bytes);
+            RC_ASSERT(is_read_or_refused([&] { store.targets_page(text); }));
+            RC_ASSERT(is_read_or_refused([&] { store.changes_page(text); }));
+            RC_ASSERT(is_read_or_refused([&] { store.catalog_page(text); }));
+            RC_ASSERT(is_read_or_refused([&] { store.parse_catalog(text); }));
+        }));
+    for (const char* text :
+         {"{}", "[]", "3", R"({"items":[3],"current_rev":1})",
+          R"({"items":{},"current_rev":-1})",
+          R"({"items":[{"key":3,"rev":1}],"current_rev":1})",
+          R"({"events":[{"key":"op/config","rev":1,"value":"!!"}],)"
+          R"("current_rev":1})",
+          R"({"version":1,"routes":[{}],"backends":[]})",
+          R"({"version":"1","routes":[],"backends":[]})"})
+    {
+        CAPTURE(text);
+        CHECK(is_read_or_refused([&] { store.targets_page(text); }));
+        CHECK(is_read_or_refused([&] { store.changes_page(text); }));
+        CHECK(is_read_or_refused([&] { store.catalog_page(text); }));
+        CHECK(is_read_or_refused([&] { store.parse_catalog(text); }));
+    }
+}
+
+TEST_CASE("whatever another entry sends, it is taken or left")
+{
+    CHECK(rc::check(
+        [](const std::vector<char>& bytes)
+        {
+            peer::Frame frame;
+            const std::string text = text_of(bytes);
+            if (!frame.ParseFromString(text))
+                return;
+            decision::target_directory directory;
+            serving::take_targets(frame.targets(), directory);
+            serving::catalog_collector().add(frame.catalog_part());
+            serving::outcome_of(frame.job_end());
+            serving::job_of(frame.job(), decision::instant{});
+        }));
+}
+
+TEST_CASE("whatever a settings file holds, it is read or refused")
+{
+    const std::string path = "outside_bytes_test.toml";
+    CHECK(rc::check(
+        [&](const std::vector<char>& bytes)
+        {
+            std::ofstream(path, std::ios::binary) << text_of(bytes);
+            bool is_known = true;
+            try
+            {
+                platform::read_settings(path);
+            }
+            catch (const serving::settings_error&)
+            {
+            }
+            catch (...)
+            {
+                is_known = false;
+            }
+            RC_ASSERT(is_known);
+        }));
+    std::remove(path.c_str());
+}
