Membership: what a list lacks that has just come back may have run out

An entry that had just started took what others told of them for gone and told them so, which could leave a whole service without targets. What changed: until the return time is over such a target counts as run out, like at the others; after that it is gone.

--- a/packages/decision/target_directory.cpp
+++ b/packages/decision/target_directory.cpp
@@ -10,17 +10,30 @@
 
 bool target_directory::note(const listed_target& one)
 {
-    // An entry that cannot reach the list tells of targets that were gone
-    // before this one read all of it. Taken for news, they would get work.
     const auto known = m_records.find(one.start.id);
     const bool is_told_before =
         known != m_records.end() && one.revision <= known->second.newest;
-    if (one.revision <= m_whole_at && !is_told_before)
+    if (one.revision > m_whole_at || is_told_before)
+        return take(one);
+    return take_unlisted(one);
+}
+
+// An entry that cannot reach the list tells of a target that was not in it
+// when this one read all of it. Taken for news, a target that is gone would get
+// work. While the list has just come back, the target may only have run out.
+bool target_directory::take_unlisted(const listed_target& one)
+{
+    record& known = m_records[one.start.id];
+    if (m_is_settled || one.is_leaving || known.left == one.start)
     {
         note_gone(one.start.id, m_whole_at);
         return false;
     }
-    return take(one);
+    known.value = one;
+    known.is_removed = false;
+    known.has_lapsed = true;
+    note_word(known, m_whole_at);
+    return true;
 }
 
 bool target_directory::take(const listed_target& one)
@@ -36,7 +49,7 @@
     known.value = one;
     known.value.is_leaving = known.left == one.start;
     known.is_removed = false;
-    known.lapsed_at.reset();
+    known.has_lapsed = false;
     note_word(known, one.revision);
     return true;
 }
@@ -75,7 +88,7 @@
                               !known.value.is_leaving &&
                               !known.value.address.empty();
     if (may_be_lapse)
-        known.lapsed_at = now;
+        known.has_lapsed = true;
     else
         known.is_removed = true;
     return true;
@@ -87,12 +100,12 @@
     // Of a target that ran out here, any word later than its listing tells
     // that it is gone for good.
     const std::uint64_t before =
-        known.lapsed_at ? known.value.revision : known.newest;
+        known.has_lapsed ? known.value.revision : known.newest;
     if (revision <= before)
         return;
     known.value.start.id = id;
     known.is_removed = true;
-    known.lapsed_at.reset();
+    known.has_lapsed = false;
     note_word(known, revision);
 }
 
@@ -135,7 +148,7 @@
     }
     std::vector<std::string> missing;
     for (const auto& [id, known] : m_records)
-        if (!known.is_removed && !known.lapsed_at && !present.contains(id) &&
+        if (!known.is_removed && !known.has_lapsed && !present.contains(id) &&
             known.newest < revision)
             missing.push_back(id);
     for (const std::string& id : missing)
@@ -149,6 +162,7 @@
     if (is_there == m_is_source_there)
         return;
     m_is_source_there = is_there;
+    m_is_settled = false;
     (is_there ? m_back_at : m_lost_at) = now;
 }
 
@@ -161,13 +175,14 @@
 
 void target_directory::expire(instant now)
 {
-    if (!m_is_source_there || !m_back_at)
+    if (!m_is_source_there || !m_back_at || now < *m_back_at + return_time)
         return;
+    m_is_settled = true;
     for (auto& [id, known] : m_records)
     {
-        if (!known.lapsed_at || now < *m_back_at + return_time)
+        if (!known.has_lapsed)
             continue;
-        known.lapsed_at.reset();
+        known.has_lapsed = false;
         known.is_removed = true;
         ++m_changes;
     }
--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -94,7 +94,7 @@
         listed_target value;      ///< As it was last listed.
         std::uint64_t newest = 0; ///< Revision of the newest word about it.
         bool is_removed = false;
-        std::optional<instant> lapsed_at; ///< Removed, but may come back.
+        bool has_lapsed = false;          ///< Removed, but may come back.
         std::optional<target_start> left; ///< The newest seen leaving.
     };
 
@@ -104,11 +104,13 @@
     }
     bool is_unsettled(instant now) const;
     bool take(const listed_target& one);
+    bool take_unlisted(const listed_target& one);
     bool take_leaving(record& known, const listed_target& one);
     void note_word(record& known, std::uint64_t revision);
 
     std::map<std::string, record> m_records;
     bool m_is_source_there = false;
+    bool m_is_settled = false; ///< What the list lacks is gone.
     std::optional<instant> m_lost_at;
     std::optional<instant> m_back_at;
     std::uint64_t m_newest = 0;
--- a/tests/decision/target_directory_test.cpp
+++ b/tests/decision/target_directory_test.cpp
@@ -185,6 +185,7 @@
 {
     target_directory directory = settled();
     directory.note_all({target("t1", 5)}, 9, start);
+    directory.expire(start + target_directory::return_time);
     CHECK_FALSE(directory.note(target("gone", 8)));
     CHECK(directory.find("gone") == nullptr);
     // The other entry is told that it is gone.
@@ -256,3 +257,22 @@
     directory.expire(start + 5s + target_directory::return_time);
     CHECK(directory.find("t1") == nullptr);
 }
+
+// A whole service is without targets for seconds after the store's return.
+// 1. The store is away, its entries run out. 2. An entry that has just started
+// reads the list without them. 3. It took what the others tell of them for
+// gone, and told them so.
+TEST_CASE("what a list lacks that has just come back may have run out")
+{
+    target_directory directory = settled();
+    directory.note_all({target("t1", 5)}, 9, start);
+    CHECK(directory.note(target("lives", 8)));
+    CHECK(directory.find("lives") != nullptr);
+    // Others are told no more than they said.
+    CHECK(directory.all()[0].revision == 8);
+    CHECK(directory.note(target("lives", 11)));
+    CHECK(directory.note(target("died", 7)));
+    directory.expire(start + target_directory::return_time);
+    CHECK(directory.find("lives") != nullptr);
+    CHECK(directory.find("died") == nullptr);
+}
