--- a/tests/relay/mutants.py
+++ b/tests/relay/mutants.py
@@ -59,7 +59,7 @@
         self.folder = folder
         self.base = [options.compiler, "-std=c++20", "-O1", "-Ipackages"]
         self.parts = [self.compile(f"tests/relay/{name}.cpp", name)
-                      for name in ("main", "world")]
+                      for name in ("main", "world", "world_checks")]
 
     def compile(self, source, name):
         target = os.path.join(self.folder, name + ".o")
--- a/tests/relay/world.hpp
+++ b/tests/relay/world.hpp
@@ -50,6 +50,9 @@
 /// The time in which a configuration must be in force.
 constexpr duration bound = std::chrono::seconds(2);
 
+/// What each move takes; what is over is looked for after each.
+constexpr duration move_time = std::chrono::milliseconds(20);
+
 /// A source, three entries that hear of its changes and from each other, and
 /// targets that come and go, around the real directory and catch_up. Copies
 /// are snapshots from when they were asked for and arrive in any order.
