--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -164,7 +164,7 @@
         """Nothing is sent on for a caller who has left."""
         for at, request, _ in self.log.arrivals:
             one = self.sent.get(request)
-            if one and one.left_at and at > one.left_at + LEFT_S + SLACK_S \
+            if one and one.left_at and at > one.left_at + LEFT_S + STALL_S \
                     and self.is_calm(one.entry, one.left_at):
                 self.faults.append(f"{request}: sent on {at - one.left_at:.1f}"
                                    " s after its caller had left")
