--- a/packages/decision/call_planner_targets.cpp
+++ b/packages/decision/call_planner_targets.cpp
@@ -24,16 +24,19 @@
 // such inputs would all be refused, a call's time later.
 void call_planner::lose_results(const stage_target& maker)
 {
-    for (auto& [number, state] : m_jobs)
-        std::erase_if(state.made,
-                      [&](const auto& made)
-                      {
-                          if (!maker.kept.contains(made.second))
-                              return false;
-                          state.waiting.push_back(made.first);
-                          ++m_waiting_pieces;
-                          return true;
-                      });
+    for (auto& job : m_jobs)
+    {
+        job_state& state = job.second;
+        const auto is_lost = [&](const auto& made)
+        {
+            if (!maker.kept.contains(made.second))
+                return false;
+            state.waiting.push_back(made.first);
+            ++m_waiting_pieces;
+            return true;
+        };
+        std::erase_if(state.made, is_lost);
+    }
 }
 
 void call_planner::set_targets(const std::map<target_start, std::string>& zones)
