Logs: a send that was lost says which request it was, whatever its id

Cause looked for: whether one request returns under new ids, or many different ones were there when targets ended. No line told: a loss that was made good elsewhere left none, and ids differ with each sending. Change: attempt_lost and call_lost, with a digest of what stays the same (client account, method, host, path, query, body), target, age of the send and whether events had come; mangofold-explain shows the lines of the same request under other ids. No decision changes.

--- a/packages/decision/digest.cpp
+++ b/packages/decision/digest.cpp
@@ -1,5 +1,6 @@
 #include "decision/digest.hpp"
 
+#include <cstdio>
 #include <string>
 
 #define XXH_INLINE_ALL
@@ -23,4 +24,14 @@
     return digest_of(joined);
 }
 
+std::string to_text(const digest& value)
+{
+    constexpr std::size_t digits = 32;
+    char text[digits + 1];
+    std::snprintf(text, sizeof text, "%016llx%016llx",
+                  static_cast<unsigned long long>(value.high),
+                  static_cast<unsigned long long>(value.low));
+    return {text, digits};
+}
+
 } // namespace mangofold::decision
--- a/packages/decision/digest.hpp
+++ b/packages/decision/digest.hpp
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace mangofold::decision
@@ -23,6 +24,9 @@
 /// Returns the digest of two parts; no other split of the same bytes has it.
 digest digest_of(std::string_view first, std::string_view second);
 
+/// Returns \a value as 32 hexadecimal digits.
+std::string to_text(const digest& value);
+
 struct digest_hash
 {
     std::size_t operator()(const digest& value) const { return value.low; }
--- /dev/null
+++ b/packages/decision/request_content.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "decision/digest.hpp"
+
+#include <string_view>
+
+namespace mangofold::decision
+{
+
+/// What stays the same where a caller sends the same request again, under
+/// whatever id, to whatever entry.
+struct request_content
+{
+    std::string_view account; ///< The client account; empty where none is told.
+    std::string_view method;
+    std::string_view host;
+    std::string_view target; ///< Path and query.
+    std::string_view body;
+};
+
+/// Returns the digest by which entries tell such requests from others.
+digest digest_of(const request_content& content);
+
+} // namespace mangofold::decision
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -1,5 +1,7 @@
 #include "serving/exchange.hpp"
 
+#include "decision/request_content.hpp"
+
 #include <algorithm>
 
 namespace mangofold::serving
@@ -33,6 +35,17 @@
     return service != nullptr && service->engine;
 }
 
+// Most requests never need it, and a body can be long.
+const decision::digest& exchange::content() const
+{
+    if (!m_content)
+        m_content = decision::digest_of(decision::request_content{
+            m_account == nullptr ? std::string_view() : m_account->name,
+            view(m_request.method_string()), m_facts.host,
+            view(m_request.target()), m_request.body()});
+    return *m_content;
+}
+
 decision::generation exchange::generation() const
 {
     decision::generation work;
@@ -256,6 +269,7 @@
         m_refusal = refusal::target_lost;
     }
     m_context.count("attempts_failed", "why", to_string(m_refusal));
+    log_lost(target);
     return attempt_end::try_again;
 }
 
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalog/catalog_index.hpp"
+#include "decision/digest.hpp"
 #include "decision/sending_record.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/entry_context.hpp"
@@ -88,6 +89,8 @@
     unsigned refusal_status() const;
     void log_end(unsigned status) const;
     void log_answer() const;
+    void log_lost(const decision::target_start& target) const;
+    const decision::digest& content() const;
     duration left() const;
     bool is_over() const { return left() <= duration::zero(); }
     bool is_engine() const;
@@ -97,6 +100,7 @@
     std::shared_ptr<caller_session> m_session;
     http_request m_request;
     request_facts m_facts;
+    mutable std::optional<decision::digest> m_content;
     catalog::catalog_ptr m_catalog;
     const catalog::route* m_route = nullptr;
     const catalog::account* m_account = nullptr;
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -102,6 +102,21 @@
         .info();
 }
 
+void exchange::log_lost(const decision::target_start& target) const
+{
+    runtime::event("attempt_lost")
+        .with("request", m_facts.id)
+        .with("content", to_text(content()))
+        .with("why", to_string(m_refusal))
+        .with("route", m_route->name)
+        .with("target", target.id)
+        .with("born", target.born)
+        .with("after_ms", whole_milliseconds(m_context.now() - m_sent_at))
+        .with("has_events", m_last_event ? 1 : 0)
+        .with("sends", m_sends->sends())
+        .warn();
+}
+
 void exchange::log_end(unsigned status) const
 {
     runtime::event("request_refused")
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -192,6 +192,13 @@
         else
             one.planner.call_lost(plan, now);
         m_context.count("calls_failed", "why", is_full ? "full" : "lost");
+        if (!is_full && !is_unsent)
+            runtime::event("call_lost")
+                .with("service", service)
+                .with("target", plan.target.id)
+                .with("pieces", plan.pieces.size())
+                .with("after_ms", whole_milliseconds(now - began))
+                .warn();
         is_full ? put_back(one, plan) : lose(one, plan);
         is_full ? sent->finish() : sent->abort();
     }
--- a/tests/tools/explain_test.py
+++ b/tests/tools/explain_test.py
@@ -23,7 +23,10 @@
          target="", status=503),
     line(10, "e1", "request_refused", request="def2", why="target_silent",
          target="t1", status=504),
+    line(10, "e1", "attempt_lost", request="def2", content="c0", target="t1"),
     line(11, "e1", "source_lost", revision=3),
+    line(30, "e2", "attempt_lost", request="fff9", content="c0", target="t7"),
+    line(30, "e2", "attempt_lost", request="ggg9", content="c1", target="t8"),
     line(40, "e2", "service_gathered", service="rank", waiting_pieces=1),
     '{"at":"2026-01-01T10:00:41.000+00:00","level":"in'])
 
@@ -46,6 +49,11 @@
         self.assertIn("target_listed", told)
         self.assertIn("source_lost", told)
 
+    def test_the_same_request_under_other_ids_is_shown(self):
+        told = explain("def2").stdout
+        self.assertIn("target t7", told)
+        self.assertNotIn("target t8", told)
+
     def test_an_unknown_request_is_said(self):
         done = explain("zzz")
         self.assertEqual(done.returncode, 1)
