Tests: requests that end their targets, failing as yet

Symptom: callers find the targets of a service gone one after the other; each sending of one and the same request ends the one that begins it. The soak's harmless callers go on asking for the same few things, and none may be refused as one that ends targets.

--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -1,10 +1,14 @@
 """What goes wrong, drawn from a seed: single troubles, series, overlaps."""
 
 import asyncio
+import itertools
 import random
 import signal
 
+from callers import Caller, KINDS
 
+
+MOST_POISONS = 2  # At a time, so that targets are left for each to end.
 GROW_PAUSE_S = 3  # So that a narrow link could carry all versions.
 
 
@@ -17,6 +21,8 @@
         self.began = oracle.now()
         self.tasks = set()
         self.grown_at = 0.0
+        self.poisons = itertools.count(1)
+        self.poisoning = 0
         names = [name for name in dir(self) if name.startswith("do_")]
         self.kinds = [name for name in names
                       if not kinds or name[3:] in kinds]
@@ -167,6 +173,27 @@
             await self.world.crash(one, self.span(1))
             self.oracle.targets_calm_since = self.oracle.now()
 
+    async def do_poison(self):
+        """Callers go on asking all entries for what ends each target."""
+        if self.poisoning == MOST_POISONS:
+            return
+        self.poisoning += 1
+        kind = self.random.choice(list(KINDS))
+        poison = f"/poison-{next(self.poisons)}"
+        self.tell(f"{kind}{poison}")
+        self.oracle.targets_calm_since = float("inf")
+        caller = Caller(self.oracle, poison)
+        until = self.oracle.now() + self.random.uniform(4, 12)
+        asked = []
+        while self.oracle.now() < until:
+            entry = self.random.choice(self.oracle.fleet)
+            asked.append(asyncio.create_task(
+                caller.ask_poison(kind, poison, entry)))
+            await asyncio.sleep(self.random.uniform(0.02, 0.5))
+        await asyncio.gather(*asked)
+        self.poisoning -= 1
+        self.oracle.targets_calm_since = self.oracle.now()
+
     async def do_target_restart(self):
         if one := self.target():
             self.tell(f"{one.service} {one.id} starts again")
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -4,6 +4,7 @@
 import collections
 import itertools
 import json
+import re
 import time
 
 import wire
@@ -11,6 +12,8 @@
 EVENTS = 6  # Of a whole stream.
 STEP_S = 0.02  # Between events.
 CALL_S = 0.03  # Of a call of pieces.
+BEGIN_S = 0.03  # From a poison request's begin to the end of its target.
+POISON = re.compile(r"/poison-\d+")
 SLOW_S = 1.2  # Of a slow plain target: longer than work may outlast a caller.
 
 
@@ -23,6 +26,8 @@
         self.ends = []  # (time, request) of work that was still wanted.
         self.results = {}  # Result -> (request, stage).
         self.pieces = {}  # Request -> the pieces that its stages have.
+        self.poison_ends = collections.defaultdict(list)  # By its name.
+        self.end_target = None  # Ends a target as its process would.
         self.faults = []
 
     def fault(self, text):
@@ -77,6 +82,18 @@
     def run(self, request):
         self.log.runs[request].append(self.id)
 
+    async def is_ended_by(self, message):
+        """Runs a request; whether it ended this target."""
+        poison = POISON.search(message.first)
+        if not poison:
+            return False
+        await asyncio.sleep(BEGIN_S)
+        if self.mode != "gone":
+            now = asyncio.get_running_loop().time()
+            self.log.poison_ends[poison[0]].append(now)
+            self.log.end_target(self)
+        return True
+
     def note_end(self, request, writer):
         """Notes that work ends, where whoever asked still waits for it."""
         if not writer.is_closing() and not writer.has_ended():
@@ -90,6 +107,8 @@
         if message.field("authorization"):
             self.log.fault(f"{request}: the key was passed on")
         self.run(request)
+        if await self.is_ended_by(message):
+            return
         await asyncio.sleep(SLOW_S if self.mode == "slow" else 0.005)
         self.note_end(request, writer)
         if self.mode == "lost":
@@ -132,6 +151,8 @@
             writer.write(wire.answer(409, X_Mangofold_Not_Executed="1"))
             return
         self.run(request)
+        if await self.is_ended_by(message):
+            return
         first = int(message.field("last-event-id") or 0) + 1
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
                 "Transfer-Encoding: chunked"]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,6 +9,7 @@
 from targets import Engine, Log, Plain, Stage
 
 SERVICES = {"desk": Plain, "models": Engine, "encode": Stage, "rank": Stage}
+BACK_S = 0.2  # After its entry has gone, until another takes its place.
 BEAT_S = 0.4  # A silent target's entry goes after three of these.
 
 
@@ -54,11 +55,13 @@
         self.store = Store()
         self.store_address = f"127.0.0.1:{base}"
         self.log = Log()
+        self.log.end_target = self.end_by_itself
         self.targets = []
         self.proxies = {}  # Of targets, by their listed address.
         self.version = 1
         self.more_routes = 0
         self._next_port = base + 1
+        self._crashes = set()
 
     def port(self):
         self._next_port += 1
@@ -117,6 +120,13 @@
         await asyncio.sleep(down_s)
         await self.add(one.service, one.zone, one.address)
 
+    def end_by_itself(self, one):
+        """Ends a target because of what it ran; it is back soon."""
+        one.mode = "gone"
+        task = asyncio.create_task(self.crash(one, BACK_S))
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
+
     async def replace(self, one, leaving):
         """Empties a target as planned, after another has come."""
         await self.add(one.service, one.zone)
