Quarantine: a request that ends its targets is kept from the others

What callers saw: targets of a service gone one after the other, 16 to 18 engines within 12 s, each with the requests of others that ran there, and a 502 for each sending of one and the same request. Cause: what an entry learns from a send ends with the request's id. A request that is sent again is a new one to it, and one that another entry lost a target to was never seen at all. Its class: a failure is blamed on the target only, never on the request, so that every defence (set aside, choose another target) hands the request to the next target. Ruled out: resending by an entry (one send an id in the record, and it stays at max_targets); targets that end by themselves (in a run of our own the digest of account, path and body is the same at each end). Change: decision/target_ends holds which targets ended under which request, told from entry to entry with the questions they ask anyway: each end once a connection, and only while the two know different ones. decision/quarantine keeps a request from all targets once three runs of it, none beside another, ended theirs, for a minute, twice as long after each further end; then entries take turns to try it at one target. An end says nothing against a request that was served in the last ten seconds, where the target was leaving, had ended before the send, or answers later on an older connection; a run that goes well refutes all ends of its request. Callers get 503 and when to come back. Why it holds: what is known only grows and refuted stays refuted, so all entries come to know the same in any order; nothing is written anywhere.

--- a/packages/decision/entry_roster.cpp
+++ b/packages/decision/entry_roster.cpp
@@ -157,6 +157,16 @@
         .first->second;
 }
 
+seat entry_roster::seat_for(const std::string& matter) const
+{
+    const std::uint64_t own = election_rank(matter, m_own);
+    const auto before =
+        std::count_if(m_others.begin(), m_others.end(),
+                      [&](const auto& one)
+                      { return election_rank(matter, one.first) < own; });
+    return {static_cast<std::size_t>(before), size()};
+}
+
 bool entry_roster::is_gathering(const std::string& address) const
 {
     return std::any_of(m_services.begin(), m_services.end(),
--- a/packages/decision/entry_roster.hpp
+++ b/packages/decision/entry_roster.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/quarantine.hpp"
 #include "decision/random_source.hpp"
 #include "decision/time.hpp"
 
@@ -64,6 +65,10 @@
     std::vector<std::string> some(std::size_t known,
                                   random_source& random) const;
 
+    /// Returns the place of this entry in the order of all for \a matter. Each
+    /// matter has an order of its own, so that no entry is always the first.
+    seat seat_for(const std::string& matter) const;
+
     /// How one entry asks another whether it is there.
     struct watch
     {
--- a/packages/decision/piece_job.hpp
+++ b/packages/decision/piece_job.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/digest.hpp"
 #include "decision/time.hpp"
 
 #include <cstdint>
@@ -24,6 +25,7 @@
 {
     std::uint64_t number = 0; ///< Given by who gathers.
     std::string request;
+    digest content; ///< Of the request, see request_content.
     std::uint32_t stage = 0;
     std::uint32_t pieces = 1;
     std::string key;                 ///< Where the stage follows no other.
--- /dev/null
+++ b/packages/decision/quarantine.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "decision/target_ends.hpp"
+
+#include <functional>
+#include <set>
+#include <unordered_map>
+
+namespace mangofold::decision
+{
+
+/// The place of this entry among those that answer, for one matter.
+struct seat
+{
+    std::size_t place = 0; ///< From 0.
+    std::size_t of = 1;
+
+    friend bool operator==(const seat&, const seat&) = default;
+};
+
+/// Keeps a request under which several targets ended from the others, and lets
+/// one target try it from time to time.
+class quarantine
+{
+public:
+    /// Ends under a request after which it is kept from targets. Two happen to
+    /// a request that was there by chance, and was sent once more; a third
+    /// with none that went well before it hardly does.
+    static constexpr std::size_t most_ends = 3;
+
+    enum class admission : std::uint8_t
+    {
+        open,  ///< To any target.
+        apart, ///< Not to where another request in doubt is in progress.
+        trial, ///< The same, to see whether it still ends its target.
+        refused
+    };
+
+    struct verdict
+    {
+        admission how = admission::open;
+        std::size_t ends = 0;  ///< That speak against it.
+        duration back_after{}; ///< When it may be tried next, if refused.
+
+        friend bool operator==(const verdict&, const verdict&) = default;
+    };
+
+    /// Returns what may be done with \a content now; \a own_seat is asked for
+    /// where it is a matter of whose turn a trial is.
+    verdict judge(const digest& content, instant now,
+                  const std::function<seat()>& own_seat) const;
+
+    /// Notes that \a one was lost with its target, as seen here. Returns
+    /// whether that speaks against the request.
+    bool note_end(const target_end& one, instant now);
+
+    /// Notes that a target ran \a content to its end. Returns how many ends
+    /// that refutes.
+    std::size_t note_served(const digest& content, instant now);
+
+    /// Notes that \a content, admitted apart or as a trial, was sent to
+    /// \a target, ...
+    void note_begun(const digest& content, const target_start& target);
+    /// ... and that it is no longer in progress there.
+    void note_over(const digest& content, const target_start& target);
+
+    /// Returns the targets where requests in doubt other than \a content are
+    /// in progress.
+    std::set<target_start> occupied(const digest& content) const;
+
+    /// Forgets what is too old.
+    void expire(instant now);
+
+    target_ends& ends() { return m_ends; }
+    const target_ends& ends() const { return m_ends; }
+
+private:
+    bool is_own_turn(duration since, const seat& own) const;
+    bool was_served_lately(const digest& content, instant now) const;
+
+    target_ends m_ends;
+    std::unordered_map<digest, instant, digest_hash> m_served;
+    std::unordered_map<digest, std::multiset<target_start>, digest_hash>
+        m_in_progress;
+};
+
+} // namespace mangofold::decision
--- a/packages/decision/target_directory.cpp
+++ b/packages/decision/target_directory.cpp
@@ -218,6 +218,12 @@
     return &found->second.value;
 }
 
+bool target_directory::is_leaving(const target_start& start) const
+{
+    const auto found = m_records.find(start.id);
+    return found != m_records.end() && found->second.left == start;
+}
+
 std::vector<listed_target> target_directory::all() const
 {
     std::vector<listed_target> found;
--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -91,6 +91,9 @@
     /// or nothing.
     const listed_target* find(const target_start& start) const;
 
+    /// Whether the target that began with \a start was seen leaving.
+    bool is_leaving(const target_start& start) const;
+
     /// Returns everything known, removed targets with their revision only.
     std::vector<listed_target> all() const;
 
--- /dev/null
+++ b/packages/decision/target_ends.cpp
@@ -0,0 +1,229 @@
+#include "decision/target_ends.hpp"
+
+#include "decision/election.hpp"
+
+#include <algorithm>
+
+namespace mangofold::decision
+{
+
+namespace
+{
+
+/// What is nearly forgotten is not told any more, or entries that noticed an
+/// end at different moments would keep reminding each other of it.
+constexpr duration untold_time = std::chrono::minutes(1);
+
+/// A run counts as begun this long before its end at most. Before, it stood in
+/// its target's queue: what ends a target does so soon after it has begun.
+/// Targets that all end at one moment are then one occasion, however many
+/// copies of a request they ran, and ends further apart are not.
+constexpr duration longest_run = std::chrono::milliseconds(500);
+
+/// Bytes that a target sent before it ended can be read later than its end is
+/// noticed, on another connection: by a turn of a loop that is behind.
+constexpr duration late_bytes = std::chrono::milliseconds(250);
+
+/// The part that is forgotten at once where there are too many.
+constexpr std::size_t forgotten_part = 8;
+
+std::uint64_t rank_of(const target_end& one)
+{
+    return election_rank(
+        to_text(one.content) + one.target.id,
+        std::to_string(one.target.born * 2 + (one.is_refuted ? 1 : 0)));
+}
+
+} // namespace
+
+void target_ends::add(const target_end& one)
+{
+    m_by_change[++m_changes] = one;
+    m_by_content[one.content][one.target] = m_changes;
+    m_by_target[one.target].contents.insert(one.content);
+    m_summary += rank_of(one);
+}
+
+void target_ends::remove(std::uint64_t change)
+{
+    const auto found = m_by_change.find(change);
+    const target_end one = found->second;
+    m_by_change.erase(found);
+    m_summary -= rank_of(one);
+    by_target& same = m_by_content[one.content];
+    same.erase(one.target);
+    if (same.empty())
+        m_by_content.erase(one.content);
+    auto& there = m_by_target[one.target].contents;
+    there.erase(one.content);
+    if (there.empty())
+        m_by_target.erase(one.target);
+}
+
+bool target_ends::refute(std::uint64_t change)
+{
+    target_end one = m_by_change.at(change);
+    if (one.is_refuted)
+        return false;
+    const instant alive_at = m_by_target[one.target].alive_at;
+    // Told again as news, so that it overtakes what was told before.
+    remove(change);
+    one.is_refuted = true;
+    add(one);
+    m_by_target[one.target].alive_at = alive_at;
+    return true;
+}
+
+bool target_ends::note(const target_end& one, instant now)
+{
+    if (now >= one.ended + lifetime)
+        return false;
+    const auto content = m_by_content.find(one.content);
+    if (content != m_by_content.end())
+    {
+        const auto known = content->second.find(one.target);
+        if (known != content->second.end())
+            return one.is_refuted && refute(known->second);
+    }
+    // Taken again, what was forgotten would push out what is newer.
+    else if (one.ended <= m_forgotten)
+        return false;
+    add(one);
+    if (m_by_change.size() > most)
+        make_room();
+    return true;
+}
+
+// Requests under which one target ended are many, mostly those that were there
+// by chance; those under which more did are what must not be forgotten. All
+// entries forget about the same ones, the oldest.
+void target_ends::make_room()
+{
+    std::vector<std::pair<std::pair<bool, instant>, std::uint64_t>> order;
+    for (const auto& [change, one] : m_by_change)
+        order.push_back(
+            {{m_by_content[one.content].size() > 1, one.ended}, change});
+    std::sort(order.begin(), order.end());
+    order.resize(most / forgotten_part);
+    for (const auto& [key, change] : order)
+    {
+        if (!key.first)
+            m_forgotten = std::max(m_forgotten, key.second);
+        remove(change);
+    }
+}
+
+std::size_t target_ends::note_survived(const digest& content)
+{
+    const auto found = m_by_content.find(content);
+    if (found == m_by_content.end())
+        return 0;
+    std::vector<std::uint64_t> changes;
+    for (const auto& [target, change] : found->second)
+        changes.push_back(change);
+    return static_cast<std::size_t>(
+        std::count_if(changes.begin(), changes.end(),
+                      [this](std::uint64_t one) { return refute(one); }));
+}
+
+std::size_t target_ends::note_alive(const target_start& target, instant opened,
+                                    instant now)
+{
+    const auto found = m_by_target.find(target);
+    if (found == m_by_target.end())
+        return 0;
+    found->second.alive_at = now;
+    std::vector<std::uint64_t> changes;
+    for (const digest& content : found->second.contents)
+    {
+        const std::uint64_t change = m_by_content[content][target];
+        const instant ended = m_by_change[change].ended;
+        if (opened < ended && now >= ended + late_bytes)
+            changes.push_back(change);
+    }
+    return static_cast<std::size_t>(
+        std::count_if(changes.begin(), changes.end(),
+                      [this](std::uint64_t one) { return refute(one); }));
+}
+
+bool target_ends::has_ended(const target_start& target, instant then) const
+{
+    const auto found = m_by_target.find(target);
+    if (found == m_by_target.end())
+        return false;
+    const suspects& known = found->second;
+    return std::any_of(known.contents.begin(), known.contents.end(),
+                       [&](const digest& content)
+                       {
+                           const target_end& one = m_by_change.at(
+                               m_by_content.at(content).at(target));
+                           return !one.is_refuted && one.ended <= then &&
+                                  one.ended >= known.alive_at;
+                       });
+}
+
+target_ends::finding target_ends::against(const digest& content) const
+{
+    finding made;
+    const auto found = m_by_content.find(content);
+    if (found == m_by_content.end())
+        return made;
+    std::vector<const target_end*> ends;
+    for (const auto& [target, change] : found->second)
+    {
+        const target_end& one = m_by_change.at(change);
+        if (one.is_refuted)
+            continue;
+        ends.push_back(&one);
+        made.targets.push_back(target);
+    }
+    std::sort(ends.begin(), ends.end(),
+              [](const target_end* left, const target_end* right)
+              { return left->ended < right->ended; });
+    for (const target_end* one : ends)
+    {
+        const instant began = std::max(one->began, one->ended - longest_run);
+        if (made.ends > 0 && began < made.last)
+            continue;
+        ++made.ends;
+        made.last = one->ended;
+    }
+    if (!ends.empty())
+        made.last = ends.back()->ended;
+    return made;
+}
+
+std::size_t target_ends::contents_with(std::size_t ends) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_by_content.begin(), m_by_content.end(),
+        [&](const auto& one) {
+            return one.second.size() >= ends && against(one.first).ends >= ends;
+        }));
+}
+
+std::vector<target_end> target_ends::since(std::uint64_t& told,
+                                           std::size_t count, instant now) const
+{
+    std::vector<target_end> news;
+    for (auto one = m_by_change.upper_bound(told);
+         one != m_by_change.end() && news.size() < count; ++one)
+    {
+        told = one->first;
+        if (now < one->second.ended + lifetime - untold_time)
+            news.push_back(one->second);
+    }
+    return news;
+}
+
+void target_ends::expire(instant now)
+{
+    std::vector<std::uint64_t> old;
+    for (const auto& [change, one] : m_by_change)
+        if (now >= one.ended + lifetime)
+            old.push_back(change);
+    for (const std::uint64_t one : old)
+        remove(one);
+}
+
+} // namespace mangofold::decision
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -3,6 +3,7 @@
 #include "catalog/catalog_index.hpp"
 #include "decision/engine_choice.hpp"
 #include "decision/moving_mean.hpp"
+#include "decision/quarantine.hpp"
 #include "decision/random_source.hpp"
 #include "decision/retry_budget.hpp"
 #include "decision/target_directory.hpp"
@@ -15,6 +16,7 @@
 #include "serving/piece_maker.hpp"
 #include "serving/target_links.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -63,6 +65,10 @@
     target_links links;
     decision::target_standing standing;
     decision::engine_choice engines;
+    decision::quarantine quarantine;
+    /// The place of this entry among all for a matter; alone where unset.
+    std::function<decision::seat(const std::string&)> seat_for =
+        [](const std::string&) { return decision::seat(); };
     decision::random_source random;
     /// What is known of the engines' answers to the requests of a route.
     struct stream_times
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -61,6 +61,8 @@
       m_signals(loop, SIGTERM, SIGINT)
 {
     m_context.pieces = &m_maker;
+    m_context.seat_for = [this](const std::string& matter)
+    { return m_mesh.seat_for(matter); };
 }
 
 status_server::reply entry_process::answer_status(const std::string& path) const
@@ -124,9 +126,22 @@
         m_context.links.drop_old();
         // A watch can wait for seconds, which a target that is gone must not.
         m_context.directory.expire(m_context.now());
+        note_quarantine();
     }
 }
 
+void entry_process::note_quarantine()
+{
+    m_context.quarantine.expire(m_context.now());
+    const decision::target_ends& ends = m_context.quarantine.ends();
+    const std::size_t kept_away =
+        ends.contents_with(decision::quarantine::most_ends);
+    m_context.metrics.set_gauge({"contents_in_quarantine", {}},
+                                static_cast<double>(kept_away));
+    m_context.metrics.set_gauge({"target_ends_known", {}},
+                                static_cast<double>(ends.size()));
+}
+
 awaitable<void> entry_process::write_logs()
 {
     loop_timer timer(m_context.loop);
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -34,6 +34,7 @@
     awaitable<void> tidy();
     awaitable<void> write_logs();
     void note_turn();
+    void note_quarantine();
     status_server::reply answer_status(const std::string& path) const;
 
     entry_context m_context;
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/exchange.hpp"
 
 #include "decision/request_content.hpp"
+#include "serving/target_losses.hpp"
 
 #include <algorithm>
 
@@ -97,6 +98,8 @@
     {
         if (m_session->has_left_unseen())
             co_return;
+        if (is_quarantined())
+            co_return;
         if (has_stages && !m_stages)
         {
             const bool are_made = co_await make_stages();
@@ -113,16 +116,44 @@
     }
 }
 
-const decision::listed_target* exchange::choose_target()
+const decision::listed_target*
+exchange::choose_among(const std::set<decision::target_start>& tried)
 {
     const auto& candidates = m_context.directory.serving(m_service);
     const instant now = m_context.now();
     if (is_engine())
-        return m_context.engines.choose(candidates, m_tried, generation(),
+        return m_context.engines.choose(candidates, tried, generation(),
                                         m_context.settings.zone, now);
-    return m_context.standing.choose(candidates, m_tried,
-                                     m_context.settings.zone, now,
-                                     m_route->is_repeatable);
+    return m_context.standing.choose(candidates, tried, m_context.settings.zone,
+                                     now, m_route->is_repeatable);
+}
+
+const decision::listed_target* exchange::choose_target()
+{
+    if (m_verdict.how == decision::quarantine::admission::open)
+        return choose_among(m_tried);
+    std::set<decision::target_start> left_out =
+        m_context.quarantine.occupied(content());
+    left_out.insert(m_tried.begin(), m_tried.end());
+    const auto* apart = choose_among(left_out);
+    return apart != nullptr ? apart : choose_among(m_tried);
+}
+
+// A request that ends each target that begins it is known by its content: its
+// callers send it again and again, under new ids and to other entries. Sent on
+// as if it had never come, it took down nearly all targets of a service within
+// seconds, with all that ran there.
+bool exchange::is_quarantined()
+{
+    if (m_context.quarantine.ends().is_empty())
+        return false;
+    m_verdict = m_context.quarantine.judge(
+        content(), m_context.now(),
+        [this] { return m_context.seat_for(to_text(content())); });
+    if (m_verdict.how != decision::quarantine::admission::refused)
+        return false;
+    m_refusal = refusal::quarantined;
+    return true;
 }
 
 send_marks exchange::marks_for(const decision::listed_target& target)
@@ -160,6 +191,8 @@
     m_tried.insert(target);
     m_last_target = target;
     m_sends->note_sent();
+    if (m_verdict.how != decision::quarantine::admission::open)
+        m_context.quarantine.note_begun(content(), target);
     if (is_engine())
         m_tokens_ahead =
             m_context.engines.note_sent(target, generation(), m_context.now());
@@ -171,6 +204,8 @@
 
 void exchange::note_ended(const decision::target_start& target)
 {
+    if (m_verdict.how != decision::quarantine::admission::open)
+        m_context.quarantine.note_over(content(), target);
     if (!is_engine())
         return;
     if (!m_is_first_read)
@@ -186,7 +221,7 @@
         co_return attempt_end::given_up;
     }
     const bool is_retry = m_sends->sends() > 0;
-    if (!m_sends->may_send())
+    if (!m_sends->may_send() || is_quarantined())
         co_return attempt_end::given_up;
     if (is_retry && !m_context.retries_of(m_service).take())
     {
@@ -217,6 +252,8 @@
     const instant began = m_context.now();
     m_sent_at = began;
     const auto begun = co_await m_call->begin(sent, m_facts.id, patience());
+    if (begun == target_call::state::good)
+        note_alive(m_context, id, m_call->opened_at());
     attempt_end end = attempt_end::given_up;
     if (m_session->has_left())
     {
@@ -267,6 +304,8 @@
         break;
     default:
         m_refusal = refusal::target_lost;
+        note_target_end(m_context, {content(), target, m_sent_at, now, false},
+                        m_facts.id);
     }
     m_context.count("attempts_failed", "why", to_string(m_refusal));
     log_lost(target);
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -37,7 +37,8 @@
     target_lost,
     target_silent,
     answer_spoiled,
-    stopping
+    stopping,
+    quarantined
 };
 
 std::string_view to_string(refusal value);
@@ -79,14 +80,18 @@
     awaitable<bool> send_events(target_call& call, std::string events);
     attempt_end failed(target_call::state how,
                        const decision::target_start& target);
+    bool is_quarantined();
     attempt_end not_run(const target_call& call);
     const decision::listed_target* choose_target();
+    const decision::listed_target*
+    choose_among(const std::set<decision::target_start>& tried);
     send_marks marks_for(const decision::listed_target& target);
     duration patience() const;
     void note_begun(const decision::target_start& target);
     void note_ended(const decision::target_start& target);
     awaitable<void> refuse();
     unsigned refusal_status() const;
+    std::string back_after() const;
     void log_end(unsigned status) const;
     void log_answer() const;
     void log_lost(const decision::target_start& target) const;
@@ -110,6 +115,7 @@
     refusal m_refusal = refusal::none;
     std::optional<decision::sending_record> m_sends;
     std::set<decision::target_start> m_tried;
+    decision::quarantine::verdict m_verdict;
     std::unique_ptr<stage_runner> m_stages;
     std::shared_ptr<target_call> m_call;
     std::optional<std::uint64_t> m_last_event;
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -1,6 +1,7 @@
 #include "serving/exchange.hpp"
 
 #include "serving/event_stream.hpp"
+#include "serving/target_losses.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -79,6 +80,8 @@
         co_return attempt_end::given_up;
     }
     m_context.count("requests_answered", "status", std::to_string(status));
+    if (is_success(status))
+        note_served(m_context, content());
     m_first_at = m_context.now();
     const std::string body = call.take_body();
     co_await m_session->send_answer(
@@ -153,7 +156,9 @@
             call.abort();
             co_return attempt_end::given_up;
         }
-        if (got != target_call::state::good)
+        if (got == target_call::state::good)
+            note_alive(m_context, call.target().start, call.opened_at());
+        else
         {
             const auto end = failed(got, call.target().start);
             // What was released must be made again before it can go on.
@@ -169,6 +174,7 @@
                                  : attempt_end::try_again;
     }
     m_context.count("requests_answered", "status", "200");
+    note_served(m_context, content());
     if (m_sends->sends() == 1)
         m_context.streams[m_route->name].rest.add(m_context.now() - m_first_at);
     if (!co_await m_session->send("0\r\n\r\n"))
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace mangofold::serving
 {
@@ -14,11 +15,11 @@
 /// at most a third of the time they have left.
 constexpr double back_share = 0.3;
 
-constexpr std::array<std::string_view, 15> refusal_names{
+constexpr std::array<std::string_view, 16> refusal_names{
     "none",          "malformed",      "no_catalog",    "no_route",
     "unknown_key",   "no_target",      "targets_full",  "too_late",
     "stages_late",   "stages_failed",  "retries_spent", "target_lost",
-    "target_silent", "answer_spoiled", "stopping"};
+    "target_silent", "answer_spoiled", "stopping",      "quarantined"};
 
 } // namespace
 
@@ -49,6 +50,22 @@
     return is_silence ? 504 : 502;
 }
 
+// One that ends targets is told when it may be tried again: any sooner it is
+// refused again. All others come back as soon as a place may be free.
+std::string exchange::back_after() const
+{
+    using seconds = std::chrono::duration<double>;
+    if (m_refusal == refusal::quarantined)
+        return std::to_string(static_cast<std::uint64_t>(
+            std::ceil(seconds(m_verdict.back_after).count())));
+    const double left_s =
+        seconds(m_facts.budget ? *m_facts.budget - (m_context.now() - m_began)
+                               : std::chrono::seconds(3))
+            .count();
+    const double back = std::clamp(left_s * back_share, 0.05, 1.0);
+    return std::to_string(back).substr(0, 5);
+}
+
 awaitable<void> exchange::refuse()
 {
     if (m_is_head_sent)
@@ -65,15 +82,7 @@
         for (const auto& one : m_context.speech.echo(m_facts.id))
             fields.set(one.name_string(), one.value());
     if (status == 503)
-    {
-        const double left_s =
-            std::chrono::duration<double>(
-                m_facts.budget ? *m_facts.budget - (m_context.now() - m_began)
-                               : std::chrono::seconds(3))
-                .count();
-        const double back = std::clamp(left_s * back_share, 0.05, 1.0);
-        fields.set(http::field::retry_after, std::to_string(back).substr(0, 5));
-    }
+        fields.set(http::field::retry_after, back_after());
     log_end(status);
     m_context.count("requests_refused", "why", to_string(m_refusal));
     co_await m_session->send_answer(
@@ -119,8 +128,8 @@
 
 void exchange::log_end(unsigned status) const
 {
-    runtime::event("request_refused")
-        .with("request", m_facts.id)
+    runtime::event line("request_refused");
+    line.with("request", m_facts.id)
         .with("why", to_string(m_refusal))
         .with("status", status)
         .with("route", m_route == nullptr ? "" : m_route->name)
@@ -128,8 +137,10 @@
         .with("sends", m_sends ? m_sends->sends() : 0)
         .with("left_ms", static_cast<std::uint64_t>(std::max<std::int64_t>(
                              0, left().count() / 1000000)))
-        .with("catalog", m_catalog ? m_catalog->version() : 0)
-        .info();
+        .with("catalog", m_catalog ? m_catalog->version() : 0);
+    if (m_refusal == refusal::quarantined)
+        line.with("content", to_text(content())).with("ends", m_verdict.ends);
+    line.info();
 }
 
 } // namespace mangofold::serving
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -62,7 +62,7 @@
     {
         drop_stages();
         m_stages = std::make_unique<stage_runner>(
-            m_context, *m_route, m_facts, likely_zone(), yields(),
+            m_context, *m_route, m_facts, content(), likely_zone(), yields(),
             m_began + m_route->aim - engine.first.above(1),
             stages_end() - engine.first.mean());
         end = co_await m_stages->run();
@@ -74,6 +74,8 @@
         // A result that went with its maker is made again, from the start.
         if (end == decision::job_end::late)
             break;
+        if (is_quarantined())
+            co_return false;
     }
     const bool is_late = end == decision::job_end::late;
     m_context.count("stages_ended", "how", is_late ? "late" : "failed");
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/event.hpp"
 #include "serving/target_call.hpp"
+#include "serving/target_losses.hpp"
 
 namespace mangofold::serving
 {
@@ -169,6 +170,7 @@
     if (got == target_call::state::good && sent->head().result_int() == ok)
     {
         one.planner.call_done(plan, now - began, now);
+        note_alive(m_context, plan.target, sent->opened_at());
         try
         {
             take_results(one, plan,
@@ -192,6 +194,8 @@
         else
             one.planner.call_lost(plan, now);
         m_context.count("calls_failed", "why", is_full ? "full" : "lost");
+        if (got == target_call::state::broken)
+            note_target_ends(one, plan, began);
         if (!is_full && !is_unsent)
             runtime::event("call_lost")
                 .with("service", service)
--- a/packages/serving/gatherer.hpp
+++ b/packages/serving/gatherer.hpp
@@ -101,6 +101,8 @@
                         decision::job_end end);
     void let_go(line& one, const std::string& handle);
     static void lose(line& one, const decision::planned_call& plan);
+    void note_target_ends(const line& one, const decision::planned_call& plan,
+                          instant began);
     static void put_back(line& one, const decision::planned_call& plan);
     void end_job(const std::string& service, line& one, std::uint64_t number,
                  decision::job_end end, std::vector<std::string> handles,
--- a/packages/serving/gatherer_results.cpp
+++ b/packages/serving/gatherer_results.cpp
@@ -1,5 +1,6 @@
 #include "runtime/event.hpp"
 #include "serving/gatherer.hpp"
+#include "serving/target_losses.hpp"
 
 namespace mangofold::serving
 {
@@ -76,6 +77,23 @@
         one.planner.piece_lost(ref);
 }
 
+void gatherer::note_target_ends(const line& one,
+                                const decision::planned_call& plan,
+                                instant began)
+{
+    std::uint64_t last = 0;
+    for (const decision::piece_ref& ref : plan.pieces)
+    {
+        const decision::piece_job* job = one.planner.find(ref.job);
+        if (job == nullptr || ref.job == std::exchange(last, ref.job))
+            continue;
+        note_target_end(
+            m_context,
+            {job->content, plan.target, began, m_context.now(), false},
+            job->request);
+    }
+}
+
 void gatherer::lose(line& one, const decision::planned_call& plan)
 {
     std::uint64_t last = 0;
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -37,7 +37,8 @@
 peer_link::peer_link(entry_context& context, peer_listener& listener,
                      std::string address)
     : m_context(context), m_listener(listener), m_address(std::move(address)),
-      m_connect_time(first_connect_time), m_watch_now(context.loop)
+      m_connect_time(first_connect_time), m_watch_now(context.loop),
+      m_news(context)
 {
 }
 
@@ -64,6 +65,7 @@
         co_return false;
     m_connect_time = first_connect_time;
     m_socket = std::make_shared<frame_socket>(std::move(*socket));
+    m_news.begin_anew();
     peer::Frame hello;
     hello.mutable_hello()->set_address(m_context.settings.announced.text());
     m_socket->send(hello);
@@ -134,6 +136,7 @@
     {
         peer::Frame frame;
         *frame.mutable_ping()->mutable_holding() = m_listener.holding();
+        m_news.write(*frame.mutable_ping()->mutable_news());
         socket->send(frame);
         const instant asked_at = m_context.now();
         const auto watch = m_listener.watch_of(m_address, !m_asked.empty());
@@ -182,6 +185,8 @@
         return m_listener.note_declined(m_address);
     case peer::Frame::kTargets:
         return m_listener.take_targets(m_address, frame.targets());
+    case peer::Frame::kEnds:
+        return take_ends(m_context, frame.ends(), m_address);
     case peer::Frame::kJobEnd:
     {
         const auto asked = m_asked.find(frame.job_end().number());
@@ -212,6 +217,9 @@
     if (!m_is_alive)
         runtime::event("entry_found").with("entry", m_address).info();
     m_is_alive = true;
+    take_ends(m_context, pong.news(), m_address);
+    m_news.note_theirs(pong.holding().ends_summary());
+    tell_ends();
     const peer::Want want = m_listener.note_holding(m_address, pong.holding());
     if (!want.catalog() && !want.targets())
         return;
@@ -221,6 +229,15 @@
     m_socket->send(ask);
 }
 
+// What the other entry lacks goes at once, not with the next question, which
+// may be seconds away in a large fleet.
+void peer_link::tell_ends()
+{
+    peer::Frame frame;
+    if (m_news.write(*frame.mutable_ends()))
+        m_socket->send(frame);
+}
+
 void peer_link::take_part(const peer::CatalogPart& part)
 {
     m_listener.note_catalog_part(m_address);
--- a/packages/serving/peer_link.hpp
+++ b/packages/serving/peer_link.hpp
@@ -5,6 +5,7 @@
 #include "serving/entry_context.hpp"
 #include "serving/frame_socket.hpp"
 #include "serving/piece_maker.hpp"
+#include "serving/target_losses.hpp"
 
 #include <functional>
 #include <map>
@@ -87,6 +88,7 @@
     awaitable<void> listen();
     void take(const peer::Frame& frame);
     void take_pong(const peer::Pong& pong);
+    void tell_ends();
     void take_part(const peer::CatalogPart& part);
     void drop_unwanted();
     bool may_be_back(instant began) const;
@@ -106,6 +108,7 @@
     signal_point m_watch_now; ///< It was given work.
     bool m_is_closed = false;
     catalog_collector m_catalog;
+    end_news m_news; ///< On the present connection.
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -84,6 +84,7 @@
     own.set_is_settled(is_settled());
     own.set_known(static_cast<std::uint32_t>(m_roster.size()));
     own.set_is_stopping(m_context.is_stopping);
+    own.set_ends_summary(m_context.quarantine.ends().summary());
     for (const auto& [service, said] : m_gatherer.waits())
     {
         peer::Backlog& one = *own.add_backlogs();
--- a/packages/serving/peer_mesh.hpp
+++ b/packages/serving/peer_mesh.hpp
@@ -36,6 +36,12 @@
     /// Whether this entry has seen enough of the others to say who gathers.
     bool is_settled() const { return m_roster.is_settled(m_context.now()); }
 
+    /// Returns the place of this entry among all for \a matter.
+    decision::seat seat_for(const std::string& matter) const
+    {
+        return m_roster.seat_for(matter);
+    }
+
     /// Notes that this entry is about to end.
     void set_stopping() { m_roster.set_stopping(); }
 
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/address.hpp"
 
+#include <algorithm>
+
 namespace mangofold::serving
 {
 
@@ -13,6 +15,8 @@
     message.set_number(job.number);
     message.set_service(service);
     message.set_request(job.request);
+    message.set_content_high(job.content.high);
+    message.set_content_low(job.content.low);
     message.set_stage(job.stage);
     message.set_pieces(job.pieces);
     message.set_key(job.key);
@@ -39,6 +43,7 @@
 {
     decision::piece_job job;
     job.request = message.request();
+    job.content = {message.content_high(), message.content_low()};
     job.stage = message.stage();
     job.pieces = message.pieces();
     job.key = message.key();
@@ -56,6 +61,30 @@
     return job;
 }
 
+void write_end(const decision::target_end& one, instant now,
+               peer::TargetEnd& message)
+{
+    message.set_content_high(one.content.high);
+    message.set_content_low(one.content.low);
+    message.set_target(one.target.id);
+    message.set_born(one.target.born);
+    message.set_began_ago_ns((now - one.began).count());
+    message.set_ended_ago_ns((now - one.ended).count());
+    message.set_is_refuted(one.is_refuted);
+}
+
+decision::target_end end_of(const peer::TargetEnd& message, instant now)
+{
+    // One that another entry says is still to come would never be forgotten.
+    const duration ended(std::max<std::int64_t>(0, message.ended_ago_ns()));
+    const duration began(message.began_ago_ns());
+    return {{message.content_high(), message.content_low()},
+            {message.target(), message.born()},
+            now - std::max(began, ended),
+            now - ended,
+            message.is_refuted()};
+}
+
 peer::Frame job_end_frame(std::uint64_t number, const piece_outcome& outcome)
 {
     peer::Frame frame;
--- a/packages/serving/peer_messages.hpp
+++ b/packages/serving/peer_messages.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/piece_job.hpp"
 #include "decision/target_directory.hpp"
+#include "decision/target_end.hpp"
 #include "peer.pb.h"
 #include "serving/asio.hpp"
 #include "serving/frame_socket.hpp"
@@ -18,6 +19,11 @@
                       const decision::piece_job& job, instant now);
 decision::piece_job job_of(const peer::Job& message, instant now);
 
+/// The same of an end of a target.
+void write_end(const decision::target_end& one, instant now,
+               peer::TargetEnd& message);
+decision::target_end end_of(const peer::TargetEnd& message, instant now);
+
 peer::Frame job_end_frame(std::uint64_t number, const piece_outcome& outcome);
 piece_outcome outcome_of(const peer::JobEnd& message);
 
--- a/packages/serving/peer_server.cpp
+++ b/packages/serving/peer_server.cpp
@@ -39,29 +39,42 @@
 
 awaitable<void> peer_server::serve(frame_socket_ptr socket)
 {
-    asked_jobs asked;
+    const auto one = std::make_shared<asker>(m_context, socket);
     while (auto frame = co_await socket->read())
-        take(*frame, socket, asked);
-    for (auto& [number, is_wanted] : asked)
+        take(*frame, one);
+    for (auto& [number, is_wanted] : one->jobs)
         *is_wanted = false;
 }
 
-void peer_server::take(const peer::Frame& frame, const frame_socket_ptr& socket,
-                       asked_jobs& asked)
+void peer_server::take_ping(const peer::Ping& ping, asker& from)
 {
+    take_ends(m_context, ping.news(), from.address);
+    from.news.note_theirs(ping.holding().ends_summary());
     peer::Frame reply;
+    *reply.mutable_pong()->mutable_holding() =
+        m_holding(ping.holding().known());
+    from.news.write(*reply.mutable_pong()->mutable_news());
+    from.socket->send(reply);
+}
+
+void peer_server::take(const peer::Frame& frame,
+                       const std::shared_ptr<asker>& from)
+{
+    const frame_socket_ptr& socket = from->socket;
+    asked_jobs& asked = from->jobs;
     switch (frame.content_case())
     {
     case peer::Frame::kHello:
-        return m_arrived(frame.hello().address());
+        from->address = frame.hello().address();
+        return m_arrived(from->address);
     case peer::Frame::kPing:
-        *reply.mutable_pong()->mutable_holding() =
-            m_holding(frame.ping().holding().known());
-        return socket->send(reply);
+        return take_ping(frame.ping(), *from);
+    case peer::Frame::kEnds:
+        return take_ends(m_context, frame.ends(), from->address);
     case peer::Frame::kWant:
         return take_want(frame.want(), socket);
     case peer::Frame::kJob:
-        return take_job(frame.job(), socket, asked);
+        return take_job(frame.job(), from);
     case peer::Frame::kJobDropped:
     {
         const auto found = asked.find(frame.job_dropped().number());
@@ -121,20 +134,29 @@
 }
 
 void peer_server::take_job(const peer::Job& message,
-                           const frame_socket_ptr& socket, asked_jobs& asked)
+                           const std::shared_ptr<asker>& from)
 {
+    const frame_socket_ptr& socket = from->socket;
+    asked_jobs& asked = from->jobs;
     std::erase_if(asked, [](const auto& one) { return !*one.second; });
     const auto is_wanted = std::make_shared<bool>(true);
     asked[message.number()] = is_wanted;
     m_gatherer.add(
         message.service(), job_of(message, m_context.now()),
-        [socket, is_wanted, number = message.number()](piece_outcome outcome)
+        [from, is_wanted, number = message.number()](piece_outcome outcome)
         {
-            const bool is_taken = *is_wanted && socket->is_open();
+            const bool is_taken = *is_wanted && from->socket->is_open();
             *is_wanted = false;
-            if (is_taken)
-                socket->send(job_end_frame(number, outcome));
-            return is_taken;
+            if (!is_taken)
+                return false;
+            // Targets may have ended under it: whoever asked must know before
+            // it asks again.
+            peer::Frame news;
+            if (outcome.end == decision::job_end::failed &&
+                from->news.write(*news.mutable_ends()))
+                from->socket->send(news);
+            from->socket->send(job_end_frame(number, outcome));
+            return true;
         },
         [is_wanted] { return *is_wanted; },
         [socket, number = message.number()]
--- a/packages/serving/peer_server.hpp
+++ b/packages/serving/peer_server.hpp
@@ -3,6 +3,7 @@
 #include "serving/entry_context.hpp"
 #include "serving/frame_socket.hpp"
 #include "serving/gatherer.hpp"
+#include "serving/target_losses.hpp"
 
 #include <functional>
 #include <map>
@@ -34,13 +35,26 @@
     /// it still wants it.
     using asked_jobs = std::map<std::uint64_t, std::shared_ptr<bool>>;
 
+    /// One connected entry.
+    struct asker
+    {
+        asker(entry_context& context, frame_socket_ptr its_socket)
+            : socket(std::move(its_socket)), news(context)
+        {
+        }
+
+        frame_socket_ptr socket;
+        std::string address; ///< As it says; empty before it does.
+        asked_jobs jobs;
+        end_news news;
+    };
+
     awaitable<void> serve(frame_socket_ptr socket);
-    void take(const peer::Frame& frame, const frame_socket_ptr& socket,
-              asked_jobs& asked);
+    void take(const peer::Frame& frame, const std::shared_ptr<asker>& from);
+    void take_ping(const peer::Ping& ping, asker& from);
     void take_want(const peer::Want& want, const frame_socket_ptr& socket);
     bool admits_copy(const frame_socket_ptr& socket);
-    void take_job(const peer::Job& message, const frame_socket_ptr& socket,
-                  asked_jobs& asked);
+    void take_job(const peer::Job& message, const std::shared_ptr<asker>& from);
 
     entry_context& m_context;
     gatherer& m_gatherer;
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -15,9 +15,10 @@
 } // namespace
 
 stage_runner::stage_runner(entry_context& context, const catalog::route& route,
-                           const request_facts& facts, std::string zone,
+                           const request_facts& facts,
+                           const decision::digest& content, std::string zone,
                            duration yields, instant due, instant expires)
-    : m_context(context), m_route(route), m_facts(facts),
+    : m_context(context), m_route(route), m_facts(facts), m_content(content),
       m_zone(std::move(zone)), m_yields(yields), m_due(due), m_expires(expires),
       m_changed(std::make_shared<signal_point>(context.loop)),
       m_states(route.stages.size())
@@ -129,6 +130,7 @@
     own.wait = std::make_shared<piece_wait>(m_changed);
     decision::piece_job job;
     job.request = m_facts.id;
+    job.content = m_content;
     job.stage = static_cast<std::uint32_t>(index);
     job.pieces = own.pieces;
     job.result_bytes = stage.result_bytes;
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -66,6 +66,12 @@
 
     const call_target& target() const { return m_target; }
 
+    /// Returns when its connection was made.
+    instant opened_at() const
+    {
+        return m_connection ? m_connection->opened_at : instant{};
+    }
+
 private:
     using parser = http::response_parser<http::string_body>;
 
--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -46,6 +46,7 @@
     void close();
     bool is_open() const { return m_socket.is_open(); }
 
+    instant opened_at{};    ///< It was asked for.
     instant usable_until{}; ///< Idle ones are not used after this.
 
 private:
--- a/packages/serving/target_links.hpp
+++ b/packages/serving/target_links.hpp
@@ -25,7 +25,9 @@
 
     connection_ptr make() const
     {
-        return std::make_shared<target_connection>(m_loop);
+        auto made = std::make_shared<target_connection>(m_loop);
+        made->opened_at = m_clock.now();
+        return made;
     }
 
     /// Keeps \a connection for \a idle_time.
--- /dev/null
+++ b/packages/serving/target_losses.cpp
@@ -0,0 +1,124 @@
+#include "serving/target_losses.hpp"
+
+#include "runtime/event.hpp"
+#include "serving/peer_messages.hpp"
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+/// Ends told at a time, 60 bytes each: 6 KB, behind which answers of callers
+/// wait on a link of 10 Mbit/s for 5 ms.
+constexpr std::size_t told_at_once = 100;
+
+constexpr std::size_t worth_a_line = 2;
+
+void log_quarantined(const decision::digest& content,
+                     const decision::target_ends::finding& found)
+{
+    std::string targets;
+    for (const decision::target_start& one : found.targets)
+        targets += (targets.empty() ? "" : ",") + one.id;
+    runtime::event("content_quarantined")
+        .with("content", to_text(content))
+        .with("ends", found.ends)
+        .with("targets", targets)
+        .warn();
+}
+
+/// Says in the log that \a one is known now, where it was seen here or speaks
+/// against a request of which more is known.
+void log_end(entry_context& context, const decision::target_end& one,
+             std::size_t ends_before, const std::string& request,
+             const std::string& from)
+{
+    const auto found = context.quarantine.ends().against(one.content);
+    if (!request.empty() || found.ends >= worth_a_line)
+        runtime::event("target_ended")
+            .with("target", one.target.id)
+            .with("born", one.target.born)
+            .with("content", to_text(one.content))
+            .with("request", request)
+            .with("from", from)
+            .with("refuted", one.is_refuted ? 1 : 0)
+            .with("ends", found.ends)
+            .warn();
+    if (ends_before >= decision::quarantine::most_ends ||
+        found.ends < decision::quarantine::most_ends)
+        return;
+    log_quarantined(one.content, found);
+    ++context.metrics.count({"contents_quarantined", ""});
+}
+
+void count_refuted(entry_context& context, std::size_t count,
+                   std::string_view why)
+{
+    if (count > 0)
+        context.metrics.count(
+            {"target_ends_refuted", runtime::label("why", why)}) += count;
+}
+
+} // namespace
+
+void note_target_end(entry_context& context, const decision::target_end& one,
+                     const std::string& request)
+{
+    if (context.directory.is_leaving(one.target))
+        return;
+    decision::quarantine& known = context.quarantine;
+    const std::size_t before = known.ends().against(one.content).ends;
+    if (!known.note_end(one, context.now()))
+        return;
+    ++context.metrics.count({"target_ends", ""});
+    log_end(context, one, before, request, "own");
+}
+
+void note_served(entry_context& context, const decision::digest& content)
+{
+    decision::quarantine& known = context.quarantine;
+    const std::size_t before = known.ends().against(content).ends;
+    count_refuted(context, known.note_served(content, context.now()), "served");
+    if (before >= worth_a_line)
+        runtime::event("content_served")
+            .with("content", to_text(content))
+            .with("ends_before", before)
+            .info();
+}
+
+void note_alive(entry_context& context, const decision::target_start& target,
+                instant opened)
+{
+    decision::target_ends& ends = context.quarantine.ends();
+    if (!ends.is_empty())
+        count_refuted(context, ends.note_alive(target, opened, context.now()),
+                      "alive");
+}
+
+void take_ends(entry_context& context, const peer::TargetEnds& message,
+               const std::string& from)
+{
+    decision::target_ends& ends = context.quarantine.ends();
+    for (const peer::TargetEnd& message_end : message.ends())
+    {
+        const decision::target_end one = end_of(message_end, context.now());
+        const std::size_t before = ends.against(one.content).ends;
+        if (ends.note(one, context.now()))
+            log_end(context, one, before, {}, from);
+    }
+}
+
+bool end_news::write(peer::TargetEnds& message)
+{
+    const decision::target_ends& ends = m_context.quarantine.ends();
+    if (m_theirs == ends.summary())
+        return false;
+    const instant now = m_context.now();
+    for (const decision::target_end& one :
+         ends.since(m_told, told_at_once, now))
+        write_end(one, now, *message.add_ends());
+    return message.ends_size() > 0;
+}
+
+} // namespace mangofold::serving
