--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -77,6 +77,8 @@
                     const std::string& handle, instant now);
     /// ... or to be made again.
     void piece_lost(const piece_ref& piece);
+    /// Notes that the target of \a call ended while it was made.
+    void note_target_ended(const planned_call& call);
     /// Notes that \a target had no room for a result.
     void no_room(const target_start& target, instant now);
 
--- a/packages/decision/call_planner_jobs.cpp
+++ b/packages/decision/call_planner_jobs.cpp
@@ -66,6 +66,8 @@
     ++m_waiting_pieces;
 }
 
+void call_planner::note_target_ended(const planned_call& /*call*/) {}
+
 void call_planner::released(const target_start& target,
                             const std::string& handle)
 {
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace mangofold;
 using namespace mangofold::decision;
 using namespace std::chrono_literals;
@@ -383,3 +385,49 @@
     made.set_targets({{{first->target.id == "t0" ? "t1" : "t0", 100}, "a"}});
     CHECK(made.waiting_pieces() == waiting);
 }
+
+// Requests lose their pieces to one that ends each target that begins it.
+// 1. Their pieces share a call with its own. 2. The target ends, and which of
+// them did it is not known. 3. Made again together, all of them lose again.
+TEST_CASE("pieces whose target ended are not all made together again")
+{
+    call_planner made = planner(2);
+    for (std::uint64_t one = 1; one <= 5; ++one)
+        made.add(job(one, 2, 1s));
+    const auto first = made.next_call(start);
+    REQUIRE(first);
+    REQUIRE(first->pieces.size() == 10);
+    const auto lose = [&made](const planned_call& call)
+    {
+        made.note_target_ended(call);
+        made.call_lost(call, start);
+        for (const piece_ref& one : call.pieces)
+            made.piece_lost(one);
+    };
+    lose(*first);
+    const auto half = made.next_call(start);
+    REQUIRE(half);
+    CHECK(half->pieces.size() <= 5);
+    lose(*half);
+    const instant later = start + 3s;
+    std::size_t alone = 0;
+    while (const auto call = made.next_call(later))
+    {
+        const auto holds = [&call](std::uint64_t number)
+        {
+            return std::any_of(call->pieces.begin(), call->pieces.end(),
+                               [number](const piece_ref& one)
+                               { return one.job == number; });
+        };
+        std::size_t twice = 0;
+        for (const piece_ref& one : half->pieces)
+            twice += holds(one.job) ? 1 : 0;
+        if (twice > 0)
+        {
+            CHECK(call->pieces.size() == 2);
+            ++alone;
+        }
+        make_all(made, *call, later);
+    }
+    CHECK(alone == 2);
+}
--- a/tests/serving/poison_request_test.cpp
+++ b/tests/serving/poison_request_test.cpp
@@ -66,6 +66,58 @@
     std::size_t asked = 0;
 };
 
+/// An entry before stage targets that end whenever a call holds a piece of a
+/// request whose id begins with "poison".
+struct poisoned_stage : serving_fixture
+{
+    poisoned_stage()
+    {
+        constexpr int targets = 4;
+        for (int one = 0; one < targets; ++one)
+            add();
+        add_target("events",
+                   [](const std::string& request, std::size_t)
+                   {
+                       return scripted_target::reaction{
+                           answer(id_of(request), "whole"), end::keep};
+                   });
+    }
+
+    void add()
+    {
+        const std::string name = "t" + std::to_string(++listed);
+        auto where = std::make_shared<std::string>();
+        const auto& target = add_target(
+            "pieces", [this, name, where](const std::string& call, std::size_t)
+            { return react(name, *where, call); });
+        *where = target.address();
+    }
+
+    scripted_target::reaction react(const std::string& name,
+                                    const std::string& where,
+                                    const std::string& call)
+    {
+        if (has(call, "/let-go"))
+            return {answer("", ""), end::keep};
+        const std::string body = call.substr(call.find("\r\n\r\n") + 4);
+        if (has(body, "poison"))
+        {
+            ++ended;
+            context->directory.note_gone(name, 100 + ended);
+            add();
+            return {"", end::reset};
+        }
+        std::string results;
+        for (std::size_t at = 0; at < body.size(); at = body.find('\n', at) + 1)
+            results += where + "/" + std::to_string(++made) + "\n";
+        return {answer("", results), end::keep};
+    }
+
+    std::size_t listed = 1; // The target of "events" is numbered too.
+    std::size_t ended = 0;
+    std::size_t made = 0;
+};
+
 constexpr std::size_t most_ended = 3;
 
 } // namespace
@@ -108,3 +160,37 @@
         CHECK(entry.ended <= most_ended);
     }
 }
+
+// Callers lose their requests to one that they never heard of.
+// 1. Its pieces share a call with those of seven others. 2. The target ends.
+// 3. All eight are made again, in one call, since they are due together, and
+// end the next one, until all have lost as many.
+TEST_CASE("a request that ends stage targets takes no others with it")
+{
+    poisoned_stage entry;
+    std::vector<std::shared_ptr<serving_fixture::caller>> callers;
+    for (const std::string id :
+         {"h1", "h2", "h3", "poison1", "h4", "h5", "h6", "h7"})
+    {
+        callers.push_back(entry.connect());
+        entry.send(*callers.back(),
+                   request("/staged/" + id, id, "Pieces: 11\r\n"));
+    }
+    for (int step = 0; step < 150; ++step)
+    {
+        entry.settle();
+        entry.time.advance(20ms);
+    }
+    CHECK(entry.ended <= most_ended);
+    for (const auto& one : callers)
+    {
+        CAPTURE(one->received);
+        CHECK(has(one->received, "Id: poison1") != has(one->received, " 200 "));
+    }
+    // It is known now, whatever the id.
+    const std::string again =
+        entry.ask(request("/staged/poison1", "poison2", "Pieces: 11\r\n"));
+    CHECK(has(again, " 503 "));
+    CHECK(has(again, "quarantined"));
+    CHECK(entry.ended <= most_ended);
+}
