--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -179,6 +179,29 @@
     return jobs;
 }
 
+// One request that ends its targets would take all others of its call with it,
+// again and again: they are due together, and so are made together again.
+// Those of a call whose target ended are made in two calls, and after a second
+// end each in one of its own, so that only the one that does it loses a third
+// time.
+bool call_planner::may_share(const job_state& one,
+                             const planned_call& call) const
+{
+    if (call.pieces.empty())
+        return true;
+    if (one.targets_ended > 1)
+        return false;
+    std::size_t in_doubt = one.targets_ended == 0 ? 0 : one.waiting.size();
+    for (const piece_ref& piece : call.pieces)
+    {
+        const std::uint32_t ended = m_jobs.at(piece.job).targets_ended;
+        if (ended > 1)
+            return false;
+        in_doubt += ended;
+    }
+    return in_doubt <= m_shape.most_pieces / 2;
+}
+
 void call_planner::fill(planned_call& call, stage_target& target, instant now,
                         const outlook& later)
 {
@@ -195,7 +218,8 @@
         if (space == 0 || (is_one_job && !call.pieces.empty()))
             break;
         const piece_job& job = state->job;
-        if (!job.is_begun && !later.may_begin(job, usual_call()))
+        if (!may_share(*state, call) ||
+            (!job.is_begun && !later.may_begin(job, usual_call())))
             continue;
         const std::uint64_t bytes = state->job.result_bytes;
         const std::uint64_t fits =
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -131,6 +131,7 @@
         piece_job job;
         std::vector<std::uint32_t> waiting; ///< Pieces not under way.
         std::map<std::uint32_t, std::string> made;
+        std::uint32_t targets_ended = 0; ///< While they made pieces of it.
     };
 
     duration expected_time(const stage_target& target,
@@ -142,6 +143,7 @@
                         instant now) const;
     std::vector<job_state*> in_order(const stage_target& target, instant now,
                                      const outlook& later);
+    bool may_share(const job_state& one, const planned_call& call) const;
     void fill(planned_call& call, stage_target& target, instant now,
               const outlook& later);
     void lose_results(const stage_target& maker);
--- a/packages/decision/call_planner_jobs.cpp
+++ b/packages/decision/call_planner_jobs.cpp
@@ -1,5 +1,7 @@
 #include "decision/call_planner.hpp"
 
+#include <set>
+
 namespace mangofold::decision
 {
 
@@ -66,7 +68,18 @@
     ++m_waiting_pieces;
 }
 
-void call_planner::note_target_ended(const planned_call& /*call*/) {}
+void call_planner::note_target_ended(const planned_call& call)
+{
+    std::set<std::uint64_t> numbers;
+    for (const piece_ref& piece : call.pieces)
+        numbers.insert(piece.job);
+    for (const std::uint64_t one : numbers)
+    {
+        const auto job = m_jobs.find(one);
+        if (job != m_jobs.end())
+            ++job->second.targets_ended;
+    }
+}
 
 void call_planner::released(const target_start& target,
                             const std::string& handle)
--- a/packages/decision/target_ends.cpp
+++ b/packages/decision/target_ends.cpp
@@ -157,7 +157,7 @@
                        {
                            const target_end& one = m_by_change.at(
                                m_by_content.at(content).at(target));
-                           return !one.is_refuted && one.ended <= then &&
+                           return !one.is_refuted && one.ended < then &&
                                   one.ended >= known.alive_at;
                        });
 }
--- a/packages/serving/gatherer.cpp
+++ b/packages/serving/gatherer.cpp
@@ -195,7 +195,10 @@
             one.planner.call_lost(plan, now);
         m_context.count("calls_failed", "why", is_full ? "full" : "lost");
         if (got == target_call::state::broken)
+        {
             note_target_ends(one, plan, began);
+            one.planner.note_target_ended(plan);
+        }
         if (!is_full && !is_unsent)
             runtime::event("call_lost")
                 .with("service", service)
--- a/tests/serving/poison_request_test.cpp
+++ b/tests/serving/poison_request_test.cpp
@@ -72,14 +72,12 @@
 {
     poisoned_stage()
     {
-        constexpr int targets = 4;
-        for (int one = 0; one < targets; ++one)
-            add();
         add_target("events",
                    [](const std::string& request, std::size_t)
                    {
                        return scripted_target::reaction{
-                           answer(id_of(request), "whole"), end::keep};
+                           answer(id_of(request), "id: 1\ndata: e\n\n"),
+                           end::keep};
                    });
     }
 
@@ -176,6 +174,10 @@
         entry.send(*callers.back(),
                    request("/staged/" + id, id, "Pieces: 11\r\n"));
     }
+    entry.settle();
+    constexpr int targets = 4;
+    for (int one = 0; one < targets; ++one)
+        entry.add();
     for (int step = 0; step < 150; ++step)
     {
         entry.settle();
