Soak: requests that end stage targets, and programs without the quarantine

Change: a part of such requests end the target that makes their pieces; three broken programs more (no quarantine, entries that keep what they know to themselves, blame for what was served lately).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -124,6 +124,8 @@
     async def ask_poison(self, kind, poison, entry):
         """Asks for what ends each target, as one who asks again would."""
         one = self.request(kind, entry, poison)
+        if "-stage-" in poison:
+            self.oracle.log.stage_poisons[one.request] = poison
         method, path, fields = KINDS[kind]
         connection = Connection(entry, self.oracle)
         await connection.ask(one, method, path.replace("/x", poison), {
--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -179,7 +179,8 @@
             return
         self.poisoning += 1
         kind = self.random.choice(list(KINDS))
-        poison = f"/poison-{next(self.poisons)}"
+        at_stage = kind in ("chat", "note") and self.random.random() < 0.4
+        poison = f"/poison{'-stage' if at_stage else ''}-{next(self.poisons)}"
         self.tell(f"{kind}{poison}")
         self.oracle.targets_calm_since = float("inf")
         caller = Caller(self.oracle, poison)
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -60,6 +60,19 @@
      "    if (address.empty())\n        return false;\n"
      "    m_lacks_targets.note_lost(before);\n",
      ["grow"], NARROW),
+    ("a request that ends its targets is never kept from them",
+     "packages/decision/quarantine.cpp",
+     "    made.how = admission::refused;\n", "    return made;\n",
+     ["poison"], ["--entries", "6"]),
+    ("entries keep what they know of ends to themselves",
+     "packages/serving/target_losses.cpp",
+     "if (m_theirs == ends.summary())", "if (ends.size() > 0)",
+     ["poison"], ["--entries", "6"]),
+    ("what was served lately is blamed all the same",
+     "packages/decision/quarantine.cpp",
+     "return found != m_served.end() && "
+     "now < found->second + trusted_time;", "return false;",
+     ["poison"], ["--entries", "6"]),
 ]
 
 
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -178,6 +178,8 @@
                 if at > known and request in self.sent
                 and self.sent[request].poison == poison
                 and self.is_calm(self.sent[request].entry, at)]
+        if "-stage-" in poison:  # Calls of pieces have no id of their own.
+            late = [at for at in ends if at > known]
         if len(late) > MORE_SENDS:
             self.faults.append(f"{poison}: sent {len(late)} times more after "
                                f"{ENDS_KNOWN} targets had ended under it, "
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -27,6 +27,7 @@
         self.results = {}  # Result -> (request, stage).
         self.pieces = {}  # Request -> the pieces that its stages have.
         self.poison_ends = collections.defaultdict(list)  # By its name.
+        self.stage_poisons = {}  # Request whose pieces end targets -> its name.
         self.end_target = None  # Ends a target as its process would.
         self.faults = []
 
@@ -87,12 +88,15 @@
         poison = POISON.search(message.first)
         if not poison:
             return False
+        await self.end_under(poison[0])
+        return True
+
+    async def end_under(self, poison):
         await asyncio.sleep(BEGIN_S)
         if self.mode != "gone":
             now = asyncio.get_running_loop().time()
-            self.log.poison_ends[poison[0]].append(now)
+            self.log.poison_ends[poison].append(now)
             self.log.end_target(self)
-        return True
 
     def note_end(self, request, writer):
         """Notes that work ends, where whoever asked still waits for it."""
@@ -184,6 +188,10 @@
                 self.log.results.pop(handle, None)
             writer.write(wire.answer(200, b"{}"))
             return
+        for item in body["items"]:
+            if poison := self.log.stage_poisons.get(item["id"]):
+                await self.end_under(poison)
+                return
         async with self.turn:
             await asyncio.sleep(1 if self.mode == "slow" else CALL_S)
         if self.mode == "lost":
