--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -308,7 +308,8 @@
                         m_facts.id);
     }
     m_context.count("attempts_failed", "why", to_string(m_refusal));
-    log_lost(target);
+    if (!is_unsent)
+        log_lost(target);
     return attempt_end::try_again;
 }
 
--- a/tests/tools/explain_test.py
+++ b/tests/tools/explain_test.py
@@ -25,6 +25,9 @@
          target="t1", status=504),
     line(10, "e1", "attempt_lost", request="def2", content="c0", target="t1"),
     line(11, "e1", "source_lost", revision=3),
+    line(20, "e3", "content_quarantined", content="c0", targets="t1,t2,t3"),
+    line(21, "e3", "request_refused", request="hhh1", why="quarantined",
+         target="", status=503, content="c0"),
     line(30, "e2", "attempt_lost", request="fff9", content="c0", target="t7"),
     line(30, "e2", "attempt_lost", request="ggg9", content="c1", target="t8"),
     line(40, "e2", "service_gathered", service="rank", waiting_pieces=1),
@@ -54,6 +57,12 @@
         self.assertIn("target t7", told)
         self.assertNotIn("target t8", told)
 
+    def test_a_quarantined_request_shows_the_targets_that_ended(self):
+        told = explain("hhh1").stdout
+        self.assertIn("several targets ended under it", told)
+        self.assertIn("targets t1,t2,t3", told)
+        self.assertIn("request def2", told)
+
     def test_an_unknown_request_is_said(self):
         done = explain("zzz")
         self.assertEqual(done.returncode, 1)
