--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -70,8 +70,7 @@
      ["poison"], ["--entries", "6"]),
     ("what was served lately is blamed all the same",
      "packages/decision/quarantine.cpp",
-     "return found != m_served.end() && "
-     "now < found->second + trusted_time;", "return false;",
+     "now < found->second + trusted_time;", "now < found->second;",
      ["poison"], ["--entries", "6"]),
 ]
 
