Runtime: a call on a kept connection is sent once

The HTTP library opens a kept connection that is lost under a call again and sends the call a second time. The client is made of the HTTP library that the data path uses already; a kept connection that its server has closed is seen before a call. A test counts what a server reads.

--- a/packages/runtime/http_client.cpp
+++ b/packages/runtime/http_client.cpp
@@ -1,13 +1,13 @@
 #include "runtime/http_client.hpp"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/timespan.h>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <exception>
-#include <string_view>
+#include <array>
 
 namespace mangofold::runtime
 {
@@ -15,21 +15,31 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds shortest_timeout{1};
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using beast::error_code;
 
-cxxtools::Milliseconds milliseconds(decision::duration value)
-{
-    const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(value);
-    return cxxtools::Milliseconds(
-        static_cast<double>(std::max(rounded, shortest_timeout).count()));
-}
+constexpr std::chrono::milliseconds shortest_timeout{1};
+constexpr std::uint64_t largest_answer = 64U << 20U; // Bytes.
 
-// The library has one exception for all faults; only its text tells that the
-// connection was never made. A text that is not known counts as sent, which
-// costs a retry and never runs anything twice.
-bool is_connect_fault(std::string_view text)
+http::request<http::string_body> message_of(const address& server,
+                                            const std::string& method,
+                                            const std::string& path,
+                                            const std::string& body)
 {
-    return text.find("while trying to connect") != std::string_view::npos;
+    constexpr unsigned http_1_1 = 11;
+    http::request<http::string_body> message;
+    message.version(http_1_1);
+    message.method_string(method);
+    message.target(path);
+    message.set(http::field::host, server.text());
+    if (!body.empty())
+        message.set(http::field::content_type, "application/json");
+    message.body() = body;
+    message.prepare_payload();
+    return message;
 }
 
 } // namespace
@@ -37,15 +47,78 @@
 class http_client::connection
 {
 public:
-    explicit connection(const address& server)
-        : m_client(server.host, server.port)
+    /// Connects, or throws http_error.
+    connection(const address& server, decision::duration timeout)
+        : m_stream(m_loop)
     {
+        error_code fault;
+        tcp::resolver names(m_loop);
+        const auto found =
+            names.resolve(server.host, std::to_string(server.port), fault);
+        if (!fault)
+        {
+            m_stream.expires_after(timeout);
+            m_stream.async_connect(
+                found, [&fault](error_code ended, const tcp::endpoint&)
+                { fault = ended; });
+            run();
+        }
+        if (fault)
+            throw http_error(http_error::kind::not_connected, fault.message());
+        m_stream.socket().set_option(tcp::no_delay(true));
     }
 
-    cxxtools::http::Client& client() { return m_client; }
+    /// Whether a call can be made: the server has neither closed the
+    /// connection nor sent anything that nobody asked for.
+    bool is_usable()
+    {
+        if (!m_is_kept)
+            return false;
+        error_code fault;
+        std::array<char, 1> byte{};
+        m_stream.socket().non_blocking(true, fault);
+        m_stream.socket().receive(asio::buffer(byte), tcp::socket::message_peek,
+                                  fault);
+        return fault == asio::error::would_block;
+    }
+
+    /// Sends \a message once and returns its answer, or throws http_error.
+    http_answer call(const http::request<http::string_body>& message,
+                     decision::duration timeout)
+    {
+        m_is_kept = false;
+        m_stream.expires_after(timeout);
+        error_code fault;
+        http::async_write(m_stream, message,
+                          [&fault](error_code ended, std::size_t)
+                          { fault = ended; });
+        run();
+        http::response_parser<http::string_body> answer;
+        answer.body_limit(largest_answer);
+        if (!fault)
+        {
+            http::async_read(m_stream, m_bytes, answer,
+                             [&fault](error_code ended, std::size_t)
+                             { fault = ended; });
+            run();
+        }
+        if (fault)
+            throw http_error(http_error::kind::no_answer, fault.message());
+        m_is_kept = answer.get().keep_alive() && m_bytes.size() == 0;
+        return {answer.get().result_int(), std::move(answer.get().body())};
+    }
 
 private:
-    cxxtools::http::Client m_client;
+    void run()
+    {
+        m_loop.restart();
+        m_loop.run();
+    }
+
+    asio::io_context m_loop{1};
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_bytes;
+    bool m_is_kept = true;
 };
 
 http_client::http_client(address server) : m_server(std::move(server)) {}
@@ -64,37 +137,28 @@
     return execute("POST", path, body, timeout);
 }
 
+// A call is sent once, also on a kept connection that is lost under it: sent
+// again, what ends its target would end it a second time.
 http_answer http_client::execute(const std::string& method,
                                  const std::string& path,
                                  const std::string& body,
                                  decision::duration timeout)
 {
-    const bool is_fresh = !m_connection;
-    if (is_fresh)
-        m_connection = std::make_unique<connection>(m_server);
+    const decision::duration time =
+        std::max<decision::duration>(timeout, shortest_timeout);
+    if (m_connection && !m_connection->is_usable())
+        m_connection.reset();
+    if (!m_connection)
+        m_connection = std::make_unique<connection>(m_server, time);
     try
     {
-        cxxtools::http::Request request;
-        const std::size_t question = path.find('?');
-        request.url(path.substr(0, question));
-        if (question != std::string::npos)
-            request.qparams(path.substr(question + 1));
-        request.method(method);
-        if (!body.empty())
-            request.setHeader("Content-Type", "application/json");
-        request.body() << body;
-        cxxtools::http::Client& client = m_connection->client();
-        client.execute(request, milliseconds(timeout), milliseconds(timeout));
-        const cxxtools::http::Reply& reply = client.readBody();
-        return {reply.httpReturnCode(), reply.body()};
+        return m_connection->call(message_of(m_server, method, path, body),
+                                  time);
     }
-    catch (const std::exception& fault)
+    catch (const http_error&)
     {
         m_connection.reset();
-        const bool is_unsent = is_fresh && is_connect_fault(fault.what());
-        throw http_error(is_unsent ? http_error::kind::not_connected
-                                   : http_error::kind::no_answer,
-                         fault.what());
+        throw;
     }
 }
 
--- a/tests/runtime/http_test.cpp
+++ b/tests/runtime/http_test.cpp
@@ -21,6 +21,17 @@
         CHECK(server.requests() == 1);
     }
 
+    TEST_CASE("a call on a kept connection is sent once")
+    {
+        // A request that ends the target that begins it is lost with a kept
+        // connection. Sent again on a new one, it ends the target twice.
+        const one_shot_server server(1);
+        http_client client({"127.0.0.1", server.port()});
+        CHECK(client.post("/v1/run", "{}", 5s).status == 200);
+        CHECK_THROWS_AS(client.post("/v1/run", "{}", 5s), http_error);
+        CHECK(server.requests() == 2);
+    }
+
     TEST_CASE("a call that got no answer is not called unsent")
     {
         const one_shot_server server(0);
