Own path: a request that ends its targets is kept from the others

Cause: the same as on the platform's path. What an entry learns of a send ends with the request, and `repeatable_run` hands it to the next sound target.

Change: the sidecar sees the end. It tells all entries that are linked to it, and those that come later what it remembers (256 ends), before the result goes out; runs that were lost together are one end. Entries keep the quarantine of the platform's path (`content_guard`), by stage, asked before each send.

Not settled there: entries that link to other targets learn of their own only, and each may try a request in doubt.

--- a/packages/decision/reason.cpp
+++ b/packages/decision/reason.cpp
@@ -41,6 +41,7 @@
     "unknown_pipeline",
     "unknown_account",
     "bad_request",
+    "quarantined",
 };
 
 constexpr std::array<std::string_view, 4> status_names{"done", "refused",
--- a/packages/decision/reason.hpp
+++ b/packages/decision/reason.hpp
@@ -46,6 +46,7 @@
     unknown_pipeline,
     unknown_account,
     bad_request,
+    quarantined, ///< Targets ended under it, see quarantine.
     count
 };
 
--- a/packages/decision/repeatable_run.cpp
+++ b/packages/decision/repeatable_run.cpp
@@ -102,6 +102,14 @@
     return true;
 }
 
+stage_result repeatable_run::kept_back(duration back_after) const
+{
+    if (!m_may_have_run)
+        return refused(reason::quarantined, back_after);
+    return {
+        stage_status::failed, reason::quarantined, {}, {}, back_after, false};
+}
+
 // A request that is given up gets its final answer now: holding it until its
 // deadline would only hide the failure from the caller.
 attempt_step repeatable_run::give_up(reason why) const
--- a/packages/decision/repeatable_run.hpp
+++ b/packages/decision/repeatable_run.hpp
@@ -38,6 +38,10 @@
     /// Notes how \a attempt ended. Returns whether it was the newest one.
     bool ended(std::uint32_t attempt, const stage_result& result, instant now);
 
+    /// Returns how the stage ends where it must be sent nowhere until
+    /// \a back_after is over.
+    stage_result kept_back(duration back_after) const;
+
     /// Whether anything was sent that may have run.
     bool may_have_run() const { return m_may_have_run; }
 
--- a/packages/decision/request_content.cpp
+++ b/packages/decision/request_content.cpp
@@ -16,4 +16,10 @@
     return digest_of(text, content.body);
 }
 
+digest stage_content(const request_key& key, const digest& request)
+{
+    return digest_of(
+        request_content{key.account, key.stage, {}, {}, to_text(request)});
+}
+
 } // namespace mangofold::decision
--- a/packages/decision/request_content.hpp
+++ b/packages/decision/request_content.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/digest.hpp"
+#include "decision/request_key.hpp"
 
 #include <string_view>
 
@@ -21,4 +22,8 @@
 /// Returns the digest by which entries tell such requests from others.
 digest digest_of(const request_content& content);
 
+/// Returns the same for one stage of a request, of which \a request is the
+/// digest of what its caller sent.
+digest stage_content(const request_key& key, const digest& request);
+
 } // namespace mangofold::decision
--- a/packages/decision/target_gate.hpp
+++ b/packages/decision/target_gate.hpp
@@ -34,6 +34,7 @@
     std::string model;
     std::string body;
     duration budget{};
+    digest request; ///< Of what its caller sent.
 
     friend bool operator==(const start_run&, const start_run&) = default;
 };
--- a/packages/decision/target_gate_runs.ipp
+++ b/packages/decision/target_gate_runs.ipp
@@ -40,7 +40,7 @@
         effects.push_back(start_run{next->id, one.work.key, one.work.attempt,
                                     one.work.is_repeatable, next->priority,
                                     one.work.model, std::move(one.work.body),
-                                    one.expires - now});
+                                    one.expires - now, one.work.request});
     }
 }
 
--- /dev/null
+++ b/packages/entry/content_guard.cpp
@@ -0,0 +1,78 @@
+#include "entry/content_guard.hpp"
+
+#include "runtime/event.hpp"
+
+namespace mangofold::entry
+{
+
+using decision::quarantine;
+
+void content_guard::set_seat(std::function<decision::seat()> seat)
+{
+    const std::lock_guard lock(m_mutex);
+    m_seat = std::move(seat);
+}
+
+// A request that ends each target that begins it comes again under other ids,
+// and costs as many targets each time as it has attempts. What is known of it
+// keeps it from them; nothing else is refused.
+std::optional<decision::duration>
+content_guard::keep_back(const decision::digest& content,
+                         decision::instant deadline, mailbox& replies)
+{
+    using admission = quarantine::admission;
+    constexpr decision::duration step = std::chrono::milliseconds(10);
+    quarantine::verdict said = judge(content);
+    while (said.how == admission::held && m_clock.now() < deadline)
+    {
+        replies.take(step);
+        said = judge(content);
+    }
+    if (said.how != admission::refused && said.how != admission::held)
+        return std::nullopt;
+    ++m_metrics.count({"mangofold_requests_quarantined_total", ""});
+    return said.back_after;
+}
+
+quarantine::verdict content_guard::judge(const decision::digest& content)
+{
+    const std::lock_guard lock(m_mutex);
+    const decision::instant now = m_clock.now();
+    const quarantine::verdict said = m_known.judge(content, now, m_seat);
+    if (said.how == quarantine::admission::held)
+        m_known.note_waiting(content, now);
+    if (said.how == quarantine::admission::trial)
+        m_known.note_tried(content, now);
+    return said;
+}
+
+void content_guard::note_end(const decision::target_end& one)
+{
+    const std::lock_guard lock(m_mutex);
+    const decision::instant now = m_clock.now();
+    m_known.expire(now);
+    if (!m_known.note_end(one, now))
+        return;
+    const std::size_t ends = m_known.ends().against(one.content).ends();
+    ++m_metrics.count({"mangofold_target_ends_total", ""});
+    runtime::event("target_ended")
+        .with("target", one.target.id)
+        .with("content", to_text(one.content))
+        .with("ends", ends)
+        .warn();
+    if (ends != quarantine::most_ends)
+        return;
+    ++m_metrics.count({"mangofold_contents_quarantined_total", ""});
+    runtime::event("content_quarantined")
+        .with("content", to_text(one.content))
+        .with("ends", ends)
+        .warn();
+}
+
+void content_guard::note_served(const decision::digest& content)
+{
+    const std::lock_guard lock(m_mutex);
+    m_known.note_served(content, m_clock.now());
+}
+
+} // namespace mangofold::entry
--- /dev/null
+++ b/packages/entry/content_guard.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "decision/quarantine.hpp"
+#include "entry/mailbox.hpp"
+#include "runtime/clock.hpp"
+#include "runtime/metrics.hpp"
+
+#include <functional>
+#include <mutex>
+#include <optional>
+
+namespace mangofold::entry
+{
+
+/// Keeps stages of requests that end their targets from them. For all threads.
+class content_guard
+{
+public:
+    content_guard(const runtime::clock& time, runtime::metrics& counters)
+        : m_clock(time), m_metrics(counters)
+    {
+    }
+
+    /// Sets what the place of this entry among all is asked of.
+    void set_seat(std::function<decision::seat()> seat);
+
+    /// Returns when \a content may be sent to a target, where it may not be
+    /// sent now. Waits while it is in doubt, until \a deadline; what comes to
+    /// \a replies meanwhile answers attempts that were given up.
+    std::optional<decision::duration> keep_back(const decision::digest& content,
+                                                decision::instant deadline,
+                                                mailbox& replies);
+
+    /// Notes what a sidecar says of its target.
+    void note_end(const decision::target_end& one);
+
+    /// Notes that a target ran \a content to its end.
+    void note_served(const decision::digest& content);
+
+private:
+    decision::quarantine::verdict judge(const decision::digest& content);
+
+    const runtime::clock& m_clock;
+    runtime::metrics& m_metrics;
+    std::mutex m_mutex;
+    std::function<decision::seat()> m_seat = [] { return decision::seat(); };
+    decision::quarantine m_known;
+};
+
+} // namespace mangofold::entry
--- a/packages/entry/entry.cpp
+++ b/packages/entry/entry.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 #include <thread>
 
@@ -72,6 +73,17 @@
 
 void entry::add_parts()
 {
+    m_context.note_target_end = [this](const decision::target_end& one)
+    { m_runner.contents().note_end(one); };
+    // Nobody knows the others' names here: two can have one place.
+    m_runner.contents().set_seat(
+        [this]
+        {
+            const auto of = static_cast<std::size_t>(m_links.entry_count());
+            const auto own = decision::digest_of(m_settings.id).low;
+            return decision::seat{own % std::max<std::size_t>(1, of),
+                                  std::max<std::size_t>(1, of)};
+        });
     m_store.add_listener([this](const configuration::snapshot_ptr& value)
                          { m_router.configure(value); });
     m_store.add_listener([this](const configuration::snapshot_ptr& value)
--- a/packages/entry/pipeline_runner.cpp
+++ b/packages/entry/pipeline_runner.cpp
@@ -3,6 +3,7 @@
 #include "decision/owned_run.hpp"
 #include "decision/owner_order.hpp"
 #include "decision/repeatable_run.hpp"
+#include "decision/request_content.hpp"
 
 #include <algorithm>
 
@@ -33,7 +34,8 @@
 pipeline_runner::pipeline_runner(dispatcher& sidecars, router& routes,
                                  const runtime::clock& time,
                                  runtime::metrics& counters)
-    : m_sidecars(sidecars), m_router(routes), m_clock(time), m_metrics(counters)
+    : m_sidecars(sidecars), m_router(routes), m_clock(time),
+      m_metrics(counters), m_contents(time, counters)
 {
 }
 
@@ -122,6 +124,8 @@
     const stage_result result = stage.is_repeatable
                                     ? run_repeatable(state, stage, cost)
                                     : run_owned(state, stage, cost);
+    if (result.status == stage_status::done)
+        m_contents.note_served(content_of(state, stage));
     const std::string labels = runtime::label("pipeline", state.pipeline.id) +
                                "," + runtime::label("stage", stage.id);
     m_metrics.observe({"mangofold_stage_seconds", labels},
@@ -134,6 +138,20 @@
     return result;
 }
 
+digest pipeline_runner::content_of(const progress& state,
+                                   const manifest::stage& stage)
+{
+    return stage_content({state.asked.account, state.asked.id, stage.id},
+                         content_digest(state.asked));
+}
+
+std::optional<duration> pipeline_runner::keep_back(progress& state,
+                                                   const manifest::stage& stage)
+{
+    return m_contents.keep_back(content_of(state, stage), state.deadline,
+                                *state.replies);
+}
+
 stage_result pipeline_runner::run_repeatable(progress& state,
                                              const manifest::stage& stage,
                                              stage_cost& cost)
@@ -169,6 +187,8 @@
         if (const auto* send = std::get_if<send_attempt>(&step))
         {
             withdraw();
+            if (const auto back = keep_back(state, stage))
+                return attempts.kept_back(*back);
             const auto target = m_router.pick(stage.pool, work, send->avoid);
             if (target)
                 out = m_sidecars.submit(*target,
@@ -208,6 +228,8 @@
         ticket_target = ticket->value.target;
     owned_run attempts(m_policy, state.deadline, owners(state, stage),
                        ticket_target);
+    if (const auto back = keep_back(state, stage))
+        return refused(reason::quarantined, *back);
     while (true)
     {
         const instant now = m_clock.now();
--- a/packages/entry/pipeline_runner.hpp
+++ b/packages/entry/pipeline_runner.hpp
@@ -3,6 +3,7 @@
 #include "configuration/config_store.hpp"
 #include "decision/attempt_policy.hpp"
 #include "decision/attempt_step.hpp"
+#include "entry/content_guard.hpp"
 #include "entry/dispatcher.hpp"
 #include "entry/outcome.hpp"
 #include "entry/request.hpp"
@@ -36,6 +37,9 @@
     mint(const request& value, const manifest::pipeline& pipeline,
          const configuration::snapshot_ptr& in_force);
 
+    /// What is known of requests that end targets.
+    content_guard& contents() { return m_contents; }
+
 private:
     struct progress;
 
@@ -51,6 +55,10 @@
     std::optional<decision::stage_result>
     next_result(progress& state, const manifest::stage& stage,
                 Attempts& attempts, decision::instant until);
+    static decision::digest content_of(const progress& state,
+                                       const manifest::stage& stage);
+    std::optional<decision::duration> keep_back(progress& state,
+                                                const manifest::stage& stage);
     decision::submission submission_for(const progress& state,
                                         const manifest::stage& stage,
                                         const decision::send_attempt& step);
@@ -65,6 +73,7 @@
     router& m_router;
     const runtime::clock& m_clock;
     runtime::metrics& m_metrics;
+    content_guard m_contents;
     stage_timing m_timing;
     decision::attempt_policy m_policy;
     std::atomic<std::uint64_t> m_seed{1};
--- a/packages/entry/sidecar_link.cpp
+++ b/packages/entry/sidecar_link.cpp
@@ -215,6 +215,11 @@
         m_context.store.offer(message.config().body(),
                               configuration::source::peer);
         return;
+    case wire::SidecarMessage::kTargetLost:
+        if (m_context.note_target_end)
+            m_context.note_target_end(wire::from_wire(
+                message.target_lost(), m_target, m_context.time.now()));
+        return;
     case wire::SidecarMessage::kProgress:
     case wire::SidecarMessage::KIND_NOT_SET:
         return;
--- a/packages/entry/sidecar_link.hpp
+++ b/packages/entry/sidecar_link.hpp
@@ -2,12 +2,14 @@
 
 #include "configuration/config_store.hpp"
 #include "decision/backoff.hpp"
+#include "decision/target_end.hpp"
 #include "entry/dispatcher.hpp"
 #include "entry/mailbox.hpp"
 #include "entry/router.hpp"
 #include "runtime/clock.hpp"
 #include "runtime/metrics.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -36,6 +38,8 @@
     runtime::metrics& counters;
     configuration::config_store& store;
     router& routes;
+    /// Takes what sidecars say of ends of their targets.
+    std::function<void(const decision::target_end&)> note_target_end = {};
 };
 
 /// The link to one sidecar: opened again whenever it broke or fell silent.
--- a/packages/sidecar/gate_keeper.cpp
+++ b/packages/sidecar/gate_keeper.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/gate_keeper.hpp"
 
+#include "decision/request_content.hpp"
 #include "runtime/event.hpp"
 
 #include <algorithm>
@@ -106,6 +107,30 @@
     carry_out(m_gate.advance(m_clock.now()));
 }
 
+// Runs that were lost together, or sent before the end was noticed, were lost
+// to one end.
+void gate_keeper::note_target_lost(const start_run& run, instant began)
+{
+    const std::lock_guard lock(m_mutex);
+    const instant now = m_clock.now();
+    if (m_gate.is_leaving(now))
+        return;
+    if (m_target_ends == 0 || began >= m_target_ended_at)
+    {
+        ++m_target_ends;
+        m_target_ended_at = now;
+    }
+    const target_start target{m_target, m_gate.incarnation() + m_target_ends};
+    const digest content = stage_content(run.key, run.request);
+    runtime::event("run_lost")
+        .with("request", run.key.request_id)
+        .with("stage", run.key.stage)
+        .with("content", to_text(content))
+        .with("target", m_target)
+        .warn();
+    m_results->tell_end({content, target, began, now});
+}
+
 void gate_keeper::set_stopping()
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/sidecar/gate_keeper.hpp
+++ b/packages/sidecar/gate_keeper.hpp
@@ -46,6 +46,11 @@
     void finish(decision::run_id run, const decision::stage_result& result);
     void advance();
 
+    /// Notes that the target ended, or was lost, under \a run, which was sent
+    /// to it at \a began.
+    void note_target_lost(const decision::start_run& run,
+                          decision::instant began);
+
     /// Stops new work for good.
     void set_stopping();
 
@@ -53,6 +58,7 @@
     /// that is news.
     bool note_leaving();
 
+    decision::instant now() const { return m_clock.now(); }
     bool is_leaving() const;
     bool is_idle() const;
     std::uint64_t generation() const;
@@ -72,6 +78,8 @@
     target_port* m_port = nullptr;
     mutable std::mutex m_mutex;
     gate m_gate;
+    std::uint64_t m_target_ends = 0;
+    decision::instant m_target_ended_at{};
 };
 
 } // namespace mangofold::sidecar
--- a/packages/sidecar/link_server.cpp
+++ b/packages/sidecar/link_server.cpp
@@ -105,6 +105,7 @@
 void link_server::stream_named(entry_stream& stream, const std::string& entry)
 {
     stream_ptr older;
+    std::deque<decision::target_end> ends;
     {
         const std::lock_guard lock(m_mutex);
         const auto known = m_by_entry.find(entry);
@@ -116,9 +117,13 @@
         }
         m_by_entry[entry] = stream.link();
         stream.set_entry(entry);
+        ends = m_ends;
     }
     if (older && older.get() != &stream)
         older->end();
+    // What ended the target before is new to an entry that has just started.
+    for (const decision::target_end& one : ends)
+        send_end(stream, one, m_keeper.now());
     send_grant(stream);
 }
 
@@ -156,18 +161,40 @@
     stream->send_stamped(std::move(message));
 }
 
-void link_server::renew_grants()
+void link_server::tell_end(const decision::target_end& one)
 {
-    std::vector<stream_ptr> open;
     {
         const std::lock_guard lock(m_mutex);
-        for (const auto& [link, stream] : m_streams)
-        {
-            if (stream->is_named())
-                open.push_back(stream);
-        }
+        m_ends.push_back(one);
+        if (m_ends.size() > most_ends)
+            m_ends.pop_front();
     }
-    for (const stream_ptr& stream : open)
+    for (const stream_ptr& stream : named_streams())
+        send_end(*stream, one, m_keeper.now());
+}
+
+void link_server::send_end(entry_stream& stream,
+                           const decision::target_end& one,
+                           decision::instant now)
+{
+    wire::SidecarMessage message;
+    wire::to_wire(one, now, *message.mutable_target_lost());
+    stream.send_stamped(std::move(message));
+}
+
+std::vector<link_server::stream_ptr> link_server::named_streams() const
+{
+    std::vector<stream_ptr> open;
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [link, stream] : m_streams)
+        if (stream->is_named())
+            open.push_back(stream);
+    return open;
+}
+
+void link_server::renew_grants()
+{
+    for (const stream_ptr& stream : named_streams())
         send_grant(*stream);
 }
 
--- a/packages/sidecar/link_server.hpp
+++ b/packages/sidecar/link_server.hpp
@@ -6,6 +6,7 @@
 #include "sidecar/gate_keeper.hpp"
 #include "sidecar/result_sink.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -30,6 +31,7 @@
     void stop() noexcept override;
     bool has_failed() const override { return false; }
 
+    void tell_end(const decision::target_end& one) override;
     void send(const decision::send_result& result,
               const decision::target_load& load) override;
 
@@ -53,11 +55,17 @@
     stream_ptr open_stream();
     void stream_named(entry_stream& stream, const std::string& entry);
     void stream_closed(entry_stream& stream);
+    std::vector<std::shared_ptr<entry_stream>> named_streams() const;
+    static void send_end(entry_stream& stream, const decision::target_end& one,
+                         decision::instant now);
     void send_grant(entry_stream& stream);
 
     std::string m_name = "link_server";
     runtime::address m_listen;
     std::string m_target;
+    /// Ends remembered for entries to come.
+    static constexpr std::size_t most_ends = 256;
+
     gate_keeper& m_keeper;
     configuration::config_store& m_store;
     runtime::metrics& m_metrics;
@@ -66,6 +74,7 @@
     std::map<decision::link_id, stream_ptr> m_streams;
     std::map<std::string, decision::link_id> m_by_entry;
     decision::link_id m_next_link = 1;
+    std::deque<decision::target_end> m_ends;
 };
 
 } // namespace mangofold::sidecar
--- a/packages/sidecar/result_sink.hpp
+++ b/packages/sidecar/result_sink.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/target_end.hpp"
 #include "decision/target_gate.hpp"
 
 namespace mangofold::sidecar
@@ -14,6 +15,9 @@
     /// \a load is that of the target at this moment.
     virtual void send(const decision::send_result& result,
                       const decision::target_load& load) = 0;
+
+    /// Tells all entries that the target ended under a run.
+    virtual void tell_end(const decision::target_end& one) = 0;
 };
 
 } // namespace mangofold::sidecar
--- a/packages/sidecar/target_caller.cpp
+++ b/packages/sidecar/target_caller.cpp
@@ -139,6 +139,8 @@
         else
             result = unknown_outcome(is_timeout ? reason::target_timeout
                                                 : reason::target_failed);
+        if (result.why == reason::target_failed)
+            m_keeper.note_target_lost(run, begun);
     }
     result.service = m_clock.now() - begun;
     return result;
--- a/packages/wire/convert.cpp
+++ b/packages/wire/convert.cpp
@@ -157,4 +157,31 @@
     return result;
 }
 
+void to_wire(const decision::target_end& one, decision::instant now,
+             TargetLost& message)
+{
+    const auto ago = std::max(decision::duration::zero(), now - one.ended);
+    message.set_ended_ago_us(
+        std::chrono::duration_cast<std::chrono::microseconds>(ago).count());
+    message.set_content_high(one.content.high);
+    message.set_content_low(one.content.low);
+    message.set_born(one.target.born);
+    message.set_ran_us(std::chrono::duration_cast<std::chrono::microseconds>(
+                           one.ended - one.began)
+                           .count());
+}
+
+decision::target_end from_wire(const TargetLost& message,
+                               const std::string& target, decision::instant now)
+{
+    using microseconds = std::chrono::microseconds;
+    const auto least = microseconds::zero();
+    const decision::instant ended =
+        now - std::max(least, microseconds(message.ended_ago_us()));
+    return {{message.content_high(), message.content_low()},
+            {target, message.born()},
+            ended - std::max(least, microseconds(message.ran_us())),
+            ended};
+}
+
 } // namespace mangofold::wire
