Own path: what was served is forgotten after its ten seconds

Found by reading: content_guard forgot only when a target ended, so the 4,096 places for requests that went well would fill once and stay so, and what is asked for by many later would not be trusted. The platform's path forgets each second; so does this now.

--- a/packages/entry/content_guard.cpp
+++ b/packages/entry/content_guard.cpp
@@ -50,7 +50,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const decision::instant now = m_clock.now();
-    m_known.expire(now);
+    expire(now);
     if (!m_known.note_end(one, now))
         return;
     const std::size_t ends = m_known.ends().against(one.content).ends();
@@ -69,10 +69,21 @@
         .warn();
 }
 
+void content_guard::expire(decision::instant now)
+{
+    constexpr decision::duration interval = std::chrono::seconds(1);
+    if (now < m_expired_at + interval)
+        return;
+    m_expired_at = now;
+    m_known.expire(now);
+}
+
 void content_guard::note_served(const decision::digest& content)
 {
     const std::lock_guard lock(m_mutex);
-    m_known.note_served(content, m_clock.now());
+    const decision::instant now = m_clock.now();
+    expire(now);
+    m_known.note_served(content, now);
 }
 
 } // namespace mangofold::entry
--- a/packages/entry/content_guard.hpp
+++ b/packages/entry/content_guard.hpp
@@ -39,12 +39,14 @@
 
 private:
     decision::quarantine::verdict judge(const decision::digest& content);
+    void expire(decision::instant now);
 
     const runtime::clock& m_clock;
     runtime::metrics& m_metrics;
     std::mutex m_mutex;
     std::function<decision::seat()> m_seat = [] { return decision::seat(); };
     decision::quarantine m_known;
+    decision::instant m_expired_at{};
 };
 
 } // namespace mangofold::entry
