--- a/packages/sidecar/target_caller.cpp
+++ b/packages/sidecar/target_caller.cpp
@@ -113,9 +113,8 @@
     const duration left = next.expires - now;
     if (next.run.is_repeatable)
         return post(kept, next.run, left);
-    // A kept connection that the target has closed is opened again by the
-    // HTTP library, which then sends the call a second time. A connection of
-    // its own is never sent on twice.
+    // A target can close a kept connection just as a call is sent, and nobody
+    // knows then whether it ran. Not so with one that was made for it.
     runtime::http_client fresh(m_target);
     return post(fresh, next.run, left);
 }
