--- a/tests/link/poison_path_test.cpp
+++ b/tests/link/poison_path_test.cpp
@@ -21,7 +21,7 @@
 {
 
 constexpr std::uint16_t first_port = 28910;
-constexpr int machines = 4;
+constexpr int instances = 4;
 constexpr std::size_t links_per_pool = 8; // A quarter is for other zones.
 
 std::string name_of(int number)
@@ -32,7 +32,7 @@
 std::string manifest_text()
 {
     std::string targets;
-    for (int one = 0; one < machines; ++one)
+    for (int one = 0; one < instances; ++one)
         targets += std::string(one == 0 ? "" : ",") + R"({"id": ")" +
                    name_of(one) +
                    R"(", "zone": "z1", "address": "127.0.0.1:1", "sidecar": )" +
@@ -48,9 +48,9 @@
 }
 
 /// A target and the sidecar beside it.
-struct machine
+struct instance
 {
-    explicit machine(int number)
+    explicit instance(int number)
         : keeper({name_of(number), 11, time.now() - 1min}, {2s, 100, 1024},
                  time, counters),
           links({"127.0.0.1", static_cast<std::uint16_t>(first_port + number)},
@@ -65,7 +65,7 @@
         links.start();
     }
 
-    ~machine()
+    ~instance()
     {
         links.stop();
         caller.stop();
@@ -122,8 +122,8 @@
 {
     own_path()
     {
-        for (int one = 0; one < machines; ++one)
-            sidecars.push_back(std::make_unique<machine>(one));
+        for (int one = 0; one < instances; ++one)
+            sidecars.push_back(std::make_unique<instance>(one));
         for (const char* name : {"e1", "e2"})
             entries.push_back(std::make_unique<one_entry>(name));
         for (int turn = 0; turn < 1000 && !is_linked(); ++turn)
@@ -153,7 +153,7 @@
         return sum;
     }
 
-    std::vector<std::unique_ptr<machine>> sidecars;
+    std::vector<std::unique_ptr<instance>> sidecars;
     std::vector<std::unique_ptr<one_entry>> entries;
 };
 
