--- a/packages/entry/content_guard.cpp
+++ b/packages/entry/content_guard.cpp
@@ -51,8 +51,11 @@
     const std::lock_guard lock(m_mutex);
     const decision::instant now = m_clock.now();
     expire(now);
-    if (!m_known.note_end(one, now))
+    const auto seen = std::pair(one.content, one.target);
+    if (m_dismissed.contains(seen))
         return;
+    if (!m_known.note_end(one, now))
+        return dismiss(seen);
     const std::size_t ends = m_known.ends().against(one.content).ends();
     ++m_metrics.count({"mangofold_target_ends_total", ""});
     runtime::event("target_ended")
@@ -69,6 +72,17 @@
         .warn();
 }
 
+// Sidecars tell what they remember again whenever a link opens. What was not
+// held against a request, since it had just been served, would be judged anew
+// when nobody remembers that, and the request refused.
+void content_guard::dismiss(const seen_end& one)
+{
+    constexpr std::size_t most = 4096; // Some 100 bytes each.
+    if (m_dismissed.size() >= most)
+        m_dismissed.clear();
+    m_dismissed.insert(one);
+}
+
 void content_guard::expire(decision::instant now)
 {
     constexpr decision::duration interval = std::chrono::seconds(1);
--- a/packages/entry/content_guard.hpp
+++ b/packages/entry/content_guard.hpp
@@ -8,6 +8,8 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace mangofold::entry
 {
@@ -38,7 +40,10 @@
     void note_served(const decision::digest& content);
 
 private:
+    using seen_end = std::pair<decision::digest, decision::target_start>;
+
     decision::quarantine::verdict judge(const decision::digest& content);
+    void dismiss(const seen_end& one);
     void expire(decision::instant now);
 
     const runtime::clock& m_clock;
@@ -46,6 +51,7 @@
     std::mutex m_mutex;
     std::function<decision::seat()> m_seat = [] { return decision::seat(); };
     decision::quarantine m_known;
+    std::set<seen_end> m_dismissed; ///< Ends that speak against nothing.
     decision::instant m_expired_at{};
 };
 
