--- a/packages/entry/pipeline_runner.cpp
+++ b/packages/entry/pipeline_runner.cpp
@@ -1,9 +1,9 @@
 #include "entry/pipeline_runner.hpp"
 
 #include "decision/owned_run.hpp"
-#include "decision/owner_order.hpp"
 #include "decision/repeatable_run.hpp"
 #include "decision/request_content.hpp"
+#include "entry/pipeline_progress.hpp"
 
 #include <algorithm>
 
@@ -12,25 +12,6 @@
 
 using namespace decision;
 
-/// What one request has come to so far.
-struct pipeline_runner::progress
-{
-    progress(const request& what, const manifest::document& manifest,
-             const manifest::pipeline& through, instant latest)
-        : asked(what), document(manifest), pipeline(through), deadline(latest)
-    {
-    }
-
-    const request& asked;
-    const manifest::document& document;
-    const manifest::pipeline& pipeline;
-    instant deadline;
-    std::shared_ptr<mailbox> replies = std::make_shared<mailbox>();
-    std::string previous; ///< Output of the last stage, JSON.
-    bool has_run = false; ///< Some stage may have run.
-    outcome result;
-};
-
 pipeline_runner::pipeline_runner(dispatcher& sidecars, router& routes,
                                  const runtime::clock& time,
                                  runtime::metrics& counters)
@@ -317,48 +298,6 @@
     return work;
 }
 
-std::vector<std::string>
-pipeline_runner::owners(const progress& state,
-                        const manifest::stage& stage) const
-{
-    std::vector<std::string> targets;
-    for (const auto& one : state.document.find_pool(stage.pool)->targets)
-        targets.push_back(one.id);
-    const request_key key{state.asked.account, state.asked.id, stage.id};
-    return owner_order(digest_of(key), std::move(targets));
-}
-
-std::optional<std::string>
-pipeline_runner::mint(const request& value, const manifest::pipeline& pipeline,
-                      const configuration::snapshot_ptr& in_force)
-{
-    constexpr duration longest_wait = std::chrono::seconds(1);
-    progress state(value, in_force->document, pipeline,
-                   m_clock.now() + longest_wait);
-    std::vector<stage_ticket> tickets;
-    for (const manifest::stage& stage : pipeline.stages)
-    {
-        if (stage.is_repeatable)
-            continue;
-        std::optional<ticket> minted;
-        for (const std::string& owner : owners(state, stage))
-        {
-            if (minted || m_clock.now() >= state.deadline)
-                break;
-            if (!m_sidecars.mint(owner, state.replies))
-                continue;
-            const instant patience = m_clock.now() + longest_wait / 4;
-            const auto arrived = state.replies->take(patience - m_clock.now());
-            if (arrived && std::holds_alternative<ticket_arrived>(*arrived))
-                minted = std::get<ticket_arrived>(*arrived).value;
-        }
-        if (!minted)
-            return std::nullopt;
-        tickets.push_back({stage.id, *minted});
-    }
-    return to_text(tickets);
-}
-
 void pipeline_runner::count_retry(const manifest::stage& stage, reason why)
 {
     ++m_metrics.count({"mangofold_attempts_without_answer_total",
