--- /dev/null
+++ b/bench/ablation/mechanisms.py
@@ -0,0 +1,65 @@
+"""The mechanisms that can be switched off: name, file, what stands there, and
+what takes its place.
+"""
+
+PLANNER = "packages/decision/call_planner.cpp"
+ROSTER = "packages/decision/entry_roster.cpp"
+ENGINES = "packages/decision/engine_choice.cpp"
+STAGES = "packages/serving/stage_runner.cpp"
+
+MECHANISMS = [
+    ("gathering for the fleet", "packages/serving/peer_mesh.cpp",
+     "    const auto found = m_links.find(m_roster.gatherer_of(service));",
+     "    if (!service.empty())\n        return nullptr;\n"
+     "    const auto found = m_links.find(m_roster.gatherer_of(service));"),
+    ("one gatherer while all stop", ROSTER,
+     "    double largest = 0;",
+     "    if (m_is_stopping)\n        return m_own;\n    double largest = 0;"),
+    ("settling before stages begin", ROSTER,
+     "    if (m_seeds.empty() || !is_young(now))",
+     "    if (m_seeds.empty() || !is_young(now) || !m_own.empty())"),
+    ("callers left to entries that go on", ROSTER,
+     "    return static_cast<double>(count) >=",
+     "    return m_own.empty() && static_cast<double>(count) >="),
+    ("zone of results", STAGES,
+     "    job.zone = zone_of(stage);", "    job.zone = {};"),
+    ("wait for a target of the zone", PLANNER,
+     "job.zone != target.zone && takes_place(places, next)",
+     "job.zone.empty() && takes_place(places, next)"),
+    ("late requests last", PLANNER,
+     "            job.is_late = now > start_by;",
+     "            job.is_late = false;"),
+    ("margin of the forecast", PLANNER,
+     "constexpr double time_margin = 1.2;",
+     "constexpr double time_margin = 1.0;"),
+    ("beginning only what later stages can take", PLANNER,
+     "(!job.is_begun && !later.may_begin(job, usual_call()))",
+     "(job.pieces == 0 && !later.may_begin(job, usual_call()))"),
+    ("ranks of routes and accounts", PLANNER,
+     "            counts_as += job.yields;",
+     "            counts_as += job.yields * 0;"),
+    ("leaving slow targets alone", PLANNER,
+     "    if (target.slowness < is_slow || is_trial(target, now))",
+     "    if (target.slowness < 1e9 || is_trial(target, now))"),
+    ("room kept free", PLANNER,
+     "constexpr double room_share = 0.97;",
+     "constexpr double room_share = 1.0;"),
+    ("kept prompts", ENGINES,
+     "    bool is_kept = found != m_engines.end();",
+     "    bool is_kept = found != m_engines.end() && id.id.empty();"),
+    ("home of a prompt", ENGINES,
+     "        if (one == home.engine)",
+     "        if (one == home.engine && one->start.id.empty())"),
+    ("running requests of an engine", ENGINES,
+     "constexpr double running_cost = 60;",
+     "constexpr double running_cost = 0;"),
+    ("engine near the results", ENGINES,
+     "constexpr double cross_zone_cost = 800.0 / (1 << 20U);",
+     "constexpr double cross_zone_cost = 0;"),
+    ("engine in the own zone", ENGINES,
+     "constexpr double other_zone_cost = 150;",
+     "constexpr double other_zone_cost = 0;"),
+    ("refusing what waits as the process ends",
+     "packages/serving/entry_process.cpp",
+     "            m_requests.end_unsent();", "            ;"),
+]
--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -24,9 +24,8 @@
 
 /// What a request's stages take at most, as a share of what they are expected
 /// to take: a request that begins with no time to spare mostly ends late, and
-/// takes the place of one in time. More makes whole bursts count as late, and
-/// then nothing tells them apart. Worth of a played day with three waves of
-/// load: 0.43 at 1.0, 0.48 at 1.2, 0.42 at 1.5.
+/// takes the place of one in time. With a large share whole bursts count as
+/// late, and nothing tells their requests apart.
 constexpr double time_margin = 1.2;
 
 duration with_margin(duration expected)
--- a/packages/decision/engine_choice.cpp
+++ b/packages/decision/engine_choice.cpp
@@ -21,8 +21,8 @@
 constexpr double running_cost = 60;
 
 /// What a byte costs that an engine fetches from another zone, in tokens to
-/// read. A megabyte counts like 800 tokens: results are priced about so
-/// against prompts that are read again.
+/// read: a megabyte as much as 800 tokens. It keeps large results in their
+/// zone where that costs little reading.
 constexpr double cross_zone_cost = 800.0 / (1 << 20U);
 
 /// What sending to another zone costs by itself, in tokens to read: the way
