Stages: small results hardly wait for a target of their zone

Hypothesis: each of three stages waits up to a call's time for its zone, the first of them for results of 8 KB beside others of 2 MB.

Change: the wait is a call's time at most, less as a job's bytes are less than those of usual jobs there (moving average).

Test, failing on the code before: a small job beside large ones does not wait.

--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -42,10 +42,22 @@
 /// whose size is only roughly known.
 constexpr double room_share = 0.97;
 
+/// Returns the bytes that cross zones where \a job is made in a wrong one.
+double bytes_of(const piece_job& job)
+{
+    return static_cast<double>(job.input_bytes) +
+           static_cast<double>(job.result_bytes) * job.pieces;
+}
+
 } // namespace
 
 void call_planner::add(piece_job job)
 {
+    constexpr double job_weight = 0.05; // Some seconds' jobs.
+    const double bytes = bytes_of(job);
+    m_usual_bytes = m_usual_bytes == 0
+                        ? bytes
+                        : m_usual_bytes + job_weight * (bytes - m_usual_bytes);
     job_state state;
     const std::uint64_t number = job.number;
     for (std::uint32_t piece = 0; piece < job.pieces; ++piece)
@@ -123,6 +135,17 @@
     return places;
 }
 
+// Callers wait no longer than a call's time for what only saves the way of
+// results between zones, and hardly at all where a job's results are small
+// beside those of others.
+duration call_planner::zone_patience(const piece_job& job) const
+{
+    const double share =
+        m_usual_bytes > 0 ? std::min(1.0, bytes_of(job) / m_usual_bytes) : 1.0;
+    return duration(static_cast<duration::rep>(
+        share * static_cast<double>(usual_call().count())));
+}
+
 // Whether a job is better left to a target of its own zone: there is one that
 // is free before the job has to start, and takes it with what is due before.
 bool call_planner::takes_place(zone_places& places, const candidate& one)
@@ -165,10 +188,7 @@
         instant counts_as = job.due;
         if (!job.is_begun)
             counts_as += job.yields;
-        // Callers wait no longer than a call's time for what only saves the
-        // way of results between zones, and not at all where it makes them
-        // late.
-        const instant longest_wait = job.asked_at + call;
+        const instant longest_wait = job.asked_at + zone_patience(job);
         order.push_back(
             {job.is_late, counts_as,
              job.is_late ? longest_wait : std::min(start_by, longest_wait),
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -155,6 +155,7 @@
     };
     using zone_places = std::map<std::string, std::vector<zone_place>>;
 
+    duration zone_patience(const piece_job& job) const;
     zone_places places_beside(const stage_target& target, instant now) const;
     static bool takes_place(zone_places& places, const candidate& one);
     std::vector<candidate> in_order(instant now, const outlook& later);
@@ -170,6 +171,7 @@
     std::vector<std::uint64_t> m_finished;
     std::size_t m_waiting_pieces = 0;
     std::uint64_t m_lost_calls = 0;
+    double m_usual_bytes = 0;   ///< Of a job, moving average; 0 at first.
     double m_usual_call_ns = 0; ///< Moving average; 0 before the first.
 };
 
--- a/tests/decision/call_planner_test.cpp
+++ b/tests/decision/call_planner_test.cpp
@@ -135,6 +135,30 @@
     CHECK(urgent->pieces.front().job == 3);
 }
 
+// Guards against chains of small results that end late for what saves nothing.
+TEST_CASE("small results do not wait for a target of their zone")
+{
+    call_planner made(shape());
+    made.set_targets({{"t0", "a"}, {"t1", "b"}});
+    const auto asked = [&made](std::uint64_t number, std::uint64_t bytes)
+    {
+        piece_job one = job(number, 4, 3s);
+        one.zone = "b";
+        one.asked_at = start + 150ms;
+        one.result_bytes = bytes;
+        made.add(one);
+    };
+    asked(1, 1000);
+    REQUIRE(made.next_call(start)->target == "t1"); // Until 240 ms.
+    asked(2, 1000);
+    CHECK_FALSE(made.next_call(start + 150ms));
+    asked(3, 10);
+    const auto call = made.next_call(start + 160ms);
+    REQUIRE(call);
+    CHECK(call->pieces.size() == 4);
+    CHECK(call->pieces.front().job == 3);
+}
+
 // Guards against idle targets beside a line that one zone cannot take in time.
 TEST_CASE("what the targets of a zone cannot take next goes to other zones")
 {
