--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <limits>
 
 namespace mangofold::decision
 {
@@ -38,26 +38,19 @@
 /// job, the least urgent: about a second, in which a slow spell can be over.
 constexpr int trial_after = 5;
 
+/// The part of a call's fixed time that a job waits for a target of its own
+/// zone: a half. Three stages then cost at most a tenth of an aim of two to
+/// three seconds more.
+constexpr int zone_patience = 2;
+
 /// The share of its room that is filled on purpose; the rest is for results
 /// whose size is only roughly known.
 constexpr double room_share = 0.97;
 
-/// Returns the bytes that cross zones where \a job is made in a wrong one.
-double bytes_of(const piece_job& job)
-{
-    return static_cast<double>(job.input_bytes) +
-           static_cast<double>(job.result_bytes) * job.pieces;
-}
-
 } // namespace
 
 void call_planner::add(piece_job job)
 {
-    constexpr double job_weight = 0.05; // Some seconds' jobs.
-    const double bytes = bytes_of(job);
-    m_usual_bytes = m_usual_bytes == 0
-                        ? bytes
-                        : m_usual_bytes + job_weight * (bytes - m_usual_bytes);
     job_state state;
     const std::uint64_t number = job.number;
     for (std::uint32_t piece = 0; piece < job.pieces; ++piece)
@@ -123,84 +116,66 @@
     return found;
 }
 
-call_planner::zone_places
-call_planner::places_beside(const stage_target& target, instant now) const
-{
-    zone_places places;
-    for (const auto& [id, other] : m_targets)
-        if (other.zone != target.zone && other.slowness < is_slow &&
-            other.aside_until <= now)
-            places[other.zone].push_back(
-                {std::max(other.free_at, now), m_shape.most_pieces});
-    return places;
-}
-
-// Callers wait no longer than a call's time for what only saves the way of
-// results between zones, and hardly at all where a job's results are small
-// beside those of others.
-duration call_planner::zone_patience(const piece_job& job) const
-{
-    const double share =
-        m_usual_bytes > 0 ? std::min(1.0, bytes_of(job) / m_usual_bytes) : 1.0;
-    return duration(static_cast<duration::rep>(
-        share * static_cast<double>(usual_call().count())));
-}
-
-// Whether a job is better left to a target of its own zone: there is one that
-// is free before the job has to start, and takes it with what is due before.
-bool call_planner::takes_place(zone_places& places, const candidate& one)
+// Results that cross zones are priced, and take long on a link that many use.
+// A job that has just come waits a little for a target of its own zone that
+// will be free soon.
+bool call_planner::waits_for_zone(const piece_job& job,
+                                  const stage_target& target, instant now) const
 {
-    const auto found = places.find(one.state->job.zone);
-    if (found == places.end())
+    if (job.zone.empty() || job.zone == target.zone)
         return false;
-    const std::size_t wanted = one.state->waiting.size();
-    for (zone_place& place : found->second)
-    {
-        if (place.free_at > one.latest_start || place.pieces < wanted)
-            continue;
-        place.pieces -= wanted;
-        return true;
-    }
-    return false;
+    const instant until = job.asked_at + m_shape.per_call / zone_patience;
+    if (until <= now)
+        return false;
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [&](const auto& one)
+                       {
+                           const stage_target& other = one.second;
+                           return other.zone == job.zone &&
+                                  other.slowness < is_slow &&
+                                  std::max(other.free_at, other.aside_until) <=
+                                      until;
+                       });
 }
 
 // The most urgent goes first, by when it is due and how much it yields. A
 // request that would be late waits behind those that can be in time, so that
 // one late request does not make all others late too. Whether it would be is
 // decided once, when it begins: one that was begun in time goes on as it is,
-// or what was made for it would be dropped and made again.
-std::vector<call_planner::candidate>
-call_planner::in_order(instant now, const outlook& later)
+// or what was made for it would be dropped and made again. One whose results
+// are better made in another zone counts as due a call's time later.
+std::vector<call_planner::job_state*>
+call_planner::in_order(const stage_target& target, instant now,
+                       const outlook& later)
 {
-    std::vector<candidate> order;
+    std::vector<std::pair<std::pair<bool, instant>, job_state*>> order;
     const duration call = usual_call();
     for (auto& [number, state] : m_jobs)
     {
         if (state.waiting.empty())
             continue;
         piece_job& job = state.job;
-        const instant start_by =
-            job.due - with_margin(call + later.time_after(job, call, false));
         if (!job.is_begun)
-            job.is_late = now > start_by;
+            job.is_late =
+                now + with_margin(call + later.time_after(job, call, false)) >
+                job.due;
+        if (waits_for_zone(job, target, now))
+            continue;
         // Ranks decide who begins. Of those that have begun, a less urgent
         // one that is held back ends late, and its work was for little.
         instant counts_as = job.due;
         if (!job.is_begun)
             counts_as += job.yields;
-        const instant longest_wait = job.asked_at + zone_patience(job);
-        order.push_back(
-            {job.is_late, counts_as,
-             job.is_late ? longest_wait : std::min(start_by, longest_wait),
-             &state});
+        if (!job.zone.empty() && job.zone != target.zone)
+            counts_as += call;
+        order.push_back({{job.is_late, counts_as}, &state});
     }
-    std::sort(order.begin(), order.end(),
-              [](const candidate& left, const candidate& right)
-              {
-                  return std::tie(left.is_late, left.counts_as) <
-                         std::tie(right.is_late, right.counts_as);
-              });
-    return order;
+    std::sort(order.begin(), order.end());
+    std::vector<job_state*> jobs;
+    jobs.reserve(order.size());
+    for (const auto& [key, state] : order)
+        jobs.push_back(state);
+    return jobs;
 }
 
 // One request that ends its targets would take all others of its call with it,
@@ -234,18 +209,14 @@
     std::uint64_t used = target.kept_bytes + target.reserved_bytes;
     std::size_t space = m_shape.most_pieces;
     const bool is_one_job = is_trial(target, now);
-    std::vector<candidate> order = in_order(now, later);
-    zone_places places = places_beside(target, now);
+    std::vector<job_state*> order = in_order(target, now, later);
     if (is_one_job)
         std::reverse(order.begin(), order.end());
-    for (const candidate& next : order)
+    for (job_state* state : order)
     {
         if (space == 0 || (is_one_job && !call.pieces.empty()))
             break;
-        job_state* const state = next.state;
         const piece_job& job = state->job;
-        if (job.zone != target.zone && takes_place(places, next))
-            continue;
         if (!may_share(*state, call) ||
             (!job.is_begun && !later.may_begin(job, usual_call())))
             continue;
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -139,26 +139,10 @@
     std::vector<stage_target*> free_targets(instant now);
     bool is_trial(const stage_target& target, instant now) const;
     bool is_worth_waiting(const stage_target& target, instant now) const;
-    /// A job as it stands in line for one target.
-    struct candidate
-    {
-        bool is_late = false;
-        instant counts_as{};    ///< Due, for its place in the line.
-        instant latest_start{}; ///< To be in time, or to wait for its zone.
-        job_state* state = nullptr;
-    };
-    /// What targets of a zone can take, and when.
-    struct zone_place
-    {
-        instant free_at{};
-        std::size_t pieces = 0;
-    };
-    using zone_places = std::map<std::string, std::vector<zone_place>>;
-
-    duration zone_patience(const piece_job& job) const;
-    zone_places places_beside(const stage_target& target, instant now) const;
-    static bool takes_place(zone_places& places, const candidate& one);
-    std::vector<candidate> in_order(instant now, const outlook& later);
+    bool waits_for_zone(const piece_job& job, const stage_target& target,
+                        instant now) const;
+    std::vector<job_state*> in_order(const stage_target& target, instant now,
+                                     const outlook& later);
     bool may_share(const job_state& one, const planned_call& call) const;
     void fill(planned_call& call, stage_target& target, instant now,
               const outlook& later);
@@ -171,7 +155,6 @@
     std::vector<std::uint64_t> m_finished;
     std::size_t m_waiting_pieces = 0;
     std::uint64_t m_lost_calls = 0;
-    double m_usual_bytes = 0;   ///< Of a job, moving average; 0 at first.
     double m_usual_call_ns = 0; ///< Moving average; 0 before the first.
 };
 
