--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -116,7 +116,7 @@
     return found;
 }
 
-// Results that cross zones are priced, and take long on a link that many use.
+// Results that cross zones take long on a link that many use.
 // A job that has just come waits a little for a target of its own zone that
 // will be free soon.
 bool call_planner::waits_for_zone(const piece_job& job,
