Serving: limits that targets state are logged and counted

The adapter parses the header, decision/request_limits keeps what each incarnation stated last, and target_limit is logged whenever that changes. Nothing is decided by it yet.

Cases kept apart: a value that cannot be parsed changes nothing; a response of another target at the same address (421) says nothing about this one; a response to a request sent before the limit was stated does not end it.

--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -9,6 +9,7 @@
 #include "decision/moving_mean.hpp"
 #include "decision/quarantine.hpp"
 #include "decision/random_source.hpp"
+#include "decision/request_limits.hpp"
 #include "decision/retry_budget.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/target_health.hpp"
@@ -89,6 +90,7 @@
     decision::target_directory directory;
     decision::zone_evacuations evacuations;
     decision::cold_targets cold_targets;
+    decision::request_limits request_limits;
     bool has_some_targets = false; ///< Part of the list was received from
                                    ///< the source or another entry.
     bool has_all_targets = false;  ///< The whole list was read at least
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "decision/request_content.hpp"
 #include "serving/target_losses.hpp"
+#include "serving/target_statements.hpp"
 
 #include <algorithm>
 
@@ -263,6 +264,7 @@
     if (send_result == target_call::outcome::ok)
     {
         record_target_alive(m_context, id, m_call->opened_at());
+        record_target_statements(m_context, *m_call, sent_at);
         m_context.cold_targets.note_answered(
             id, m_context.warm_up_of(m_service).period, m_context.now());
     }
--- a/packages/serving/message_metadata.hpp
+++ b/packages/serving/message_metadata.hpp
@@ -76,6 +76,14 @@
     bool has_not_run = false; ///< The target did not execute the request.
     bool is_signed = false;   ///< Has the target's signature.
     bool is_unencoded = true; ///< Has no content encoding.
+    /// The target refused the request since it was meant for another one, which
+    /// had the same address before.
+    bool is_misdirected = false;
+    /// Requests per second that the target accepts from all entries together;
+    /// nothing if it states no limit.
+    std::optional<double> request_limit;
+    /// The target states a limit that cannot be parsed.
+    bool is_limit_unreadable = false;
     std::optional<duration> keep_alive_timeout; ///< For which the target keeps
                                                 ///< an idle connection open.
 
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -3,6 +3,7 @@
 #include "runtime/event.hpp"
 #include "serving/target_call.hpp"
 #include "serving/target_losses.hpp"
+#include "serving/target_statements.hpp"
 
 namespace mangofold::serving
 {
@@ -183,6 +184,8 @@
     spawn(m_context.loop,
           report_fetched_inputs(service, plan, fetch_time(queue, plan)));
     auto state = co_await sent_call->send_request(request, {}, timeout);
+    if (state == target_call::outcome::ok)
+        record_target_statements(m_context, *sent_call, started_at);
     while (state == target_call::outcome::ok && !sent_call->is_complete())
         state = co_await sent_call->read_more(timeout);
     const instant now = m_context.now();
@@ -265,9 +268,12 @@
         const auto sent_call = std::make_shared<target_call>(
             m_context.connection_pool, m_context.protocol,
             call_destination{producer, runtime::address::parse(address)});
+        const instant sent_at = m_context.now();
         auto state = co_await sent_call->send_request(
             m_context.protocol.make_release_request(handles), {},
             timeout_margin);
+        if (state == target_call::outcome::ok)
+            record_target_statements(m_context, *sent_call, sent_at);
         while (state == target_call::outcome::ok && !sent_call->is_complete())
             state = co_await sent_call->read_more(timeout_margin);
         if (state != target_call::outcome::ok)
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -145,6 +145,23 @@
     CHECK(metadata.has_not_run);
     CHECK(metadata.is_signed);
     CHECK(metadata.keep_alive_timeout == 7s);
+    CHECK_FALSE(metadata.request_limit);
+    CHECK_FALSE(metadata.is_limit_unreadable);
+    head.set("Server-Limit", " 2.5");
+    CHECK(platform::request_dialect().parse_response(head).request_limit ==
+          2.5);
+}
+
+// Guards against attributing what a target states to the one that had its
+// address before.
+TEST_CASE("a response of another target at the same address is misdirected")
+{
+    serving::http_response_head head;
+    head.result(421);
+    CHECK(platform::request_dialect().parse_response(head).is_misdirected);
+    head.result(503);
+    CHECK_FALSE(
+        platform::request_dialect().parse_response(head).is_misdirected);
 }
 
 TEST_CASE("calls for pieces are written and their results parsed")
--- a/tests/platform/untrusted_input_test.cpp
+++ b/tests/platform/untrusted_input_test.cpp
@@ -125,6 +125,25 @@
     }
 }
 
+// Guards against a target that gets no requests, or unlimited ones, because its
+// limit cannot be parsed.
+TEST_CASE("an unreadable limit of a target is neither a limit nor its end")
+{
+    const platform::request_dialect dialect;
+    serving::http_response answer{serving::http::status::ok, 11};
+    const std::string too_long(400, '9');
+    for (const char* value :
+         {"", "x", "-1", "+1", "1e3", "inf", "nan", "0x10", "1,5", "1 2",
+          "1.2.3", ".", "\xff", too_long.c_str()})
+    {
+        CAPTURE(value);
+        answer.set("Server-Limit", value);
+        const auto metadata = dialect.parse_response(answer.base());
+        CHECK_FALSE(metadata.request_limit);
+        CHECK(metadata.is_limit_unreadable);
+    }
+}
+
 TEST_CASE("arbitrary headers of a caller are parsed or refused")
 {
     const platform::request_dialect dialect;
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -56,6 +56,9 @@
         metadata.id = text(response, "Id");
         metadata.has_not_run = response.count("Not-Run") > 0;
         metadata.is_signed = response.count("Seal") > 0;
+        metadata.is_misdirected = response.result_int() == 421;
+        if (response.count("Limit") > 0)
+            metadata.request_limit = std::stod(text(response, "Limit"));
         metadata.keep_alive_timeout = std::chrono::seconds(10);
         return metadata;
     }
