Decision: entries keep to the limits that targets state

What callers saw: nothing at once; a model engine that had stated a limit of one request a second got its usual 2 to 3 a second, up to 13 in 4 s of 11 allowed, from entries that it had told.

Cause: a response was read for its outcome only. Ruled out: limits kept by each entry alone (arrivals did not fall at all), repeats (all sampled requests at these engines were sent once), the planned stop (the users' record has reports before it).

Change: decision/request_limits paces the requests to a limited target. A quarter of the limit stays unused. No more entries send than can do so every four seconds, those with the lowest ordinals for the target, so that a large fleet's requests can't coincide; an entry without a majority of the fleet keeps to an equal share; one that does not know the fleet yet sends nothing. The batching entry alone calls the targets of its service; releases of results use what calls leave, and wait or expire otherwise. Requests, streams, resumed streams, repeats and trials all choose among available_targets(), which now applies the limits; what no target takes is refused at once (targets_limited), before its stages where that is certain.

Why it works: the bound holds for the sum without entries hearing each other, tests/decision/request_limits_test.cpp: 1 to 300 entries, limits 0 to 20 a second, whole and in 2 to 4 parts, at most 1.5 x limit x 4 s + 5 in any 4 s, at least 0.6 of the limit used.

--- a/packages/decision/call_planner.cpp
+++ b/packages/decision/call_planner.cpp
@@ -94,7 +94,7 @@
         {
             const stage_target& other = entry.second;
             if (other.incarnation == target.incarnation ||
-                other.backoff_until > now)
+                other.unavailable_until() > now)
                 return false;
             const instant free = std::max(other.free_at, now);
             return free + expected_time(other, m_profile.max_pieces) < own;
@@ -107,7 +107,8 @@
     for (auto& [id, target] : m_targets)
     {
         if (target.calls_in_progress >= m_profile.slots ||
-            target.backoff_until > now || has_faster_alternative(target, now))
+            target.unavailable_until() > now ||
+            has_faster_alternative(target, now))
             continue;
         target.drop_expired(now);
         found.push_back(&target);
@@ -138,7 +139,7 @@
         {
             const stage_target& other = entry.second;
             return other.zone == job.zone && other.slowdown < slow_threshold &&
-                   std::max(other.free_at, other.backoff_until) <= until;
+                   std::max(other.free_at, other.unavailable_until()) <= until;
         });
 }
 
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/call_planner.hpp
@@ -59,6 +59,11 @@
     /// Sets the targets that may get calls, with their zones.
     void set_targets(const std::map<target_incarnation, std::string>& zones);
 
+    /// Sets when \a target may get its next call, and the interval between its
+    /// calls from then on.
+    void set_call_limit(const target_incarnation& target, instant next_call_at,
+                        duration min_interval);
+
     /// Adds a job. Its number must be unused.
     void add(stage_job job);
 
@@ -95,6 +100,10 @@
     void note_released(const target_incarnation& target,
                        const std::string& handle);
 
+    /// Whether \a target still stores the result \a handle.
+    bool is_stored(const target_incarnation& target, const std::string& handle,
+                   instant now) const;
+
     /// A job removed from the planner, with the handles of the results produced
     /// so far in the order of the pieces.
     struct removed_job
@@ -158,6 +167,7 @@
     duration expected_time(const stage_target& target,
                            std::size_t pieces) const;
     std::vector<stage_target*> free_targets(instant now);
+    instant earliest_call(instant now) const;
     bool is_probe_due(const stage_target& target, instant now) const;
     bool has_faster_alternative(const stage_target& target, instant now) const;
     bool waits_for_zone(const stage_job& job, const stage_target& target,
--- a/packages/decision/call_planner_estimates.cpp
+++ b/packages/decision/call_planner_estimates.cpp
@@ -27,9 +27,11 @@
     {
         if (target.backoff_until > now)
             continue;
-        const auto time = expected_time(target, m_profile.max_pieces);
-        pieces_per_ns += static_cast<double>(m_profile.max_pieces) *
-                         m_profile.slots / static_cast<double>(time.count());
+        const auto time = std::max(expected_time(target, m_profile.max_pieces) /
+                                       m_profile.slots,
+                                   target.min_call_interval);
+        pieces_per_ns += static_cast<double>(m_profile.max_pieces) /
+                         static_cast<double>(time.count());
     }
     if (pieces_per_ns <= 0)
         return m_profile.time_per_call;
@@ -45,16 +47,26 @@
     return pieces;
 }
 
+instant call_planner::earliest_call(instant now) const
+{
+    if (m_targets.empty())
+        return now;
+    instant earliest = instant::max();
+    for (const auto& [id, target] : m_targets)
+        earliest = std::min(earliest, std::max(now, target.next_call_at));
+    return earliest;
+}
+
 duration call_planner::expected_wait(instant now, bool is_late) const
 {
     instant first_free = now + m_profile.time_per_call * 2;
     for (const auto& [id, target] : m_targets)
-        first_free =
-            std::min(first_free,
-                     target.calls_in_progress >= m_profile.slots ||
-                             target.backoff_until > now
-                         ? std::max({target.free_at, target.backoff_until, now})
-                         : now);
+        first_free = std::min(
+            first_free,
+            target.calls_in_progress >= m_profile.slots ||
+                    target.unavailable_until() > now
+                ? std::max({target.free_at, target.unavailable_until(), now})
+                : now);
     const std::size_t pieces_ahead =
         is_late ? m_waiting_pieces : waiting_pieces_on_time();
     return time_per_piece(now) * static_cast<duration::rep>(pieces_ahead) +
--- a/packages/decision/call_planner_jobs.cpp
+++ b/packages/decision/call_planner_jobs.cpp
@@ -109,13 +109,14 @@
 call_planner::take_expired(instant now, const downstream_estimates& downstream)
 {
     std::vector<removed_job> jobs;
+    const instant earliest = earliest_call(now);
     for (auto entry = m_jobs.begin(); entry != m_jobs.end();)
     {
         const auto next = std::next(entry);
         const job_state& state = entry->second;
         if (!state.is_in_progress() &&
             state.job.expires <
-                now + m_profile.time_per_call +
+                earliest + m_profile.time_per_call +
                     downstream.remaining_time(
                         state.job, m_profile.time_per_call, state.job.is_late))
             jobs.push_back(remove(entry));
--- a/packages/decision/call_planner_targets.cpp
+++ b/packages/decision/call_planner_targets.cpp
@@ -62,4 +62,25 @@
     }
 }
 
+void call_planner::set_call_limit(const target_incarnation& target,
+                                  instant next_call_at, duration min_interval)
+{
+    const auto found = m_targets.find(target);
+    if (found == m_targets.end())
+        return;
+    found->second.next_call_at = next_call_at;
+    found->second.min_call_interval = min_interval;
+}
+
+bool call_planner::is_stored(const target_incarnation& target,
+                             const std::string& handle, instant now) const
+{
+    const auto producer = m_targets.find(target);
+    if (producer == m_targets.end())
+        return false;
+    const auto& stored = producer->second.stored;
+    const auto result = stored.find(handle);
+    return result != stored.end() && result->second.expires_at > now;
+}
+
 } // namespace mangofold::decision
--- a/packages/decision/quarantine.hpp
+++ b/packages/decision/quarantine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/crash_log.hpp"
+#include "decision/ordinal.hpp"
 
 #include <functional>
 #include <set>
@@ -10,16 +11,6 @@
 namespace mangofold::decision
 {
 
-/// The index of a member in a group that all entries order in the same way,
-/// such as this entry among the live entries.
-struct ordinal
-{
-    std::size_t index = 0;
-    std::size_t count = 1; ///< Of the members.
-
-    friend bool operator==(const ordinal&, const ordinal&) = default;
-};
-
 /// Returns those of \a targets that are reserved for other members: targets are
 /// assigned round-robin, and \a own is the position of the caller.
 std::set<target_incarnation>
--- a/packages/decision/request_limits.hpp
+++ b/packages/decision/request_limits.hpp
@@ -1,22 +1,58 @@
 #pragma once
 
+#include "decision/ordinal.hpp"
+#include "decision/random_source.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/target_incarnation.hpp"
 #include "decision/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <optional>
+#include <string>
 #include <unordered_map>
 
 namespace mangofold::decision
 {
 
-/// The limits on the request rate that overloaded targets state in their
-/// responses. A limit applies to the requests of all entries together, until
-/// the target responds without it.
+/// What an entry knows of the other entries that may send to the same target.
+struct fleet_position
+{
+    ordinal own; ///< Of this entry among the live ones, for one target.
+    std::size_t known_entries = 1; ///< Including those that do not answer.
+
+    friend bool operator==(const fleet_position&,
+                           const fleet_position&) = default;
+};
+
+/// Limits the request rate to targets that state a limit in their responses.
+///
+/// A limit applies to the requests of all entries together, until the target
+/// responds without it. Each entry keeps to a share of its own, so that no
+/// entry needs to know what the others send.
 class request_limits
 {
 public:
+    /// Returns the position of this entry for the target with the given id, or
+    /// nothing while the size of the fleet is unknown.
+    using position_source =
+        std::function<std::optional<fleet_position>(const std::string&)>;
+
+    /// Which entries send to a target.
+    enum class senders : std::uint8_t
+    {
+        all_entries,
+        this_entry ///< Such as the one that batches the calls of a service.
+    };
+
+    explicit request_limits(std::uint64_t seed = 0) : m_random(seed) {}
+
+    void set_position_source(position_source source)
+    {
+        m_position_of = std::move(source);
+    }
+
     /// Notes that the response of \a target to a request sent at \a sent_at
     /// stated the limit \a per_second, or none. Returns whether that changed
     /// the known limit.
@@ -27,6 +63,19 @@
     /// Returns the limit of \a target in requests per second, if it has one.
     std::optional<double> limit_of(const target_incarnation& target) const;
 
+    /// Returns when this entry may send the next request to \a target: \a now
+    /// if the target has no limit, instant::max() if other entries use it up.
+    instant next_send(const target_incarnation& target, senders by,
+                      instant now);
+
+    /// Notes that a request was sent to \a target.
+    void note_sent(const target_incarnation& target, instant now);
+
+    /// Returns the interval between requests of this entry to \a target; zero
+    /// if the target has no limit or this entry sends it nothing.
+    duration interval(const target_incarnation& target, senders by,
+                      instant now);
+
     /// Whether any target has a limit.
     bool has_any() const { return !m_targets.empty(); }
 
@@ -41,9 +90,19 @@
     {
         double per_second = 0;
         instant stated_at{};
+        /// The next request may be sent one interval after this time.
+        std::optional<instant> interval_start;
+        std::optional<fleet_position> position; ///< Cached.
+        instant position_at{};
     };
 
+    std::optional<duration> interval_of(const std::string& id, state& limit,
+                                        senders by, instant now);
+
     std::unordered_map<target_incarnation, state> m_targets;
+    position_source m_position_of = [](const std::string&)
+    { return std::optional(fleet_position()); };
+    random_source m_random;
 };
 
 } // namespace mangofold::decision
--- a/packages/decision/stage_target.hpp
+++ b/packages/decision/stage_target.hpp
@@ -3,6 +3,7 @@
 #include "decision/target_incarnation.hpp"
 #include "decision/time.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -22,6 +23,8 @@
     instant last_call_ended_at{};
     std::uint32_t consecutive_failures = 0;
     instant backoff_until{};          ///< Gets no calls before this time.
+    instant next_call_at{};           ///< Earliest time that its limit allows.
+    duration min_call_interval{};     ///< Between calls, for its limit.
     std::uint64_t reserved_bytes = 0; ///< For results of calls in progress.
     struct stored_result
     {
@@ -31,6 +34,11 @@
     std::map<std::string, stored_result> stored; ///< By handle.
     std::uint64_t stored_bytes = 0;
 
+    /// Returns until when the target gets no calls.
+    instant unavailable_until() const
+    {
+        return std::max(backoff_until, next_call_at);
+    }
     /// Forgets the results that the target has dropped by \a now.
     void drop_expired(instant now);
     void store(const std::string& handle, std::uint64_t bytes,
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -42,11 +42,16 @@
                   const dialect& target_protocol,
                   node_settings initial_settings, std::uint64_t seed)
         : loop(event_loop), time(process_clock), protocol(target_protocol),
-          settings(std::move(initial_settings)),
+          settings(std::move(initial_settings)), request_limits(seed + 2),
           connection_pool(event_loop, process_clock), target_health(seed),
           random(seed + 1)
     {
+        request_limits.set_position_source([this](const std::string& target)
+                                           { return position_for(target); });
     }
+    // Not copyable: request_limits refers to the context.
+    entry_context(const entry_context&) = delete;
+    entry_context& operator=(const entry_context&) = delete;
 
     instant now() const { return time.now(); }
 
@@ -140,6 +145,16 @@
         return std::max<std::size_t>(peak_entries, settings.seeds.size());
     }
 
+    /// Returns the position of this entry among those that share the limit of
+    /// \a target, or nothing while the size of the fleet is unknown.
+    std::optional<decision::fleet_position>
+    position_for(const std::string& target) const
+    {
+        if (!is_fleet_size_known())
+            return std::nullopt;
+        return decision::fleet_position{ordinal_for(target), fleet_size()};
+    }
+
     /// How late the event loop runs. Its owner records the runs of a periodic
     /// timer.
     decision::loop_lag loop_lag{loop_probe_interval};
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -145,6 +145,11 @@
             m_refusal = refusal::evacuated;
             co_return;
         }
+        if (are_targets_limited())
+        {
+            m_refusal = refusal::targets_limited;
+            co_return;
+        }
         if (has_stages && !m_stages)
         {
             const bool are_done = co_await run_stages();
@@ -187,6 +192,7 @@
         m_context.quarantine.note_sent(content_digest(), target);
     m_context.cold_targets.note_sent(target, m_context.warm_up_of(m_service),
                                      m_context.fleet_size(), m_context.now());
+    m_context.request_limits.note_sent(target, m_context.now());
     if (is_engine_service())
         m_prefill_tokens = m_context.engines.note_sent(
             target, make_generation_request(), m_context.now());
@@ -235,8 +241,7 @@
     if (target == nullptr)
     {
         if (m_refusal == refusal::none)
-            m_refusal =
-                m_cold_retry_at ? refusal::targets_cold : refusal::no_target;
+            m_refusal = reason_for_no_target();
         co_return attempt_outcome::given_up;
     }
     m_refusal = refusal::none;
--- a/packages/serving/exchange_targets.cpp
+++ b/packages/serving/exchange_targets.cpp
@@ -17,35 +17,72 @@
 
 // Each cold target takes requests of this entry only in time slots that no
 // other entry uses.
+instant exchange::next_send_while_cold(const decision::listed_target& target)
+{
+    const instant now = m_context.now();
+    const decision::warm_up service_warm_up = m_context.warm_up_of(m_service);
+    if (service_warm_up.period <= duration::zero() ||
+        !m_context.cold_targets.is_cold(target.incarnation, now))
+        return now;
+    const instant next = m_context.cold_targets.next_send(
+        target.incarnation, service_warm_up, m_context.fleet_size(), now,
+        m_context.random);
+    return m_context.is_fleet_size_known() ? next
+                                           : std::max(next, now + duration(1));
+}
+
+instant exchange::next_send_within_limit(const decision::listed_target& target)
+{
+    return m_context.request_limits.next_send(
+        target.incarnation, decision::request_limits::senders::all_entries,
+        m_context.now());
+}
+
 std::vector<const decision::listed_target*> exchange::available_targets()
 {
     const auto& all = m_context.directory.serving(m_service);
-    const decision::warm_up service_warm_up = m_context.warm_up_of(m_service);
     m_cold_retry_at.reset();
-    if (service_warm_up.period <= duration::zero() ||
-        !m_context.cold_targets.has_any())
+    m_limit_retry_at.reset();
+    if (!m_context.cold_targets.has_any() &&
+        !m_context.request_limits.has_any())
         return all;
     const instant now = m_context.now();
-    const bool are_entries_known = m_context.is_fleet_size_known();
     std::vector<const decision::listed_target*> open;
     for (const auto* target : all)
     {
-        if (!m_context.cold_targets.is_cold(target->incarnation, now))
+        const instant cold_until = next_send_while_cold(*target);
+        const instant limited_until = next_send_within_limit(*target);
+        const instant next = std::max(cold_until, limited_until);
+        if (next <= now)
         {
             open.push_back(target);
             continue;
         }
-        const instant next = m_context.cold_targets.next_send(
-            target->incarnation, service_warm_up, m_context.fleet_size(), now,
-            m_context.random);
-        if (next <= now && are_entries_known)
-            open.push_back(target);
-        else if (!m_cold_retry_at || next < *m_cold_retry_at)
-            m_cold_retry_at = next;
+        auto& retry_at =
+            limited_until > now ? m_limit_retry_at : m_cold_retry_at;
+        retry_at = std::min(next, retry_at.value_or(instant::max()));
     }
     return open;
 }
 
+// Stages that run for a request without a target would be wasted.
+bool exchange::are_targets_limited()
+{
+    const auto& all = m_context.directory.serving(m_service);
+    return m_context.request_limits.has_any() && !all.empty() &&
+           std::all_of(all.begin(), all.end(),
+                       [this](const auto* target) {
+                           return next_send_within_limit(*target) > m_deadline;
+                       });
+}
+
+refusal exchange::reason_for_no_target() const
+{
+    if (m_cold_retry_at)
+        return refusal::targets_cold;
+    return m_limit_retry_at ? refusal::targets_limited : refusal::no_target;
+}
+
 const decision::listed_target* exchange::choose_target_except(
     const std::set<decision::target_incarnation>& excluded)
 {
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -26,6 +26,8 @@
 constexpr duration min_fetch_time = std::chrono::milliseconds(40);
 constexpr double fetch_margin = 4;
 
+constexpr auto this_entry = decision::request_limits::senders::this_entry;
+
 constexpr duration summary_interval = std::chrono::seconds(1);
 
 } // namespace
@@ -102,13 +104,34 @@
                                 service_queue& queue)
 {
     update_targets(service, queue);
+    update_call_limits(service, queue);
     while (auto plan = queue.planner.next_call(m_context.now(), m_estimates))
     {
         note_started_jobs(queue, *plan);
+        m_context.request_limits.note_sent(plan->target, m_context.now());
+        update_call_limits(service, queue);
         spawn(m_context.loop, run_call(service, std::move(*plan)));
     }
 }
 
+// Only the batching entry calls the targets of its service, so the limit of
+// each target applies to this entry alone.
+void piece_batcher::update_call_limits(const std::string& service,
+                                       service_queue& queue)
+{
+    const bool has_limits = m_context.request_limits.has_any();
+    if (!has_limits && !queue.has_call_limits)
+        return;
+    queue.has_call_limits = has_limits;
+    const instant now = m_context.now();
+    decision::request_limits& limits = m_context.request_limits;
+    for (const auto* target : m_context.directory.serving(service))
+        queue.planner.set_call_limit(
+            target->incarnation,
+            limits.next_send(target->incarnation, this_entry, now),
+            limits.interval(target->incarnation, this_entry, now));
+}
+
 std::vector<piece_task>
 piece_batcher::piece_tasks(const service_queue& queue,
                            const decision::planned_call& plan) const
@@ -253,11 +276,37 @@
         queue_release(*queue, handle);
 }
 
+bool piece_batcher::may_send_release(
+    const decision::target_incarnation& producer)
+{
+    const instant now = m_context.now();
+    return m_context.request_limits.next_send(producer, this_entry, now) <= now;
+}
+
+// Calls have priority over releases at a target with a limit. Results that
+// expire meanwhile need no release.
+void piece_batcher::hold_back_releases(
+    service_queue& queue, const std::string& address,
+    const decision::target_incarnation& producer,
+    std::vector<std::string> handles)
+{
+    std::erase_if(handles,
+                  [&](const std::string& handle) {
+                      return !queue.planner.is_stored(producer, handle,
+                                                      m_context.now());
+                  });
+    if (handles.empty())
+        return;
+    auto& pending = queue.pending_releases[address];
+    pending.insert(pending.end(), std::make_move_iterator(handles.begin()),
+                   std::make_move_iterator(handles.end()));
+}
+
 awaitable<void> piece_batcher::send_releases(std::string service)
 {
     service_queue& queue = *m_queues.at(service);
-    const auto batches = std::exchange(queue.pending_releases, {});
-    for (const auto& [address, handles] : batches)
+    auto batches = std::exchange(queue.pending_releases, {});
+    for (auto& [address, handles] : batches)
     {
         decision::target_incarnation producer;
         for (const auto* target : m_context.directory.serving(service))
@@ -265,6 +314,12 @@
                 producer = target->incarnation;
         if (producer.id.empty())
             continue;
+        if (!may_send_release(producer))
+        {
+            hold_back_releases(queue, address, producer, std::move(handles));
+            continue;
+        }
+        m_context.request_limits.note_sent(producer, m_context.now());
         const auto sent_call = std::make_shared<target_call>(
             m_context.connection_pool, m_context.protocol,
             call_destination{producer, runtime::address::parse(address)});
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -78,6 +78,7 @@
         std::map<std::uint64_t, accepted_job> jobs;
         std::map<std::string, std::vector<std::string>> pending_releases;
         std::uint64_t directory_changes = 0;
+        bool has_call_limits = false; ///< In the planner.
         instant last_job_at{};
         std::uint64_t calls = 0;  ///< Since the last summary.
         std::uint64_t pieces = 0; ///< In the calls counted above.
@@ -108,6 +109,7 @@
                            const decision::planned_call& plan);
     service_queue* queue_of(const std::string& service);
     void update_targets(const std::string& service, service_queue& queue);
+    void update_call_limits(const std::string& service, service_queue& queue);
     void start_calls(const std::string& service, service_queue& queue);
     awaitable<void> run_call(std::string service, decision::planned_call plan);
     awaitable<void> report_fetched_inputs(std::string service,
@@ -138,6 +140,10 @@
     piece_tasks(const service_queue& queue,
                 const decision::planned_call& plan) const;
     awaitable<void> send_releases(std::string service);
+    bool may_send_release(const decision::target_incarnation& producer);
+    void hold_back_releases(service_queue& queue, const std::string& address,
+                            const decision::target_incarnation& producer,
+                            std::vector<std::string> handles);
     void summarize(const std::string& service, service_queue& queue);
 
     entry_context& m_context;
--- a/tests/decision/request_limits_test.cpp
+++ b/tests/decision/request_limits_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <vector>
+
 using namespace mangofold::decision;
 using namespace std::chrono_literals;
 
@@ -9,9 +12,140 @@
 {
 
 const instant start = instant{} + 100s;
+constexpr auto all_entries = request_limits::senders::all_entries;
+
+/// One entry of a simulated fleet that sends as many requests as it may to a
+/// target that states a limit in each response.
+struct sender
+{
+    request_limits limits;
+    fleet_position position;
+};
+
+/// Returns the entries of a fleet that is partitioned into \a groups, each of
+/// which reaches its own members only. A group takes half of the rest of the
+/// fleet, the last one what remains.
+std::vector<sender> make_fleet(std::size_t entries, std::size_t groups,
+                               std::uint64_t seed)
+{
+    std::vector<sender> fleet;
+    while (fleet.size() < entries)
+    {
+        const std::size_t rest = entries - fleet.size();
+        const std::size_t size = --groups == 0 ? rest : (rest + 1) / 2;
+        for (std::size_t index = 0; index < size; ++index)
+            fleet.push_back({request_limits(seed * 1000 + fleet.size()),
+                             {{index, size}, entries}});
+        groups = std::max<std::size_t>(groups, 1);
+    }
+    return fleet;
+}
+
+/// Returns the times at which \a fleet sends to a target with the limit
+/// \a per_second within \a period.
+std::vector<instant> send_times(std::vector<sender> fleet, double per_second,
+                                duration period)
+{
+    for (sender& entry : fleet)
+    {
+        entry.limits.set_position_source(
+            [position = entry.position](const std::string&)
+            { return std::optional(position); });
+        entry.limits.note_response("t", per_second, start, start);
+    }
+    std::vector<instant> sent;
+    for (instant now = start; now < start + period; now += 10ms)
+        for (sender& entry : fleet)
+            if (entry.limits.next_send("t", all_entries, now) <= now)
+            {
+                entry.limits.note_sent("t", now);
+                entry.limits.note_response("t", per_second, now, now);
+                sent.push_back(now);
+            }
+    return sent;
+}
+
+std::size_t max_in_four_seconds(const std::vector<instant>& sent)
+{
+    std::size_t result = 0;
+    for (auto from = sent.begin(); from != sent.end(); ++from)
+        result = std::max<std::size_t>(
+            result, static_cast<std::size_t>(
+                        std::upper_bound(from, sent.end(), *from + 4s) - from));
+    return result;
+}
+
+/// Returns how many requests a target with the limit \a per_second may get in
+/// four seconds.
+double allowed_in_four_seconds(double per_second)
+{
+    return 1.5 * 4 * per_second + 5;
+}
 
 } // namespace
 
+// Guards against a target that gets more than its limit from the sum of many
+// entries, each of which keeps to it by itself.
+TEST_CASE("all entries together send a limited target what it accepts")
+{
+    for (const std::size_t entries : {1U, 4U, 6U, 68U, 300U})
+        for (const double limit : {0.0, 0.5, 1.0, 3.0, 20.0})
+            for (const std::uint64_t seed : {1U, 2U, 3U})
+            {
+                CAPTURE(entries);
+                CAPTURE(limit);
+                CAPTURE(seed);
+                const auto sent =
+                    send_times(make_fleet(entries, 1, seed), limit, 40s);
+                CHECK(static_cast<double>(max_in_four_seconds(sent)) <=
+                      allowed_in_four_seconds(limit));
+                CHECK(static_cast<double>(sent.size()) >= 0.6 * limit * 40);
+                CHECK(sent.size() >= 3); // To learn that the need has ended.
+            }
+}
+
+// Guards against parts of a fleet that do not reach each other and each use the
+// whole limit.
+TEST_CASE("a partitioned fleet sends a limited target what it accepts")
+{
+    for (const std::size_t entries : {4U, 6U, 68U, 300U})
+        for (const std::size_t groups : {2U, 3U, 4U})
+            for (const double limit : {0.5, 1.0, 3.0, 20.0})
+            {
+                CAPTURE(entries);
+                CAPTURE(groups);
+                CAPTURE(limit);
+                const auto sent =
+                    send_times(make_fleet(entries, groups, 5), limit, 40s);
+                CHECK(static_cast<double>(max_in_four_seconds(sent)) <=
+                      allowed_in_four_seconds(limit));
+            }
+}
+
+// Guards against an entry that has just started and takes itself for the only
+// one.
+TEST_CASE("an entry that does not know the fleet sends nothing within a limit")
+{
+    request_limits limits;
+    std::optional<fleet_position> position;
+    limits.set_position_source([&](const std::string&) { return position; });
+    limits.note_response("t", 1, start, start);
+    CHECK(limits.next_send("t", all_entries, start) == instant::max());
+    position = fleet_position{{0, 6}, 6};
+    CHECK(limits.next_send("t", all_entries, start + 1s) < start + 10s);
+}
+
+TEST_CASE("a raised limit shortens the wait for the next request")
+{
+    request_limits limits;
+    limits.note_response("t", 0.5, start, start);
+    limits.note_sent("t", start);
+    CHECK(limits.next_send("t", all_entries, start) > start + 2s);
+    limits.note_response("t", 10, start, start);
+    CHECK(limits.next_send("t", all_entries, start) < start + 200ms);
+    CHECK(limits.next_send("other", all_entries, start) == start);
+}
+
 TEST_CASE("a limit lasts until the target responds without it")
 {
     request_limits limits;
