Serving: entries exchange the limits of targets, and forget unconfirmed ones

A target in need of 30 s would have been used by three of six entries for the rest of its life.

Change: an entry that answers a probe adds its limits, and the ends of the last minute, if the digest of the other entry differs; the newest statement of a target wins. A limit that no response confirms for 30 s to 60 s, longer in a fleet of more than seven entries, is forgotten, so that it ends also where the entries that may send get no requests; that adds one request every four seconds at most. Values that are negative or not finite, and times in the future, are not taken from another entry.

Weighed: limits in every probe (900 B a probe for 20 targets, at 300 entries more than the 21 KB/s that control may take) and limits with a lease only (300 entries that ask again every minute exceed a limit of one a second).

test_decision, test_serving and test_target_limits pass; the test of the end of a limit could not be written before, since nothing carried it.

--- a/packages/decision/request_limits.cpp
+++ b/packages/decision/request_limits.cpp
@@ -1,6 +1,9 @@
 #include "decision/request_limits.hpp"
 
+#include "decision/election.hpp"
+
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 namespace mangofold::decision
@@ -27,6 +30,16 @@
 /// it again, which takes time in proportion to the size of the fleet.
 constexpr duration position_lifetime = std::chrono::seconds(1);
 
+/// How long a limit that no response has confirmed applies at least, and for
+/// each entry of the fleet: entries that then send a request again, to find out
+/// whether the limit still applies, add one request every four seconds.
+constexpr duration min_lifetime = std::chrono::seconds(30);
+constexpr duration lifetime_per_entry = std::chrono::seconds(4);
+
+/// How long the end of a limit is remembered: longer than other entries take to
+/// pass on an older statement.
+constexpr duration end_lifetime = std::chrono::seconds(60);
+
 duration to_interval(double per_second)
 {
     return std::chrono::duration_cast<duration>(
@@ -57,20 +70,91 @@
                                    std::optional<double> per_second,
                                    instant sent_at, instant now)
 {
-    const auto found = m_targets.find(target);
     if (per_second)
-    {
-        const bool is_changed =
-            found == m_targets.end() || found->second.per_second != *per_second;
-        state& limit = m_targets[target];
-        limit.per_second = *per_second;
-        limit.stated_at = now;
-        return is_changed;
-    }
+        return set(target, *per_second, now);
+    const auto found = m_targets.find(target);
     if (found == m_targets.end() || sent_at <= found->second.stated_at)
         return false;
-    m_targets.erase(found);
-    return true;
+    return end(target, now);
+}
+
+bool request_limits::set(const target_incarnation& target, double per_second,
+                         instant stated_at)
+{
+    m_ended.erase(target);
+    const auto [entry, is_new] = m_targets.try_emplace(target);
+    state& limit = entry->second;
+    if (is_new)
+        limit.lifetime_factor = 1 + m_random.fraction();
+    const bool is_changed = is_new || limit.per_second != per_second;
+    limit.per_second = per_second;
+    limit.stated_at = stated_at;
+    return is_changed;
+}
+
+bool request_limits::end(const target_incarnation& target, instant stated_at)
+{
+    m_ended[target] = stated_at;
+    return m_targets.erase(target) > 0;
+}
+
+bool request_limits::merge(const limit_statement& statement, instant now)
+{
+    const instant stated_at = std::min(statement.stated_at, now);
+    const auto ended = m_ended.find(statement.target);
+    if (ended != m_ended.end() && ended->second >= stated_at)
+        return false;
+    const auto known = m_targets.find(statement.target);
+    if (known != m_targets.end() && known->second.stated_at >= stated_at)
+        return false;
+    if (!statement.per_second)
+        return end(statement.target, stated_at);
+    if (stated_at + min_lifetime <= now)
+        return false;
+    return set(statement.target, *statement.per_second, stated_at);
+}
+
+std::vector<limit_statement> request_limits::statements() const
+{
+    std::vector<limit_statement> result;
+    for (const auto& [target, limit] : m_targets)
+        result.push_back({target, limit.per_second, limit.stated_at});
+    for (const auto& [target, ended_at] : m_ended)
+        result.push_back({target, std::nullopt, ended_at});
+    return result;
+}
+
+// A sum, since entries hold the limits in any order.
+std::uint64_t request_limits::digest() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [target, limit] : m_targets)
+        sum += election_rank(
+            target.id,
+            std::to_string(target.started_ms) + ":" +
+                std::to_string(std::bit_cast<std::uint64_t>(limit.per_second)));
+    return sum;
+}
+
+duration request_limits::lifetime(const state& limit) const
+{
+    const std::size_t entries =
+        limit.position ? limit.position->known_entries : 1;
+    const duration base = std::max(
+        min_lifetime, lifetime_per_entry * static_cast<duration::rep>(entries));
+    return duration(static_cast<duration::rep>(
+        static_cast<double>(base.count()) * limit.lifetime_factor));
+}
+
+// Entries that send nothing to a target see its need end only through others.
+// If those get no requests for it, nobody would ever find out.
+void request_limits::expire(instant now)
+{
+    std::erase_if(
+        m_targets, [&](const auto& limit)
+        { return limit.second.stated_at + lifetime(limit.second) <= now; });
+    std::erase_if(m_ended, [now](const auto& ended)
+                  { return ended.second + end_lifetime <= now; });
 }
 
 std::optional<double>
--- a/packages/decision/request_limits.hpp
+++ b/packages/decision/request_limits.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace mangofold::decision
 {
@@ -26,11 +27,23 @@
                            const fleet_position&) = default;
 };
 
+/// What a target stated about the request rate that it accepts.
+struct limit_statement
+{
+    target_incarnation target;
+    std::optional<double> per_second; ///< Nothing: its limit has ended.
+    instant stated_at{};
+
+    friend bool operator==(const limit_statement&,
+                           const limit_statement&) = default;
+};
+
 /// Limits the request rate to targets that state a limit in their responses.
 ///
 /// A limit applies to the requests of all entries together, until the target
-/// responds without it. Each entry keeps to a share of its own, so that no
-/// entry needs to know what the others send.
+/// responds without it, to whichever entry, or until no entry has heard of it
+/// for long. Each entry keeps to a share of its own, so that no entry needs to
+/// know what the others send.
 class request_limits
 {
 public:
@@ -60,6 +73,18 @@
                        std::optional<double> per_second, instant sent_at,
                        instant now);
 
+    /// Applies what another entry knows, unless this entry knows something
+    /// newer. Returns whether that changed the known limit.
+    bool merge(const limit_statement& statement, instant now);
+
+    /// Returns what this entry knows, to send to others: the limits, and those
+    /// that ended lately.
+    std::vector<limit_statement> statements() const;
+
+    /// Returns a digest of the limits, which shows whether two entries know the
+    /// same ones.
+    std::uint64_t digest() const;
+
     /// Returns the limit of \a target in requests per second, if it has one.
     std::optional<double> limit_of(const target_incarnation& target) const;
 
@@ -82,6 +107,9 @@
     /// Returns the number of targets that have a limit.
     std::size_t size() const { return m_targets.size(); }
 
+    /// Removes the limits that no target has stated for long.
+    void expire(instant now);
+
     /// Removes the limits of targets that may not get requests any more.
     void retain(const target_directory& targets);
 
@@ -90,6 +118,7 @@
     {
         double per_second = 0;
         instant stated_at{};
+        double lifetime_factor = 1; ///< Differs between entries.
         /// The next request may be sent one interval after this time.
         std::optional<instant> interval_start;
         std::optional<fleet_position> position; ///< Cached.
@@ -99,7 +128,14 @@
     std::optional<duration> interval_of(const std::string& id, state& limit,
                                         senders by, instant now);
 
+    bool set(const target_incarnation& target, double per_second,
+             instant stated_at);
+    bool end(const target_incarnation& target, instant stated_at);
+    duration lifetime(const state& limit) const;
+
     std::unordered_map<target_incarnation, state> m_targets;
+    /// When limits ended, so that older statements of them have no effect.
+    std::unordered_map<target_incarnation, instant> m_ended;
     position_source m_position_of = [](const std::string&)
     { return std::optional(fleet_position()); };
     random_source m_random;
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -132,6 +132,7 @@
         m_context.metrics.set_gauge(
             {"targets_cold", {}},
             static_cast<double>(m_context.cold_targets.size()));
+        m_context.request_limits.expire(m_context.now());
         m_context.request_limits.retain(m_context.directory);
         m_context.metrics.set_gauge(
             {"targets_limited", {}},
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/event.hpp"
 #include "serving/peer_messages.hpp"
+#include "serving/target_statements.hpp"
 #include "serving/zone_notices.hpp"
 
 #include <algorithm>
@@ -113,6 +114,7 @@
             (m_context.now() - m_context.drain->started_at()).count());
     state.set_has_targets(m_context.has_some_targets);
     state.set_ends_summary(m_context.quarantine.crashes().summary());
+    state.set_limits_digest(m_context.request_limits.digest());
     write_zones(m_context.evacuations.snapshot(), state);
     for (const auto& [service, times] : m_batcher.wait_times())
     {
@@ -203,6 +205,9 @@
         m_context.now());
     m_context.peak_entries = std::max(m_context.peak_entries, m_roster.size());
     apply_zone_evacuations(m_context, read_zones(peer_state), address);
+    for (const decision::limit_statement& statement :
+         read_request_limits(peer_state, m_context.now()))
+        merge_request_limit(m_context, statement, address);
     for (const std::string& entry : peer_state.entries())
         add(entry);
     for (const peer::Backlog& backlog : peer_state.backlogs())
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -3,6 +3,7 @@
 #include "runtime/address.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mangofold::serving
 {
@@ -112,6 +113,42 @@
     return zones;
 }
 
+void write_request_limits(const decision::request_limits& limits, instant now,
+                          peer::Holding& message)
+{
+    for (const decision::limit_statement& known : limits.statements())
+    {
+        peer::RequestLimit& limit = *message.add_limits();
+        limit.set_target(known.target.id);
+        limit.set_born(known.target.started_ms);
+        if (known.per_second)
+            limit.set_per_second(*known.per_second);
+        limit.set_stated_ago_ns((now - known.stated_at).count());
+    }
+}
+
+std::vector<decision::limit_statement>
+read_request_limits(const peer::Holding& message, instant now)
+{
+    std::vector<decision::limit_statement> limits;
+    for (const peer::RequestLimit& limit : message.limits())
+    {
+        const bool is_valid =
+            !limit.has_per_second() ||
+            (std::isfinite(limit.per_second()) && limit.per_second() >= 0);
+        if (!is_valid)
+            continue;
+        const duration age(std::clamp<std::int64_t>(
+            limit.stated_ago_ns(), 0, now.time_since_epoch().count()));
+        limits.push_back({{limit.target(), limit.born()},
+                          limit.has_per_second()
+                              ? std::optional(limit.per_second())
+                              : std::nullopt,
+                          now - age});
+    }
+    return limits;
+}
+
 peer::Frame job_end_frame(std::uint64_t number, const job_outcome& outcome)
 {
     peer::Frame frame;
--- a/packages/serving/peer_messages.hpp
+++ b/packages/serving/peer_messages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/request_limits.hpp"
 #include "decision/stage_job.hpp"
 #include "decision/target_crash.hpp"
 #include "decision/target_directory.hpp"
@@ -33,6 +34,14 @@
 void write_zones(const decision::zone_snapshot& known, peer::Holding& message);
 decision::zone_snapshot read_zones(const peer::Holding& message);
 
+/// Writes what is known of the request limits of targets into the state that an
+/// entry sends, with times relative to \a now.
+void write_request_limits(const decision::request_limits& limits, instant now,
+                          peer::Holding& message);
+/// Returns the statements of \a message, received at \a now, that are valid.
+std::vector<decision::limit_statement>
+read_request_limits(const peer::Holding& message, instant now);
+
 peer::Frame job_end_frame(std::uint64_t number, const job_outcome& outcome);
 job_outcome read_outcome(const peer::JobEnd& message);
 
--- a/packages/serving/peer_server.cpp
+++ b/packages/serving/peer_server.cpp
@@ -58,6 +58,10 @@
     peer::Frame reply;
     *reply.mutable_pong()->mutable_holding() =
         m_holding(ping.holding().known());
+    peer::Holding& own_state = *reply.mutable_pong()->mutable_holding();
+    if (own_state.limits_digest() != ping.holding().limits_digest())
+        write_request_limits(m_context.request_limits, m_context.now(),
+                             own_state);
     client.crash_sync.write(*reply.mutable_pong()->mutable_news());
     client.socket->send(reply);
 }
--- a/packages/serving/target_statements.cpp
+++ b/packages/serving/target_statements.cpp
@@ -45,4 +45,17 @@
                           context.request_limits.limit_of(target), "own");
 }
 
+void merge_request_limit(entry_context& context,
+                         const decision::limit_statement& statement,
+                         std::string_view from)
+{
+    const auto before = context.request_limits.limit_of(statement.target);
+    // A limit of a target that this entry does not use would never be dropped.
+    if (statement.per_second &&
+        context.directory.find(statement.target) == nullptr)
+        return;
+    if (context.request_limits.merge(statement, context.now()))
+        log_request_limit(statement.target, before, statement.per_second, from);
+}
+
 } // namespace mangofold::serving
--- a/packages/serving/target_statements.hpp
+++ b/packages/serving/target_statements.hpp
@@ -11,4 +11,9 @@
 void record_target_statements(entry_context& context, const target_call& call,
                               instant sent_at);
 
+/// Applies what the entry at \a from knows about the limit of a target.
+void merge_request_limit(entry_context& context,
+                         const decision::limit_statement& statement,
+                         std::string_view from);
+
 } // namespace mangofold::serving
--- a/tests/decision/request_limits_test.cpp
+++ b/tests/decision/request_limits_test.cpp
@@ -189,3 +189,69 @@
     CHECK(limits.size() == 1);
     CHECK(limits.limit_of("t") == 1);
 }
+
+// Guards against entries that send nothing to a target and therefore never see
+// that its need has ended.
+TEST_CASE("the end of a limit reaches entries that send nothing to the target")
+{
+    request_limits sender;
+    request_limits other;
+    other.set_position_source(
+        [](const std::string&) {
+            return std::optional(fleet_position{{5, 6}, 6});
+        });
+    sender.note_response("t", 1, start, start);
+    for (const limit_statement& known : sender.statements())
+        CHECK(other.merge(known, start));
+    CHECK(sender.digest() == other.digest());
+    CHECK(other.next_send("t", all_entries, start) == instant::max());
+    CHECK(sender.note_response("t", std::nullopt, start + 5s, start + 6s));
+    CHECK(sender.digest() != other.digest());
+    const auto older = other.statements();
+    for (const limit_statement& known : sender.statements())
+        CHECK(other.merge(known, start + 7s));
+    CHECK(other.next_send("t", all_entries, start + 7s) == start + 7s);
+    for (const limit_statement& known : older)
+        CHECK_FALSE(other.merge(known, start + 8s));
+    CHECK(sender.note_response("t", 2, start + 8s, start + 9s));
+    for (const limit_statement& known : sender.statements())
+        CHECK(other.merge(known, start + 10s));
+    CHECK(other.limit_of("t") == 2);
+}
+
+// Guards against a target that gets no requests for good because the entries
+// that may send to it receive none.
+TEST_CASE("a limit that no response confirms is forgotten")
+{
+    for (const std::size_t entries : {6U, 300U})
+    {
+        std::size_t kept_too_long = 0;
+        std::size_t forgotten_early = 0;
+        const duration shortest = std::max<duration>(30s, 4s * entries);
+        for (std::uint64_t seed = 0; seed < 50; ++seed)
+        {
+            request_limits limits(seed);
+            limits.set_position_source(
+                [entries](const std::string&) {
+                    return std::optional(
+                        fleet_position{{entries - 1, entries}, entries});
+                });
+            limits.note_response("t", 1, start, start);
+            limits.next_send("t", all_entries, start);
+            limits.expire(start + shortest - 1s);
+            forgotten_early += limits.has_any() ? 0 : 1;
+            limits.expire(start + 2 * shortest);
+            kept_too_long += limits.has_any() ? 1 : 0;
+        }
+        CHECK(forgotten_early == 0);
+        CHECK(kept_too_long == 0);
+    }
+}
+
+TEST_CASE("a statement from the future or of long ago is not trusted")
+{
+    request_limits limits;
+    CHECK(limits.merge({"t", 1, start + 100s}, start));
+    CHECK(limits.note_response("t", std::nullopt, start + 1s, start + 2s));
+    CHECK_FALSE(limits.merge({"u", 1, start - 1h}, start));
+}
--- a/tests/serving/peer_server_test.cpp
+++ b/tests/serving/peer_server_test.cpp
@@ -1,3 +1,4 @@
+#include "serving/peer_messages.hpp"
 #include "serving/peer_server.hpp"
 #include "support/serving_fixture.hpp"
 
@@ -5,6 +6,8 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 
+#include <cmath>
+
 using namespace mangofold;
 using namespace mangofold::serving;
 
@@ -51,6 +54,15 @@
         other.send(frame);
     }
 
+    /// Pings on the connection \a other with the digest \a limits_digest.
+    void ping(frame_socket& other, std::uint64_t limits_digest)
+    {
+        peer::Frame frame;
+        frame.mutable_ping()->mutable_holding()->set_limits_digest(
+            limits_digest);
+        other.send(frame);
+    }
+
     /// Returns the first frame that is received on \a other.
     peer::Frame first_frame(const frame_socket_ptr& other)
     {
@@ -93,3 +105,37 @@
     entry.request_catalog(*third);
     CHECK(entry.first_frame(third).has_catalog_part());
 }
+
+// Guards against entries that keep to different limits, or to one that ended.
+TEST_CASE("an entry sends its limits to others that know different ones")
+{
+    copy_source entry;
+    entry.context->request_limits.note_response({"t", 7}, 1.5, {},
+                                                entry.time.now());
+    const auto other = entry.connect();
+    entry.ping(*other, 1);
+    const peer::Frame reply = entry.first_frame(other);
+    REQUIRE(reply.has_pong());
+    const auto limits =
+        read_request_limits(reply.pong().holding(), entry.time.now());
+    REQUIRE(limits.size() == 1);
+    CHECK(limits[0].target == decision::target_incarnation("t", 7));
+    CHECK(limits[0].per_second == 1.5);
+    CHECK(limits[0].stated_at == entry.time.now());
+    const auto same = entry.connect();
+    entry.ping(*same, 0); // As the stub's own state says.
+    CHECK(entry.first_frame(same).pong().holding().limits_size() == 0);
+}
+
+// Guards against a limit that no entry can keep, from a faulty entry.
+TEST_CASE("invalid limits from another entry are ignored")
+{
+    peer::Holding message;
+    for (const double value : {-1.0, std::nan(""), HUGE_VAL})
+        message.add_limits()->set_per_second(value);
+    message.add_limits()->set_stated_ago_ns(-5);
+    const instant now = instant{} + std::chrono::seconds(9);
+    const auto limits = read_request_limits(message, now);
+    REQUIRE(limits.size() == 1);
+    CHECK(limits[0].stated_at == now);
+}
