Serving: rests that targets ask for are logged and counted

The adapter parses the seconds of a 503, decision/resting_targets keeps them by incarnation, and target_rests is logged when a rest begins. Nothing is decided by it yet.

--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -10,6 +10,7 @@
 #include "decision/quarantine.hpp"
 #include "decision/random_source.hpp"
 #include "decision/request_limits.hpp"
+#include "decision/resting_targets.hpp"
 #include "decision/retry_budget.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/target_health.hpp"
@@ -96,6 +97,7 @@
     decision::zone_evacuations evacuations;
     decision::cold_targets cold_targets;
     decision::request_limits request_limits;
+    decision::resting_targets resting_targets;
     bool has_some_targets = false; ///< Part of the list was received from
                                    ///< the source or another entry.
     bool has_all_targets = false;  ///< The whole list was read at least
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -134,6 +134,10 @@
             static_cast<double>(m_context.cold_targets.size()));
         m_context.request_limits.expire(m_context.now());
         m_context.request_limits.retain(m_context.directory);
+        m_context.resting_targets.expire(m_context.now());
+        m_context.metrics.set_gauge(
+            {"targets_resting", {}},
+            static_cast<double>(m_context.resting_targets.size()));
         m_context.metrics.set_gauge(
             {"targets_limited", {}},
             static_cast<double>(m_context.request_limits.size()));
--- a/packages/serving/message_metadata.hpp
+++ b/packages/serving/message_metadata.hpp
@@ -84,6 +84,11 @@
     std::optional<double> request_limit;
     /// The target states a limit that cannot be parsed.
     bool is_limit_unreadable = false;
+    /// For how long a target that refuses a request wants no more of them from
+    /// this process.
+    std::optional<duration> rest;
+    /// The target asks for a rest whose length cannot be parsed.
+    bool is_rest_unreadable = false;
     std::optional<duration> keep_alive_timeout; ///< For which the target keeps
                                                 ///< an idle connection open.
 
--- a/packages/serving/target_statements.cpp
+++ b/packages/serving/target_statements.cpp
@@ -23,15 +23,10 @@
         .info();
 }
 
-} // namespace
-
-void record_target_statements(entry_context& context, const target_call& call,
-                              instant sent_at)
+void record_request_limit(entry_context& context, const target_call& call,
+                          instant sent_at)
 {
     const response_metadata& response = call.metadata();
-    // Another target responded, which says nothing about this one.
-    if (response.is_misdirected)
-        return;
     const decision::target_incarnation& target = call.target().incarnation;
     if (response.is_limit_unreadable)
     {
@@ -41,8 +36,36 @@
     const auto before = context.request_limits.limit_of(target);
     if (context.request_limits.note_response(target, response.request_limit,
                                              sent_at, context.now()))
-        log_request_limit(target, before,
-                          context.request_limits.limit_of(target), "own");
+        log_request_limit(target, before, response.request_limit, "own");
+}
+
+void record_rest(entry_context& context, const target_call& call)
+{
+    const response_metadata& response = call.metadata();
+    if (response.is_rest_unreadable)
+        ++context.metrics.count({"rests_unreadable", ""});
+    if (!response.rest)
+        return;
+    const decision::target_incarnation& target = call.target().incarnation;
+    if (context.resting_targets.note_rest(target, *response.rest,
+                                          context.now()))
+        runtime::event("target_rests")
+            .with("target", target.id)
+            .with("born", target.started_ms)
+            .with("rest_ms", whole_milliseconds(*response.rest))
+            .info();
+}
+
+} // namespace
+
+void record_target_statements(entry_context& context, const target_call& call,
+                              instant sent_at)
+{
+    // Another target responded, which says nothing about this one.
+    if (call.metadata().is_misdirected)
+        return;
+    record_request_limit(context, call, sent_at);
+    record_rest(context, call);
 }
 
 void merge_request_limit(entry_context& context,
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -145,6 +145,11 @@
     CHECK(metadata.has_not_run);
     CHECK(metadata.is_signed);
     CHECK(metadata.keep_alive_timeout == 7s);
+    CHECK_FALSE(metadata.rest);
+    head.set("Retry-After", "2.5");
+    CHECK(platform::request_dialect().parse_response(head).rest == 2500ms);
+    head.result(429);
+    CHECK_FALSE(platform::request_dialect().parse_response(head).rest);
     CHECK_FALSE(metadata.request_limit);
     CHECK_FALSE(metadata.is_limit_unreadable);
     head.set("Server-Limit", " 2.5");
--- a/tests/platform/untrusted_input_test.cpp
+++ b/tests/platform/untrusted_input_test.cpp
@@ -144,6 +144,26 @@
     }
 }
 
+// Guards against a target that gets no requests, or an error that ends what
+// waits for its response, because the rest it asks for cannot be parsed.
+TEST_CASE("an unreadable rest of a target is no rest")
+{
+    const platform::request_dialect dialect;
+    serving::http_response answer{serving::http::status::service_unavailable,
+                                  11};
+    for (const char* value :
+         {"", "soon", "-1", "1e9", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"})
+    {
+        CAPTURE(value);
+        answer.set("Retry-After", value);
+        const auto metadata = dialect.parse_response(answer.base());
+        CHECK_FALSE(metadata.rest);
+        CHECK(metadata.is_rest_unreadable);
+    }
+    answer.set("Retry-After", "99999999999999999999999");
+    CHECK(dialect.parse_response(answer.base()).rest == std::chrono::hours(24));
+}
+
 TEST_CASE("arbitrary headers of a caller are parsed or refused")
 {
     const platform::request_dialect dialect;
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -59,6 +59,9 @@
         metadata.is_misdirected = response.result_int() == 421;
         if (response.count("Limit") > 0)
             metadata.request_limit = std::stod(text(response, "Limit"));
+        if (response.count("Rest") > 0)
+            metadata.rest =
+                std::chrono::seconds(std::stoi(text(response, "Rest")));
         metadata.keep_alive_timeout = std::chrono::seconds(10);
         return metadata;
     }
