Decision: targets that ask for rest get no requests until it is over

What callers saw: requests with seconds left ended with 503 although 13 of 18 engines were free: five turned away all that came, asked each entry for 3 s of rest, and went on getting 1 to 4 requests a second each.

Cause: of a refusal only the status was read. A target that refused was skipped for a time that the entry chose itself (40 ms for a plain service, 0.3 s and doubling for an engine, half a call for a stage target), and only if another target was better: ejection is a cost, not an exclusion. Ruled out: rests that are kept but overridden where all others are ejected (13 engines were serving); second sends alone (in the test it happens to first sends as well).

Change: available_targets() leaves resting targets out, for first sends, repeats, resumed streams and trials; the call planner gives them no calls, and releases of results wait or expire. Where all targets rest, requests are refused at once (targets_resting) with the end of the first rest as Retry-After, before their stages if the rest outlasts their deadline; pieces of a stage whose targets all rest fail at once. The reasons cold, limited and resting now come from one function, next_send().

Why it works: a rest belongs to this entry and this incarnation, so nothing has to be heard from others; after a restart of the entry nothing is known, which costs each target one more refusal.

--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -69,6 +69,13 @@
         cold_targets.note_cold(target.incarnation, target.warm_up_left, now());
     }
 
+    /// Whether any target is cold, resting or states a limit.
+    bool has_restricted_targets() const
+    {
+        return cold_targets.has_any() || resting_targets.has_any() ||
+               request_limits.has_any();
+    }
+
     /// Returns the load limits of cold targets of \a service.
     decision::warm_up warm_up_of(const std::string& service) const
     {
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -145,9 +145,9 @@
             m_refusal = refusal::evacuated;
             co_return;
         }
-        if (are_targets_limited())
+        if (are_targets_unavailable())
         {
-            m_refusal = refusal::targets_limited;
+            m_refusal = m_next_send->reason;
             co_return;
         }
         if (has_stages && !m_stages)
@@ -240,8 +240,11 @@
     const auto* target = co_await wait_for_target_choice();
     if (target == nullptr)
     {
-        if (m_refusal == refusal::none)
-            m_refusal = reason_for_no_target();
+        const bool has_full_target = m_refusal == refusal::targets_full;
+        if (m_next_send && (has_full_target || m_refusal == refusal::none))
+            m_refusal = m_next_send->reason;
+        else if (m_refusal == refusal::none)
+            m_refusal = refusal::no_target;
         co_return attempt_outcome::given_up;
     }
     m_refusal = refusal::none;
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -43,7 +43,8 @@
     quarantined,
     evacuated,
     targets_cold,
-    targets_limited
+    targets_limited,
+    targets_resting
 };
 
 /// Returns the name of \a value that answers, metrics and logs show.
@@ -113,12 +114,17 @@
     const decision::listed_target* choose_target_except(
         const std::set<decision::target_incarnation>& excluded);
     std::vector<const decision::listed_target*> available_targets();
+    /// When a target may get the next request of this entry, and what prevents
+    /// an earlier one.
+    struct send_time
+    {
+        instant at;
+        refusal reason = refusal::none;
+    };
+    send_time next_send(const decision::listed_target& target);
     instant next_send_while_cold(const decision::listed_target& target);
-    instant next_send_within_limit(const decision::listed_target& target);
-    /// Whether the limits of all targets of the service prevent this entry from
-    /// sending to them before the deadline.
-    bool are_targets_limited();
-    refusal reason_for_no_target() const;
+    /// Whether no target of the service may get a request before the deadline.
+    bool are_targets_unavailable();
     /// Whether all targets of the service are evacuated, or, if
     /// \a needs_stages, all targets of a service that a stage needs.
     bool is_service_evacuated(bool needs_stages) const;
@@ -169,8 +175,8 @@
     instant m_exclusive_until{};
     /// When a cold target next takes a request of this entry.
     std::optional<instant> m_cold_retry_at;
-    /// When the limit of a target next allows a request of this entry.
-    std::optional<instant> m_limit_retry_at;
+    /// When the first of the targets that may get no request now may get one.
+    std::optional<send_time> m_next_send;
     std::unique_ptr<stage_runner> m_stages;
     std::shared_ptr<target_call> m_call;
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -15,12 +15,12 @@
 /// Callers follow a delay of at most a third of it.
 constexpr double retry_after_share = 0.3;
 
-constexpr std::array<std::string_view, 19> refusal_names{
-    "none",          "malformed",      "no_catalog",     "no_route",
-    "unknown_key",   "no_target",      "targets_full",   "too_late",
-    "stages_late",   "stages_failed",  "retries_spent",  "target_lost",
-    "target_silent", "answer_spoiled", "stopping",       "quarantined",
-    "evacuated",     "targets_cold",   "targets_limited"};
+constexpr std::array<std::string_view, 20> refusal_names{
+    "none",          "malformed",      "no_catalog",      "no_route",
+    "unknown_key",   "no_target",      "targets_full",    "too_late",
+    "stages_late",   "stages_failed",  "retries_spent",   "target_lost",
+    "target_silent", "answer_spoiled", "stopping",        "quarantined",
+    "evacuated",     "targets_cold",   "targets_limited", "targets_resting"};
 
 } // namespace
 
@@ -70,17 +70,15 @@
                     ? *m_metadata.budget - (m_context.now() - m_started_at)
                     : std::chrono::seconds(3))
             .count();
-    const auto delay_until = [&](instant at)
-    {
-        const double delay_s = seconds(at - m_context.now()).count();
-        return std::to_string(std::max(min_delay_s, delay_s)).substr(0, 5);
-    };
-    if (m_refusal == refusal::targets_cold && m_cold_retry_at)
-        return delay_until(*m_cold_retry_at);
     // Without a time, other entries may still send to these targets.
-    if (m_refusal == refusal::targets_limited && m_limit_retry_at &&
-        *m_limit_retry_at != instant::max())
-        return delay_until(*m_limit_retry_at);
+    const bool is_next_send_known = m_next_send &&
+                                    m_next_send->reason == m_refusal &&
+                                    m_next_send->at != instant::max();
+    if (is_next_send_known)
+        return std::to_string(
+                   std::max(min_delay_s,
+                            seconds(m_next_send->at - m_context.now()).count()))
+            .substr(0, 5);
     // How long operators keep a zone evacuated is unknown.
     if (m_refusal == refusal::evacuated)
         return std::to_string(
--- a/packages/serving/exchange_targets.cpp
+++ b/packages/serving/exchange_targets.cpp
@@ -31,56 +31,52 @@
                                            : std::max(next, now + duration(1));
 }
 
-instant exchange::next_send_within_limit(const decision::listed_target& target)
+exchange::send_time exchange::next_send(const decision::listed_target& target)
 {
-    return m_context.request_limits.next_send(
-        target.incarnation, decision::request_limits::senders::all_entries,
-        m_context.now());
+    const instant now = m_context.now();
+    const decision::target_incarnation& id = target.incarnation;
+    send_time next{next_send_while_cold(target), refusal::targets_cold};
+    const instant limited_until = m_context.request_limits.next_send(
+        id, decision::request_limits::senders::all_entries, now);
+    if (limited_until > next.at)
+        next = {limited_until, refusal::targets_limited};
+    const instant rests_until = m_context.resting_targets.rests_until(id, now);
+    if (rests_until > next.at)
+        next = {rests_until, refusal::targets_resting};
+    return next;
 }
 
 std::vector<const decision::listed_target*> exchange::available_targets()
 {
     const auto& all = m_context.directory.serving(m_service);
     m_cold_retry_at.reset();
-    m_limit_retry_at.reset();
-    if (!m_context.cold_targets.has_any() &&
-        !m_context.request_limits.has_any())
+    m_next_send.reset();
+    if (!m_context.has_restricted_targets())
         return all;
     const instant now = m_context.now();
     std::vector<const decision::listed_target*> open;
     for (const auto* target : all)
     {
-        const instant cold_until = next_send_while_cold(*target);
-        const instant limited_until = next_send_within_limit(*target);
-        const instant next = std::max(cold_until, limited_until);
-        if (next <= now)
+        const send_time next = next_send(*target);
+        if (next.at <= now)
         {
             open.push_back(target);
             continue;
         }
-        auto& retry_at =
-            limited_until > now ? m_limit_retry_at : m_cold_retry_at;
-        retry_at = std::min(next, retry_at.value_or(instant::max()));
+        if (!m_next_send || next.at < m_next_send->at)
+            m_next_send = next;
+        if (next.reason == refusal::targets_cold)
+            m_cold_retry_at =
+                std::min(next.at, m_cold_retry_at.value_or(instant::max()));
     }
     return open;
 }
 
 // Stages that run for a request without a target would be wasted.
-bool exchange::are_targets_limited()
-{
-    const auto& all = m_context.directory.serving(m_service);
-    return m_context.request_limits.has_any() && !all.empty() &&
-           std::all_of(all.begin(), all.end(),
-                       [this](const auto* target) {
-                           return next_send_within_limit(*target) > m_deadline;
-                       });
-}
-
-refusal exchange::reason_for_no_target() const
+bool exchange::are_targets_unavailable()
 {
-    if (m_cold_retry_at)
-        return refusal::targets_cold;
-    return m_limit_retry_at ? refusal::targets_limited : refusal::no_target;
+    return m_context.has_restricted_targets() && available_targets().empty() &&
+           m_next_send && m_next_send->at > m_deadline;
 }
 
 const decision::listed_target* exchange::choose_target_except(
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -5,6 +5,8 @@
 #include "serving/target_losses.hpp"
 #include "serving/target_statements.hpp"
 
+#include <algorithm>
+
 namespace mangofold::serving
 {
 
@@ -82,7 +84,7 @@
                         fetched_callback fetched)
 {
     service_queue* queue = queue_of(service);
-    if (queue == nullptr)
+    if (queue == nullptr || is_unavailable(service))
     {
         done({decision::job_status::failed, {}, false});
         return;
@@ -119,17 +121,24 @@
 void piece_batcher::update_call_limits(const std::string& service,
                                        service_queue& queue)
 {
-    const bool has_limits = m_context.request_limits.has_any();
+    const bool has_limits = m_context.request_limits.has_any() ||
+                            m_context.resting_targets.has_any();
     if (!has_limits && !queue.has_call_limits)
         return;
     queue.has_call_limits = has_limits;
     const instant now = m_context.now();
-    decision::request_limits& limits = m_context.request_limits;
     for (const auto* target : m_context.directory.serving(service))
-        queue.planner.set_call_limit(
-            target->incarnation,
-            limits.next_send(target->incarnation, this_entry, now),
-            limits.interval(target->incarnation, this_entry, now));
+        queue.planner.set_call_limit(target->incarnation,
+                                     next_call_at(target->incarnation),
+                                     m_context.request_limits.interval(
+                                         target->incarnation, this_entry, now));
+}
+
+instant piece_batcher::next_call_at(const decision::target_incarnation& target)
+{
+    const instant now = m_context.now();
+    return std::max(m_context.request_limits.next_send(target, this_entry, now),
+                    m_context.resting_targets.rests_until(target, now));
 }
 
 std::vector<piece_task>
@@ -276,14 +285,8 @@
         queue_release(*queue, handle);
 }
 
-bool piece_batcher::may_send_release(
-    const decision::target_incarnation& producer)
-{
-    const instant now = m_context.now();
-    return m_context.request_limits.next_send(producer, this_entry, now) <= now;
-}
-
-// Calls have priority over releases at a target with a limit. Results that
+// Calls have priority over releases at a target with a limit, and a resting one
+// gets neither. Results that
 // expire meanwhile need no release.
 void piece_batcher::hold_back_releases(
     service_queue& queue, const std::string& address,
@@ -314,7 +317,7 @@
                 producer = target->incarnation;
         if (producer.id.empty())
             continue;
-        if (!may_send_release(producer))
+        if (next_call_at(producer) > m_context.now())
         {
             hold_back_releases(queue, address, producer, std::move(handles));
             continue;
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -78,7 +78,8 @@
         std::map<std::uint64_t, accepted_job> jobs;
         std::map<std::string, std::vector<std::string>> pending_releases;
         std::uint64_t directory_changes = 0;
-        bool has_call_limits = false; ///< In the planner.
+        /// Whether the planner knows targets that may get no calls now.
+        bool has_call_limits = false;
         instant last_job_at{};
         std::uint64_t calls = 0;  ///< Since the last summary.
         std::uint64_t pieces = 0; ///< In the calls counted above.
@@ -140,7 +141,11 @@
     piece_tasks(const service_queue& queue,
                 const decision::planned_call& plan) const;
     awaitable<void> send_releases(std::string service);
-    bool may_send_release(const decision::target_incarnation& producer);
+    /// Returns when this entry may send \a target the next call or release.
+    instant next_call_at(const decision::target_incarnation& target);
+    /// Whether no target of \a service may get calls: all are evacuated or
+    /// resting.
+    bool is_unavailable(const std::string& service) const;
     void hold_back_releases(service_queue& queue, const std::string& address,
                             const decision::target_incarnation& producer,
                             std::vector<std::string> handles);
--- a/packages/serving/piece_batcher_results.cpp
+++ b/packages/serving/piece_batcher_results.cpp
@@ -2,6 +2,8 @@
 #include "serving/piece_batcher.hpp"
 #include "serving/target_losses.hpp"
 
+#include <algorithm>
+
 namespace mangofold::serving
 {
 
@@ -145,13 +147,27 @@
                 done.job.is_late);
 }
 
+bool piece_batcher::is_unavailable(const std::string& service) const
+{
+    if (m_context.directory.is_evacuated(service))
+        return true;
+    const decision::resting_targets& resting = m_context.resting_targets;
+    const auto& targets = m_context.directory.serving(service);
+    const instant now = m_context.now();
+    return resting.has_any() && !targets.empty() &&
+           std::all_of(
+               targets.begin(), targets.end(),
+               [&](const auto* target)
+               { return resting.rests_until(target->incarnation, now) > now; });
+}
+
 // Pieces that no request waits for, or that can't be done in time, only take
-// memory and time from others. Where all targets are evacuated, waiting jobs
-// fail at once instead of when they expire.
+// memory and time from others. Where all targets are evacuated or resting,
+// waiting jobs fail at once instead of when they expire.
 void piece_batcher::end_unwanted_jobs(const std::string& service,
                                       service_queue& queue)
 {
-    const bool is_evacuated = m_context.directory.is_evacuated(service);
+    const bool has_no_target = is_unavailable(service);
     std::vector<std::pair<std::uint64_t, decision::job_status>> ended;
     for (const auto& [number, accepted] : queue.jobs)
     {
@@ -160,7 +176,7 @@
         else if (accepted.failure)
             ended.emplace_back(number, *accepted.failure);
         else if (accepted.lost_calls >= max_lost_calls ||
-                 (is_evacuated && !queue.planner.is_in_progress(number)))
+                 (has_no_target && !queue.planner.is_in_progress(number)))
             ended.emplace_back(number, decision::job_status::failed);
     }
     for (const auto& [number, status] : ended)
--- a/tests/serving/resting_targets_test.cpp
+++ b/tests/serving/resting_targets_test.cpp
@@ -179,6 +179,18 @@
     }
 }
 
+// Guards against requests that wait until their deadline for stage targets that
+// all rest.
+TEST_CASE("a request is refused at once while all targets of a stage rest")
+{
+    entry_with_resting_targets entry;
+    entry.add_serving("events");
+    entry.add_resting("pieces");
+    for (int index = 0; index < 2; ++index)
+        CHECK(contains(entry.ask("/staged/", "Pieces: 11\r\n"), " 503 "));
+    CHECK(entry.arrivals[0].size() == 1);
+}
+
 // Guards against a target that gets few requests after its rest.
 TEST_CASE("a target gets requests again once its rest is over")
 {
