Decision: a target that announces that it is leaving gets no more requests

Change: the adapter reads the header, target_directory leaves that incarnation out of service for this process, for requests, streams and calls of stages. It is not part of the digest that entries compare: two entries that read the same list would differ for good and copy the list from each other over and over. It belongs to the incarnation: a target that starts again under its id serves.

--- a/packages/decision/target_directory.cpp
+++ b/packages/decision/target_directory.cpp
@@ -69,6 +69,18 @@
     return true;
 }
 
+bool target_directory::note_announced_leaving(
+    const target_incarnation& incarnation)
+{
+    const auto found = m_records.find(incarnation.id);
+    if (found == m_records.end() ||
+        found->second.announced_leaving == incarnation)
+        return false;
+    found->second.announced_leaving = incarnation;
+    ++m_change_count;
+    return true;
+}
+
 void target_directory::note_revision(record& known, std::uint64_t revision)
 {
     known.newest_revision = std::max(known.newest_revision, revision);
@@ -247,7 +259,9 @@
 bool target_directory::is_leaving(const target_incarnation& incarnation) const
 {
     const auto found = m_records.find(incarnation.id);
-    return found != m_records.end() && found->second.last_left == incarnation;
+    return found != m_records.end() &&
+           (found->second.last_left == incarnation ||
+            found->second.announced_leaving == incarnation);
 }
 
 std::vector<listed_target> target_directory::all() const
--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -69,6 +69,11 @@
     /// Returns whether that was new.
     bool note_unreadable(const std::string& id, std::uint64_t revision);
 
+    /// Notes that \a incarnation said itself that it is leaving: it gets no
+    /// more requests of this process, whatever the list says. Returns whether
+    /// that was new.
+    bool note_announced_leaving(const target_incarnation& incarnation);
+
     /// Notes a part of the list.
     void note_partial_list(const std::vector<listed_target>& part);
 
@@ -101,7 +106,8 @@
     /// nothing.
     const listed_target* find(const target_incarnation& incarnation) const;
 
-    /// Whether the target with \a incarnation was seen leaving.
+    /// Whether the target with \a incarnation was seen leaving, or announced
+    /// it.
     bool is_leaving(const target_incarnation& incarnation) const;
 
     /// Returns all known targets; removed ones have no address and the revision
@@ -124,11 +130,15 @@
         bool is_removed = false;
         bool has_expired = false; ///< Not listed, but may register again.
         std::optional<target_incarnation> last_left; ///< Last seen leaving.
+        /// Last one that announced to this process that it is leaving. Not part
+        /// of the digest, which must agree among entries that read one list.
+        std::optional<target_incarnation> announced_leaving;
     };
 
     bool is_in_service(const record& known) const
     {
-        return !known.is_removed && !known.value.is_leaving;
+        return !known.is_removed && !known.value.is_leaving &&
+               known.announced_leaving != known.value.incarnation;
     }
     bool may_serve(const record& known) const
     {
--- a/packages/serving/message_metadata.hpp
+++ b/packages/serving/message_metadata.hpp
@@ -84,6 +84,7 @@
     std::optional<double> request_limit;
     /// The target states a limit that cannot be parsed.
     bool is_limit_unreadable = false;
+    bool is_leaving = false; ///< The target is about to exit.
     /// For how long a target that refuses a request wants no more of them from
     /// this process.
     std::optional<duration> rest;
--- a/packages/serving/target_statements.cpp
+++ b/packages/serving/target_statements.cpp
@@ -56,6 +56,16 @@
             .info();
 }
 
+void record_leaving(entry_context& context,
+                    const decision::target_incarnation& target)
+{
+    if (context.directory.note_announced_leaving(target))
+        runtime::event("target_leaving")
+            .with("target", target.id)
+            .with("born", target.started_ms)
+            .info();
+}
+
 } // namespace
 
 void record_target_statements(entry_context& context, const target_call& call,
@@ -64,6 +74,8 @@
     // Another target responded, which says nothing about this one.
     if (call.metadata().is_misdirected)
         return;
+    if (call.metadata().is_leaving)
+        record_leaving(context, call.target().incarnation);
     record_request_limit(context, call, sent_at);
     record_rest(context, call);
 }
--- a/tests/decision/target_directory_test.cpp
+++ b/tests/decision/target_directory_test.cpp
@@ -278,3 +278,23 @@
     CHECK(directory.find("lives") != nullptr);
     CHECK(directory.find("died") == nullptr);
 }
+
+// Guards against a target that has announced that it is leaving and is used
+// again because the list still describes it as serving.
+TEST_CASE("a target that announced that it is leaving stays out of service")
+{
+    target_directory targets;
+    targets.note({{"t", 1}, "s", "a:1", "z", 1, false, 1});
+    const std::uint64_t digest = targets.digest();
+    CHECK(targets.note_announced_leaving({"t", 1}));
+    CHECK_FALSE(targets.note_announced_leaving({"t", 1}));
+    CHECK(targets.serving("s").empty());
+    CHECK(targets.find({"t", 1}) == nullptr);
+    CHECK(targets.is_leaving({"t", 1}));
+    CHECK(targets.digest() == digest);
+    targets.note({{"t", 1}, "s", "a:1", "z", 1, false, 2});
+    CHECK(targets.serving("s").empty());
+    targets.note({{"t", 2}, "s", "a:1", "z", 1, false, 3});
+    CHECK(targets.serving("s").size() == 1);
+    CHECK_FALSE(targets.note_announced_leaving("unknown"));
+}
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -145,6 +145,15 @@
     CHECK(metadata.has_not_run);
     CHECK(metadata.is_signed);
     CHECK(metadata.keep_alive_timeout == 7s);
+    CHECK_FALSE(metadata.is_leaving);
+    for (const char* value : {"0", "", "yes", "11"})
+    {
+        head.set("Server-Leaving", value);
+        CHECK_FALSE(
+            platform::request_dialect().parse_response(head).is_leaving);
+    }
+    head.set("Server-Leaving", "1");
+    CHECK(platform::request_dialect().parse_response(head).is_leaving);
     CHECK_FALSE(metadata.rest);
     head.set("Retry-After", "2.5");
     CHECK(platform::request_dialect().parse_response(head).rest == 2500ms);
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -59,6 +59,7 @@
         metadata.is_misdirected = response.result_int() == 421;
         if (response.count("Limit") > 0)
             metadata.request_limit = std::stod(text(response, "Limit"));
+        metadata.is_leaving = response.count("Leaving") > 0;
         if (response.count("Rest") > 0)
             metadata.rest =
                 std::chrono::seconds(std::stoi(text(response, "Rest")));
