Tests: a limit of one target affects all others, failing as yet

With a real clock, which moves between two readings, each target without a limit counted as unavailable while any other one had a limit or rested; the paused clock of the tests did not move, so they did not show it.

--- a/tests/serving/target_limits_test.cpp
+++ b/tests/serving/target_limits_test.cpp
@@ -187,6 +187,24 @@
     }
 }
 
+// Guards against targets without a limit that get no requests while another
+// one has a limit, because time passes between two readings of the clock.
+TEST_CASE("a limit of one target does not affect another one")
+{
+    for (const std::string path : {"/again/", "/events/"})
+    {
+        CAPTURE(path);
+        const std::string service = path == "/events/" ? "events" : "plain";
+        limited_entry entry(service, 0, 1);
+        entry.add(service, "0");
+        entry.add(service);
+        entry.ask_for(500ms, 250ms, path);
+        entry.time.set_tick(1us);
+        constexpr int requests = 4;
+        CHECK(entry.ask_for(250ms * requests, 250ms, path) == requests);
+    }
+}
+
 // Guards against a target that gets few requests for long after its need ended.
 TEST_CASE("a target gets its usual requests again once it states no limit")
 {
