Serving: a limit of one target no longer affects all others

What callers would have seen: while any target of the fleet was limited, resting or cold, requests to all services of the entry waited for a cold target that did not exist, and then were refused as targets_cold; only entries without any such target served.

Cause: available_targets() took the time once and then compared it with times that next_send() derived from a later reading, so a target that is free "from now on" was free later than now. Class: one decision, two readings of the clock.

Change: the time of a decision is passed on, here and in the batcher, where two operands of one comparison read the clock in an unspecified order.

--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -121,8 +121,9 @@
         instant at;
         refusal reason = refusal::none;
     };
-    send_time next_send(const decision::listed_target& target);
-    instant next_send_while_cold(const decision::listed_target& target);
+    send_time next_send(const decision::listed_target& target, instant now);
+    instant next_send_while_cold(const decision::listed_target& target,
+                                 instant now);
     /// Whether no target of the service may get a request before the deadline.
     bool are_targets_unavailable();
     /// Whether all targets of the service are evacuated, or, if
--- a/packages/serving/exchange_targets.cpp
+++ b/packages/serving/exchange_targets.cpp
@@ -17,9 +17,9 @@
 
 // Each cold target takes requests of this entry only in time slots that no
 // other entry uses.
-instant exchange::next_send_while_cold(const decision::listed_target& target)
+instant exchange::next_send_while_cold(const decision::listed_target& target,
+                                       instant now)
 {
-    const instant now = m_context.now();
     const decision::warm_up service_warm_up = m_context.warm_up_of(m_service);
     if (service_warm_up.period <= duration::zero() ||
         !m_context.cold_targets.is_cold(target.incarnation, now))
@@ -31,11 +31,11 @@
                                            : std::max(next, now + duration(1));
 }
 
-exchange::send_time exchange::next_send(const decision::listed_target& target)
+exchange::send_time exchange::next_send(const decision::listed_target& target,
+                                        instant now)
 {
-    const instant now = m_context.now();
     const decision::target_incarnation& id = target.incarnation;
-    send_time next{next_send_while_cold(target), refusal::targets_cold};
+    send_time next{next_send_while_cold(target, now), refusal::targets_cold};
     const instant limited_until = m_context.request_limits.next_send(
         id, decision::request_limits::senders::all_entries, now);
     if (limited_until > next.at)
@@ -57,7 +57,7 @@
     std::vector<const decision::listed_target*> open;
     for (const auto* target : all)
     {
-        const send_time next = next_send(*target);
+        const send_time next = next_send(*target, now);
         if (next.at <= now)
         {
             open.push_back(target);
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -129,14 +129,14 @@
     const instant now = m_context.now();
     for (const auto* target : m_context.directory.serving(service))
         queue.planner.set_call_limit(target->incarnation,
-                                     next_call_at(target->incarnation),
+                                     next_call_at(target->incarnation, now),
                                      m_context.request_limits.interval(
                                          target->incarnation, this_entry, now));
 }
 
-instant piece_batcher::next_call_at(const decision::target_incarnation& target)
+instant piece_batcher::next_call_at(const decision::target_incarnation& target,
+                                    instant now)
 {
-    const instant now = m_context.now();
     return std::max(m_context.request_limits.next_send(target, this_entry, now),
                     m_context.resting_targets.rests_until(target, now));
 }
@@ -317,21 +317,21 @@
                 producer = target->incarnation;
         if (producer.id.empty())
             continue;
-        if (next_call_at(producer) > m_context.now())
+        const instant now = m_context.now();
+        if (next_call_at(producer, now) > now)
         {
             hold_back_releases(queue, address, producer, std::move(handles));
             continue;
         }
-        m_context.request_limits.note_sent(producer, m_context.now());
+        m_context.request_limits.note_sent(producer, now);
         const auto sent_call = std::make_shared<target_call>(
             m_context.connection_pool, m_context.protocol,
             call_destination{producer, runtime::address::parse(address)});
-        const instant sent_at = m_context.now();
         auto state = co_await sent_call->send_request(
             m_context.protocol.make_release_request(handles), {},
             timeout_margin);
         if (state == target_call::outcome::ok)
-            record_target_statements(m_context, *sent_call, sent_at);
+            record_target_statements(m_context, *sent_call, now);
         while (state == target_call::outcome::ok && !sent_call->is_complete())
             state = co_await sent_call->read_more(timeout_margin);
         if (state != target_call::outcome::ok)
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -142,7 +142,8 @@
                 const decision::planned_call& plan) const;
     awaitable<void> send_releases(std::string service);
     /// Returns when this entry may send \a target the next call or release.
-    instant next_call_at(const decision::target_incarnation& target);
+    instant next_call_at(const decision::target_incarnation& target,
+                         instant now);
     /// Whether no target of \a service may get calls: all are evacuated or
     /// resting.
     bool is_unavailable(const std::string& service) const;
