Soak: targets that state limits and ask for rest

Checked from what targets see: the sum of all arrivals at a limited target in any four seconds, from 3 s after it first stated the limit, and what each entry sends to a resting one.

--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -6,11 +6,12 @@
 import signal
 
 from callers import Caller, REQUEST_KINDS
+from needs import Need
 
 
 MAX_ACTIVE_POISONS = 2  # So that each still finds targets to crash.
 # Not drawn by default, so that existing seeds replay unchanged.
-OPT_IN_KINDS = ("roll", "evacuate", "cold")
+OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest")
 GROW_INTERVAL_S = 3  # So that a narrow link can carry all versions.
 
 
@@ -281,6 +282,33 @@
         await self.platform.replace_by_cold(target, self.random_duration(1))
         self.oracle.targets_undisturbed_since = self.oracle.now()
 
+    async def _overload_target(self, min_s, max_s, **need):
+        """Overloads a target of a service that has another one."""
+        free = [target for target in self.platform.targets
+                if target.mode == "ok" and target.state == "ready"
+                and not target.need]
+        targets = [target for target in free
+                   if sum(other.service == target.service
+                          for other in free) > 1]
+        if not targets:
+            return
+        target = self.random.choice(targets)
+        self.log(f"{target.service} {target.id} overloaded: {need}")
+        target.need = Need(target, self.oracle.now(), **need)
+        self.oracle.needs.append(target.need)
+        await asyncio.sleep(self.random.uniform(min_s, max_s))
+        target.need.ended_at = self.oracle.now()
+        target.need = None
+        self.log(f"{target.service} {target.id} no longer overloaded")
+
+    async def do_limit(self):
+        await self._overload_target(
+            6, 14, per_second=self.random.choice((0, 0.5, 1, 1, 2.5)))
+
+    async def do_rest(self):
+        await self._overload_target(
+            1, 6, rest_s=self.random.choice((1, 2.5, 3)))
+
     async def do_replace(self):
         if target := self.pick_target():
             self.log(f"replace {target.service} {target.id}")
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -55,6 +55,7 @@
         self.published = {}  # Version -> time of its acknowledgement
         self.draining = {}  # Target id -> start of its draining
         self.evacuations = []
+        self.needs = []  # Of overloaded targets.
         self.invalid_records = []  # (target id, from, to)
         self.served_versions = {}  # (entry, incarnation) -> (version, time)
         self.store_undisturbed_since = 0.0
@@ -181,6 +182,8 @@
                     f"{at - draining_since:.1f} s after it began to drain")
         self._check_invalid_records()
         self._check_evacuations()
+        for need in self.needs:
+            need.check(self)
         self._check_forwarding_after_disconnect()
         for poison, crashes in self.log.poison_crashes.items():
             self._check_poison(poison, crashes)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -55,6 +55,7 @@
         self.cold_until = 0.0
         self.max_cold_arrivals = 0  # Requests in a second.
         self.cold_arrivals = []
+        self.need = None  # A Need, while the target is overloaded.
 
     def start_warm_up(self, warm_up):
         now = asyncio.get_running_loop().time()
@@ -89,10 +90,17 @@
     def stop(self):
         self.server.close()
 
+    def stated_fields(self):
+        """Returns what the target states about itself in each response."""
+        fields = self.need.response_fields() if self.need else {}
+        if self.state == "draining":
+            fields["Server-Leaving"] = 1
+        return fields
+
     def response_fields(self, message):
         return {"X-Mangofold-Request-Id": message.field(
                     "x-mangofold-request-id"),
-                "X-Mangofold-Response-Seal": "s"}
+                "X-Mangofold-Response-Seal": "s", **self.stated_fields()}
 
     async def handle(self, message, writer):
         addressed_id = message.field("x-mangofold-target-instance")
@@ -100,9 +108,17 @@
         if addressed_id and addressed_id != self.id:
             writer.write(wire.serialize_response(421))
             return
+        if self.need:
+            now = asyncio.get_running_loop().time()
+            self.need.arrivals.append((now, request_id))
+            if self.need.rest_s:
+                writer.write(wire.serialize_response(
+                    503, X_Mangofold_Not_Executed="1",
+                    Retry_After=self.need.rest_s))
+                return
         if self.mode == "shed" and request_id:
             writer.write(wire.serialize_response(
-                503, X_Mangofold_Not_Executed="1"))
+                503, X_Mangofold_Not_Executed="1", **self.stated_fields()))
             return
         if request_id:
             now = asyncio.get_running_loop().time()
@@ -186,11 +202,11 @@
         request_id = message.field("x-mangofold-request-id")
         if "x-mangofold-inputs" not in message.fields:
             writer.write(wire.serialize_response(
-                400, X_Mangofold_Not_Executed="1"))
+                400, X_Mangofold_Not_Executed="1", **self.stated_fields()))
             return
         if self.check_inputs(message, request_id) == 409:
             writer.write(wire.serialize_response(
-                409, X_Mangofold_Not_Executed="1"))
+                409, X_Mangofold_Not_Executed="1", **self.stated_fields()))
             return
         self.run(request_id)
         if await self.run_poison(message):
@@ -226,7 +242,8 @@
         if "handles" in body:
             for handle in body["handles"]:
                 self.log.results.pop(handle, None)
-            writer.write(wire.serialize_response(200, b"{}"))
+            writer.write(wire.serialize_response(200, b"{}",
+                                                 **self.stated_fields()))
             return
         now = asyncio.get_running_loop().time()
         self.log.piece_calls.append((now, self))
@@ -242,7 +259,7 @@
         items = [self.make_result(item) for item in body["items"]]
         writer.write(wire.serialize_response(
             200, json.dumps({"items": items}).encode(),
-            Content_Type="application/json"))
+            Content_Type="application/json", **self.stated_fields()))
 
     def make_result(self, item):
         request_id = item["id"]
