Serving, decision: read as a newcomer

The reason for a request without a target is set in one place, and a refusal after a lost attempt keeps the reason of that attempt. Comments in the words of the other sources. test_target_limits, test_resting_targets, test_serving and test_decision pass.

--- a/packages/decision/request_limits.cpp
+++ b/packages/decision/request_limits.cpp
@@ -30,9 +30,9 @@
 /// it again, which takes time in proportion to the size of the fleet.
 constexpr duration position_lifetime = std::chrono::seconds(1);
 
-/// How long a limit that no response has confirmed applies at least, and for
-/// each entry of the fleet: entries that then send a request again, to find out
-/// whether the limit still applies, add one request every four seconds.
+/// The lifetime of a limit that no response confirms: at least the first value,
+/// and the second one for each entry of the fleet. The requests that entries
+/// then send to find out whether it still applies arrive at this interval.
 constexpr duration min_lifetime = std::chrono::seconds(30);
 constexpr duration lifetime_per_entry = std::chrono::seconds(4);
 
@@ -146,8 +146,9 @@
         static_cast<double>(base.count()) * limit.lifetime_factor));
 }
 
-// Entries that send nothing to a target see its need end only through others.
-// If those get no requests for it, nobody would ever find out.
+// Entries that send nothing to a target learn the end of its limit only from
+// others, which may receive no requests for it. Without a lifetime the target
+// would then stay limited for good.
 void request_limits::expire(instant now)
 {
     std::erase_if(
--- a/packages/decision/request_limits.hpp
+++ b/packages/decision/request_limits.hpp
@@ -41,9 +41,9 @@
 /// Limits the request rate to targets that state a limit in their responses.
 ///
 /// A limit applies to the requests of all entries together, until the target
-/// responds without it, to whichever entry, or until no entry has heard of it
-/// for long. Each entry keeps to a share of its own, so that no entry needs to
-/// know what the others send.
+/// responds without it to any entry, or until no response has confirmed it for
+/// long. Each entry keeps to a share of its own, so that no entry needs to know
+/// what the others send.
 class request_limits
 {
 public:
@@ -89,7 +89,8 @@
     std::optional<double> limit_of(const target_incarnation& target) const;
 
     /// Returns when this entry may send the next request to \a target: \a now
-    /// if the target has no limit, instant::max() if other entries use it up.
+    /// if the target has no limit, instant::max() if only other entries send
+    /// to it.
     instant next_send(const target_incarnation& target, senders by,
                       instant now);
 
@@ -107,7 +108,7 @@
     /// Returns the number of targets that have a limit.
     std::size_t size() const { return m_targets.size(); }
 
-    /// Removes the limits that no target has stated for long.
+    /// Removes the limits that no response has confirmed for long.
     void expire(instant now);
 
     /// Removes the limits of targets that may not get requests any more.
--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -69,9 +69,9 @@
     /// Returns whether that was new.
     bool note_unreadable(const std::string& id, std::uint64_t revision);
 
-    /// Notes that \a incarnation said itself that it is leaving: it gets no
-    /// more requests of this process, whatever the list says. Returns whether
-    /// that was new.
+    /// Notes that \a incarnation announced in a response that it is leaving:
+    /// it gets no more requests of this process, whatever the list contains.
+    /// Returns whether that was new.
     bool note_announced_leaving(const target_incarnation& incarnation);
 
     /// Notes a part of the list.
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -147,7 +147,7 @@
         }
         if (are_targets_unavailable())
         {
-            m_refusal = m_next_send->reason;
+            note_no_target();
             co_return;
         }
         if (has_stages && !m_stages)
@@ -240,11 +240,7 @@
     const auto* target = co_await wait_for_target_choice();
     if (target == nullptr)
     {
-        const bool has_full_target = m_refusal == refusal::targets_full;
-        if (m_next_send && (has_full_target || m_refusal == refusal::none))
-            m_refusal = m_next_send->reason;
-        else if (m_refusal == refusal::none)
-            m_refusal = refusal::no_target;
+        note_no_target();
         co_return attempt_outcome::given_up;
     }
     m_refusal = refusal::none;
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -126,6 +126,9 @@
                                  instant now);
     /// Whether no target of the service may get a request before the deadline.
     bool are_targets_unavailable();
+    /// Records why no target was chosen, unless a failed attempt has left a
+    /// reason that says more.
+    void note_no_target();
     /// Whether all targets of the service are evacuated, or, if
     /// \a needs_stages, all targets of a service that a stage needs.
     bool is_service_evacuated(bool needs_stages) const;
--- a/packages/serving/exchange_targets.cpp
+++ b/packages/serving/exchange_targets.cpp
@@ -131,6 +131,15 @@
     co_return target;
 }
 
+void exchange::note_no_target()
+{
+    const bool is_full = m_refusal == refusal::targets_full;
+    if (m_next_send && (is_full || m_refusal == refusal::none))
+        m_refusal = m_next_send->reason;
+    else if (m_refusal == refusal::none)
+        m_refusal = refusal::no_target;
+}
+
 forwarding_metadata
 exchange::forwarding_metadata_for(const decision::listed_target& target)
 {
