--- a/tests/serving/leaving_targets_test.cpp
+++ b/tests/serving/leaving_targets_test.cpp
@@ -4,41 +4,27 @@
 
 using namespace mangofold::test;
 using namespace std::chrono_literals;
-using end = scripted_target::response::connection_action;
 
 namespace
 {
 
-std::string id_of(const std::string& request)
-{
-    const std::size_t at = request.find("Id: ");
-    return at == std::string::npos
-               ? ""
-               : request.substr(at + 4, request.find('\r', at) - at - 4);
-}
-
 /// Returns a script of a target of \a service whose responses say that it is
 /// leaving if \a is_leaving.
 scripted_target::script make_script(const std::string& service, bool is_leaving)
 {
-    return [=](const std::string& request, std::size_t)
+    return [=, results = std::size_t{0}](const std::string& request,
+                                         std::size_t) mutable
     {
-        std::string body = service == "events" ? "id: 1\ndata: e\n\n" : "whole";
-        if (contains(request, "/make"))
-            body = "127.0.0.1:1/a\n";
-        return scripted_target::response{
-            response_text(id_of(request), body, "200 OK",
-                          is_leaving ? "Seal: s\r\nLeaving: 1\r\n"
-                                     : "Seal: s\r\n"),
-            end::keep};
+        return complete_response_of(service, "127.0.0.1:1", request, results,
+                                    is_leaving ? "Leaving: 1\r\n" : "");
     };
 }
 
 } // namespace
 
-// Guards against requests that reach a target after it has said that it is
-// leaving, while the list does not say so yet.
-TEST_CASE("a target that says that it is leaving gets no further requests")
+// Guards against requests that reach a target after it has announced that it
+// is leaving, while the list still describes it as serving.
+TEST_CASE("a target that announces that it is leaving gets no further requests")
 {
     for (const std::string path : {"/once/", "/events/", "/staged/"})
     {
--- a/tests/serving/resting_targets_test.cpp
+++ b/tests/serving/resting_targets_test.cpp
@@ -26,19 +26,20 @@
         const std::size_t number = arrivals.size();
         arrivals.emplace_back();
         const instant until = time.now() + refused_for;
-        const auto& target =
-            add_target(service,
-                       [this, number, until, service,
-                        address](const std::string& request, std::size_t)
-                       {
-                           arrivals[number].push_back(time.now());
-                           if (time.now() >= until)
-                               return answer(service, *address, request);
-                           return scripted_target::response{
-                               response_text(id_of(request), "", "503 Busy",
-                                             "Not-Run: 1\r\nRest: 3\r\n"),
-                               end::keep};
-                       });
+        const auto& target = add_target(
+            service,
+            [this, number, until, service, address](const std::string& request,
+                                                    std::size_t)
+            {
+                arrivals[number].push_back(time.now());
+                if (time.now() >= until)
+                    return complete_response_of(service, *address, request,
+                                                results);
+                return scripted_target::response{
+                    response_text(request_id_of(request), "", "503 Busy",
+                                  "Not-Run: 1\r\nRest: 3\r\n"),
+                    end::keep};
+            });
         *address = target.address();
     }
 
@@ -47,36 +48,13 @@
         auto address = std::make_shared<std::string>();
         const auto& target = add_target(
             service,
-            [this, service, address](const std::string& request, std::size_t)
-            { return answer(service, *address, request); });
+            [this, service, address](const std::string& request, std::size_t) {
+                return complete_response_of(service, *address, request,
+                                            results);
+            });
         *address = target.address();
     }
 
-    static std::string id_of(const std::string& request)
-    {
-        const std::size_t at = request.find("Id: ");
-        return at == std::string::npos
-                   ? ""
-                   : request.substr(at + 4, request.find('\r', at) - at - 4);
-    }
-
-    scripted_target::response answer(const std::string& service,
-                                     const std::string& address,
-                                     const std::string& request)
-    {
-        std::string body = service == "events" ? "id: 1\ndata: e\n\n" : "whole";
-        if (contains(request, "/make"))
-        {
-            body.clear();
-            const std::string pieces =
-                request.substr(request.find("\r\n\r\n") + 4);
-            for (std::size_t at = 0; at < pieces.size();
-                 at = pieces.find('\n', at) + 1)
-                body += address + "/" + std::to_string(++results) + "\n";
-        }
-        return {response_text(id_of(request), body), end::keep};
-    }
-
     std::string ask(const std::string& path, const std::string& headers = {})
     {
         return send_and_receive(
--- a/tests/serving/target_limits_test.cpp
+++ b/tests/serving/target_limits_test.cpp
@@ -7,7 +7,6 @@
 using namespace mangofold::test;
 using namespace mangofold;
 using namespace std::chrono_literals;
-using end = scripted_target::response::connection_action;
 using decision::duration;
 using decision::instant;
 
@@ -38,38 +37,14 @@
             {
                 if (!limit.empty())
                     arrivals.push_back(time.now());
-                return react(to, *address, request,
-                             limit.empty() || is_need_over
-                                 ? ""
-                                 : "Limit: " + limit + "\r\n");
+                const bool is_limited = !limit.empty() && !is_need_over;
+                return complete_response_of(
+                    to, *address, request, results,
+                    is_limited ? "Limit: " + limit + "\r\n" : "");
             });
         *address = target.address();
     }
 
-    scripted_target::response react(const std::string& to,
-                                    const std::string& address,
-                                    const std::string& request,
-                                    const std::string& headers)
-    {
-        std::string body = to == "events" ? "id: 1\ndata: e\n\n" : "whole";
-        if (contains(request, "/make"))
-        {
-            body.clear();
-            const std::string pieces =
-                request.substr(request.find("\r\n\r\n") + 4);
-            for (std::size_t at = 0; at < pieces.size();
-                 at = pieces.find('\n', at) + 1)
-                body += address + "/" + std::to_string(++results) + "\n";
-        }
-        const std::size_t at = request.find("Id: ");
-        const std::string id =
-            at == std::string::npos
-                ? ""
-                : request.substr(at + 4, request.find('\r', at) - at - 4);
-        return {response_text(id, body, "200 OK", "Seal: s\r\n" + headers),
-                end::keep};
-    }
-
     std::string ask(const std::string& path, const std::string& headers = {})
     {
         const std::string id = "r" + std::to_string(++requests);
