--- a/bench/ablation/mechanisms.py
+++ b/bench/ablation/mechanisms.py
@@ -2,9 +2,9 @@
 replacement.
 """
 
-PLANNER = "packages/decision/call_planner.cpp"
+PLANNER = "packages/decision/stages/call_planner.cpp"
 ROSTER = "packages/decision/entry_roster.cpp"
-ENGINES = "packages/decision/engine_selector.cpp"
+ENGINES = "packages/decision/engines/engine_selector.cpp"
 STAGES = "packages/serving/stage_runner.cpp"
 
 MECHANISMS = [
--- a/packages/decision/engine_selector.cpp
+++ b/packages/decision/engines/engine_selector.cpp
@@ -1,4 +1,4 @@
-#include "decision/engine_selector.hpp"
+#include "decision/engines/engine_selector.hpp"
 
 #include <algorithm>
 #include <functional>
--- a/packages/decision/engine_selector.hpp
+++ b/packages/decision/engines/engine_selector.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/prompt_affinity.hpp"
+#include "decision/engines/prompt_affinity.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/time.hpp"
 
--- a/packages/decision/prompt_affinity.cpp
+++ b/packages/decision/engines/prompt_affinity.cpp
@@ -1,4 +1,4 @@
-#include "decision/prompt_affinity.hpp"
+#include "decision/engines/prompt_affinity.hpp"
 
 #include "decision/election.hpp"
 
--- a/packages/decision/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "catalog/catalog.hpp"
-#include "decision/stage_job.hpp"
-#include "decision/stage_target.hpp"
+#include "decision/stages/stage_job.hpp"
+#include "decision/stages/stage_target.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/packages/decision/call_planner_jobs.cpp
+++ b/packages/decision/stages/call_planner_jobs.cpp
@@ -1,4 +1,4 @@
-#include "decision/call_planner.hpp"
+#include "decision/stages/call_planner.hpp"
 
 #include <set>
 
--- a/packages/decision/downstream_backlog.hpp
+++ b/packages/decision/stages/downstream_backlog.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/stage_job.hpp"
+#include "decision/stages/stage_job.hpp"
 #include "decision/time.hpp"
 
 #include <deque>
--- a/packages/decision/stage_target.cpp
+++ b/packages/decision/stages/stage_target.cpp
@@ -1,4 +1,4 @@
-#include "decision/stage_target.hpp"
+#include "decision/stages/stage_target.hpp"
 
 namespace mangofold::decision
 {
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -4,7 +4,7 @@
 #include "decision/cold_targets.hpp"
 #include "decision/decaying_max.hpp"
 #include "decision/drain.hpp"
-#include "decision/engine_selector.hpp"
+#include "decision/engines/engine_selector.hpp"
 #include "decision/loop_lag.hpp"
 #include "decision/moving_mean.hpp"
 #include "decision/quarantine.hpp"
--- a/packages/serving/job_executor.hpp
+++ b/packages/serving/job_executor.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decision/stage_job.hpp"
+#include "decision/stages/stage_job.hpp"
 #include "serving/auto_reset_event.hpp"
 
 #include <memory>
--- a/packages/serving/peer_messages.hpp
+++ b/packages/serving/peer_messages.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "decision/request_limits.hpp"
-#include "decision/stage_job.hpp"
+#include "decision/stages/stage_job.hpp"
 #include "decision/target_crash.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/zone_evacuations.hpp"
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "decision/call_planner.hpp"
-#include "decision/downstream_backlog.hpp"
+#include "decision/stages/call_planner.hpp"
+#include "decision/stages/downstream_backlog.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/job_executor.hpp"
 
--- a/tests/decision/engine_placement_simulation_test.cpp
+++ b/tests/decision/engines/engine_placement_simulation_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/engine_selector.hpp"
+#include "decision/engines/engine_selector.hpp"
 #include "decision/random_source.hpp"
 
 #include <doctest/doctest.h>
--- a/tests/decision/downstream_backlog_test.cpp
+++ b/tests/decision/stages/downstream_backlog_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/downstream_backlog.hpp"
+#include "decision/stages/downstream_backlog.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/decision/target_selection_test.cpp
+++ b/tests/decision/target_selection_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/engine_selector.hpp"
+#include "decision/engines/engine_selector.hpp"
 #include "decision/target_health.hpp"
 
 #include <doctest/doctest.h>
