Stages: waits by the measured time per piece

Cause: the wait in front of a service was its backlog divided by the rate of full calls. Jobs are kept in one call, so calls held 20 of 28 and 34 of 38 pieces in a burst, and targets pause between calls. Waits were underestimated by up to a third, and requests were started that missed their objective by some hundredths of a second.

Ruled out: a larger margin on the forecast. It makes whole bursts count as late where calls are full.

Change: call_throughput averages the pieces of calls that were as full as the waiting jobs allowed, and the pauses of targets while pieces waited. Peers report the time per piece with their backlog, and it replaces the declared figures for work that was started but has not arrived. Entries that report none count as before.

--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -10,19 +10,6 @@
 namespace
 {
 
-/// Longest backoff of a target after failed calls, in units of a call's fixed
-/// time. The first backoff is one fixed time: the target cannot be expected to
-/// be free again sooner.
-constexpr double max_backoff_calls = 8;
-
-/// Weight of the latest call in a target's slowdown. With a half, a target
-/// recovers from a slow period within three calls, about a second.
-constexpr double latest_call_weight = 0.5;
-
-/// A target with at least this slowdown is used only if waiting for another
-/// target takes longer.
-constexpr double slow_threshold = 1.5;
-
 /// Safety factor on the expected time of a request's stages. A request that
 /// starts without any slack mostly ends late, and takes the place of one that
 /// would have been on time. With a large factor whole bursts count as late, and
@@ -51,6 +38,13 @@
 
 } // namespace
 
+void call_planner::set_profile(const catalog::call_profile& profile)
+{
+    if (profile.max_pieces != m_profile.max_pieces)
+        m_throughput = {};
+    m_profile = profile;
+}
+
 void call_planner::add(stage_job job)
 {
     job_state state;
@@ -206,7 +200,7 @@
     return suspects <= m_profile.max_pieces / 2;
 }
 
-void call_planner::fill(planned_call& call, stage_target& target, instant now,
+bool call_planner::fill(planned_call& call, stage_target& target, instant now,
                         const downstream_estimates& downstream)
 {
     const auto capacity = static_cast<std::uint64_t>(
@@ -215,6 +209,7 @@
     std::uint64_t used = target.stored_bytes + target.reserved_bytes;
     std::size_t space = m_profile.max_pieces;
     const bool is_probe = is_probe_due(target, now);
+    bool is_any_left_out = false;
     std::vector<job_state*> order = jobs_by_urgency(target, now, downstream);
     if (is_probe)
         std::reverse(order.begin(), order.end());
@@ -236,6 +231,7 @@
             {wanted, space, static_cast<std::size_t>(fits)});
         // A job is kept in one call if possible: split over two it would wait
         // for the later one. Only a job too large for any call is split.
+        is_any_left_out = is_any_left_out || count < wanted;
         if (count < wanted && wanted <= m_profile.max_pieces &&
             wanted * bytes <= capacity)
             continue;
@@ -250,20 +246,42 @@
             --m_waiting_pieces;
         }
     }
+    return !is_probe && (space == 0 || is_any_left_out);
+}
+
+// Pauses after failures or at targets that are skipped because they are slow
+// say nothing about the others. A target without memory for results may pause
+// for seconds; a few of these would dominate the average.
+void call_planner::note_pause(const stage_target& target, instant now)
+{
+    if (target.calls_in_progress > 0 || target.consecutive_failures > 0 ||
+        target.slowdown >= slow_threshold ||
+        target.last_call_ended_at <= m_idle_at)
+        return;
+    m_throughput.note_pause(std::min<duration>(now - target.last_call_ended_at,
+                                               m_profile.time_per_call * 4));
 }
 
 std::optional<planned_call>
 call_planner::next_call(instant now, const downstream_estimates& downstream)
 {
     if (m_waiting_pieces == 0)
+    {
+        m_idle_at = now;
         return std::nullopt;
+    }
     for (stage_target* target : free_targets(now))
     {
         planned_call call;
         call.target = target->incarnation;
-        fill(call, *target, now, downstream);
+        const bool is_filled = fill(call, *target, now, downstream);
+        if (call.pieces.empty() && !is_filled)
+            m_idle_at = now;
         if (call.pieces.empty())
             continue;
+        note_pause(*target, now);
+        if (is_filled)
+            m_throughput.note_call(call.pieces.size());
         call.expected_time = expected_time(*target, call.pieces.size());
         ++target->calls_in_progress;
         target->free_at = now + call.expected_time;
@@ -272,77 +290,4 @@
     return std::nullopt;
 }
 
-void call_planner::note_call_answered(const planned_call& call, duration took,
-                                      instant now)
-{
-    const auto found = m_targets.find(call.target);
-    if (found == m_targets.end())
-        return;
-    stage_target& target = found->second;
-    target.calls_in_progress -= target.calls_in_progress > 0 ? 1 : 0;
-    target.reserved_bytes -= std::min(target.reserved_bytes, call.result_bytes);
-    target.consecutive_failures = 0;
-    target.last_call_ended_at = now;
-    target.free_at = now;
-    const auto nominal =
-        static_cast<double>((m_profile.time_per_call +
-                             m_profile.time_per_piece *
-                                 static_cast<duration::rep>(call.pieces.size()))
-                                .count());
-    constexpr double average_weight = 0.1; // Calls of about two seconds.
-    const auto ns = static_cast<double>(took.count());
-    m_average_call_ns =
-        m_average_call_ns == 0
-            ? ns
-            : m_average_call_ns + average_weight * (ns - m_average_call_ns);
-    const double measured = static_cast<double>(took.count()) / nominal;
-    // One fast call shows that a slow period is over; one slow call may have
-    // had other causes.
-    target.slowdown = measured < slow_threshold
-                          ? std::max(1.0, measured)
-                          : target.slowdown * (1 - latest_call_weight) +
-                                latest_call_weight * measured;
-}
-
-void call_planner::note_call_failed(const planned_call& call, bool is_full,
-                                    instant now)
-{
-    const auto found = m_targets.find(call.target);
-    if (found == m_targets.end())
-        return;
-    stage_target& target = found->second;
-    target.calls_in_progress -= target.calls_in_progress > 0 ? 1 : 0;
-    target.reserved_bytes -= std::min(target.reserved_bytes, call.result_bytes);
-    ++target.consecutive_failures;
-    const double backoff_calls =
-        is_full
-            ? 0.5
-            : std::min<double>(target.consecutive_failures, max_backoff_calls);
-    target.backoff_until =
-        now + duration(static_cast<duration::rep>(
-                  backoff_calls *
-                  static_cast<double>(m_profile.time_per_call.count())));
-    target.free_at = target.backoff_until;
-}
-
-// The handles of the results are unknown, so the results cannot be released.
-// Calls planned as if that memory were free would return without most of their
-// pieces.
-void call_planner::note_call_unanswered(const planned_call& call, instant now)
-{
-    note_call_failed(call, false, now);
-    const auto found = m_targets.find(call.target);
-    if (found != m_targets.end() && call.result_bytes > 0)
-        found->second.store("lost/" + std::to_string(++m_unanswered_calls),
-                            call.result_bytes, now + m_profile.result_lifetime);
-}
-
-void call_planner::note_memory_full(const target_incarnation& target,
-                                    instant now)
-{
-    const auto found = m_targets.find(target);
-    if (found != m_targets.end())
-        found->second.backoff_until = now + m_profile.time_per_call / 2;
-}
-
 } // namespace mangofold::decision
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalog/catalog.hpp"
+#include "decision/stages/call_throughput.hpp"
 #include "decision/stages/stage_job.hpp"
 #include "decision/stages/stage_target.hpp"
 
@@ -50,10 +51,7 @@
 public:
     explicit call_planner(catalog::call_profile profile) : m_profile(profile) {}
 
-    void set_profile(const catalog::call_profile& profile)
-    {
-        m_profile = profile;
-    }
+    void set_profile(const catalog::call_profile& profile);
     const catalog::call_profile& profile() const { return m_profile; }
 
     /// Sets the targets that may get calls, with their zones.
@@ -137,8 +135,9 @@
     /// Returns the moving average of the duration of calls.
     duration average_call_time() const;
 
-    /// Returns the time per piece at the throughput of the whole service with
-    /// full calls; a call's fixed time if no target can take calls.
+    /// Returns the time per piece at the throughput of the whole service, with
+    /// calls as full and pauses as long as measured; a call's fixed time if no
+    /// target can take calls.
     duration time_per_piece(instant now) const;
 
     /// Returns the bytes of the results stored at all targets.
@@ -176,8 +175,11 @@
     jobs_by_urgency(const stage_target& target, instant now,
                     const downstream_estimates& downstream);
     bool may_join(const job_state& state, const planned_call& call) const;
-    void fill(planned_call& call, stage_target& target, instant now,
+    /// Adds pieces to \a call. Returns whether the call is as full as it can
+    /// be: it has no space left, or jobs that may run did not fit.
+    bool fill(planned_call& call, stage_target& target, instant now,
               const downstream_estimates& downstream);
+    void note_pause(const stage_target& target, instant now);
     void requeue_results_of(const stage_target& producer);
     removed_job remove(std::map<std::uint64_t, job_state>::iterator entry);
 
@@ -188,6 +190,9 @@
     std::size_t m_waiting_pieces = 0;
     std::uint64_t m_unanswered_calls = 0;
     double m_average_call_ns = 0; ///< Moving average; 0 before the first call.
+    call_throughput m_throughput;
+    /// When a target was last free although no piece could run.
+    instant m_idle_at{};
 };
 
 } // namespace mangofold::decision
--- a/packages/decision/stages/call_planner_estimates.cpp
+++ b/packages/decision/stages/call_planner_estimates.cpp
@@ -1,6 +1,7 @@
 #include "decision/stages/call_planner.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mangofold::decision
 {
@@ -22,16 +23,18 @@
 
 duration call_planner::time_per_piece(instant now) const
 {
+    const double pieces = m_throughput.pieces_per_call(m_profile.max_pieces);
+    const auto whole_pieces = static_cast<std::size_t>(std::lround(pieces));
     double pieces_per_ns = 0;
     for (const auto& [id, target] : m_targets)
     {
         if (target.backoff_until > now)
             continue;
-        const auto time = std::max(expected_time(target, m_profile.max_pieces) /
-                                       m_profile.slots,
-                                   target.min_call_interval);
-        pieces_per_ns += static_cast<double>(m_profile.max_pieces) /
-                         static_cast<double>(time.count());
+        const auto time = std::max(
+            (expected_time(target, whole_pieces) + m_throughput.pause()) /
+                m_profile.slots,
+            target.min_call_interval);
+        pieces_per_ns += pieces / static_cast<double>(time.count());
     }
     if (pieces_per_ns <= 0)
         return m_profile.time_per_call;
--- a/packages/decision/stages/downstream_backlog.cpp
+++ b/packages/decision/stages/downstream_backlog.cpp
@@ -35,6 +35,16 @@
                : found->second.reported.call_time;
 }
 
+duration downstream_backlog::time_per_piece(const std::string& service,
+                                            duration default_time) const
+{
+    const auto found = m_backlogs.find(service);
+    return found == m_backlogs.end() ||
+                   found->second.reported.time_per_piece <= duration::zero()
+               ? default_time
+               : found->second.reported.time_per_piece;
+}
+
 duration downstream_backlog::expected_wait(const std::string& service,
                                            instant now, duration arrives_in,
                                            bool is_late) const
--- a/packages/decision/stages/downstream_backlog.hpp
+++ b/packages/decision/stages/downstream_backlog.hpp
@@ -17,6 +17,8 @@
     duration on_time{};   ///< Of a new piece that can be on time.
     duration late{};      ///< Of a new piece that will be late.
     duration call_time{}; ///< Average duration of a call.
+    /// Time per piece of the whole service; zero if unknown.
+    duration time_per_piece{};
 
     friend bool operator==(const service_wait_times&,
                            const service_wait_times&) = default;
@@ -51,6 +53,11 @@
     /// \a default_time if none was reported.
     duration call_time(const std::string& service, duration default_time) const;
 
+    /// Returns the reported time per piece of \a service, or \a default_time
+    /// if none was reported.
+    duration time_per_piece(const std::string& service,
+                            duration default_time) const;
+
 private:
     struct started_work
     {
--- a/packages/decision/stages/stage_target.hpp
+++ b/packages/decision/stages/stage_target.hpp
@@ -11,6 +11,10 @@
 namespace mangofold::decision
 {
 
+/// A target with at least this slowdown is used only if waiting for another
+/// target takes longer.
+inline constexpr double slow_threshold = 1.5;
+
 /// The planner's estimate of the load, speed and stored results of one target
 /// of a stage service.
 struct stage_target
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -123,6 +123,7 @@
         backlog.set_in_time_ns(times.on_time.count());
         backlog.set_wait_ns(times.late.count());
         backlog.set_call_ns(times.call_time.count());
+        backlog.set_time_per_piece_ns(times.time_per_piece.count());
     }
     return state;
 }
@@ -214,7 +215,8 @@
         m_batcher.note_wait_times(backlog.service(),
                                   {duration(backlog.in_time_ns()),
                                    duration(backlog.wait_ns()),
-                                   duration(backlog.call_ns())});
+                                   duration(backlog.call_ns()),
+                                   duration(backlog.time_per_piece_ns())});
     peer::Want want;
     want.set_catalog(should_request_catalog(address, peer_state));
     // One copy at a time: two would share the bandwidth.
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -50,6 +50,13 @@
     void note_wait_times(const std::string& service,
                          const decision::service_wait_times& times);
 
+    /// Returns the reported time per piece of \a service, or \a declared if
+    /// none was reported.
+    duration time_per_piece(const std::string& service, duration declared) const
+    {
+        return m_backlog.time_per_piece(service, declared);
+    }
+
     /// Runs the periodic work. Never returns.
     awaitable<void> run();
 
--- a/packages/serving/piece_batcher_forecast.cpp
+++ b/packages/serving/piece_batcher_forecast.cpp
@@ -109,10 +109,14 @@
             const auto targets =
                 static_cast<duration::rep>(std::max<std::size_t>(
                     1, m_context.directory.serving(next.service).size()));
-            const duration per_piece =
+            const duration declared =
                 (profile->time_per_call / profile->max_pieces +
                  profile->time_per_piece) /
                 targets;
+            // A service without usable targets reports a call's time.
+            const duration per_piece =
+                std::min(time_per_piece(next.service, declared),
+                         std::max(declared, profile->time_per_call));
             const duration wait = m_backlog.expected_wait(
                 next.service, now, arrives_in, job->is_late);
             m_backlog.note_started(next, per_piece, now, arrives_in,
@@ -132,7 +136,8 @@
         if (queue->last_job_at + recent_job_time > now)
             found[service] = {queue->planner.expected_wait(now, false),
                               queue->planner.expected_wait(now, true),
-                              queue->planner.average_call_time()};
+                              queue->planner.average_call_time(),
+                              queue->planner.time_per_piece(now)};
     return found;
 }
 
--- a/tests/decision/stages/downstream_backlog_test.cpp
+++ b/tests/decision/stages/downstream_backlog_test.cpp
@@ -59,3 +59,16 @@
     CHECK(backlog.expected_wait("rerank", start, 20ms, false) == 30ms);
     CHECK(backlog.expected_wait("rerank", start, 20ms, true) == 980ms);
 }
+
+TEST_CASE("the reported time per piece replaces the declared one")
+{
+    downstream_backlog backlog;
+    CHECK(backlog.time_per_piece("rerank", 5ms) == 5ms);
+    // An entry of an older version reports none.
+    backlog.note_wait_times("rerank", {50ms, 50ms, 300ms}, start);
+    CHECK(backlog.time_per_piece("rerank", 5ms) == 5ms);
+    backlog.note_wait_times("rerank", {50ms, 50ms, 300ms, 7ms}, start);
+    CHECK(backlog.time_per_piece("rerank", 5ms) == 7ms);
+    backlog.note_wait_times("rerank", {50ms, 50ms, 300ms, -7ms}, start);
+    CHECK(backlog.time_per_piece("rerank", 5ms) == 5ms);
+}
--- a/tests/serving/peer_mesh_test.cpp
+++ b/tests/serving/peer_mesh_test.cpp
@@ -82,6 +82,35 @@
     CHECK(entry.catalogs_requested() >= 2);
 }
 
+// Guards against requests that start although the next service is slower than
+// declared: the entries that start them don't know what its calls hold.
+TEST_CASE("an entry reports the time per piece of the services that it batches")
+{
+    outdated_entry entry;
+    entry.add_target(
+        "pieces",
+        [](const std::string&, std::size_t)
+        {
+            return test::scripted_target::response{
+                "", test::scripted_target::response::connection_action::hang};
+        });
+    decision::stage_job job;
+    job.expires = job.due = entry.time.now() + 5s;
+    entry.batcher->add(
+        "pieces", job, [](const job_outcome&) { return true; },
+        [] { return true; }, [] {});
+    const peer::Holding holding = entry.mesh.holding();
+    REQUIRE(holding.backlogs_size() == 1);
+    // Eight pieces in 280 ms, as declared.
+    CHECK(holding.backlogs(0).time_per_piece_ns() == duration(35ms).count());
+    peer::Holding remote = holding;
+    remote.mutable_backlogs(0)->set_service("rerank");
+    remote.mutable_backlogs(0)->set_time_per_piece_ns(duration(70ms).count());
+    entry.mesh.handle_holding(entry.others[0]->address(), remote);
+    CHECK(entry.batcher->time_per_piece("rerank", 1ms) == 70ms);
+    CHECK(entry.batcher->time_per_piece("other", 1ms) == 1ms);
+}
+
 // Guards against an invalid target address that is passed on by an entry with
 // less strict validation.
 TEST_CASE("targets received from another entry are validated")
