Stages: calls are filled with the jobs that fit best

Cause: jobs are kept in one call and joined it in order of urgency, first fit. Calls of the second service of a burst held 20 of 28 pieces.

Ruled out: splitting jobs over two calls, which fills every call but moves inputs and results twice and lets a job wait for the later call.

Change: with more pieces waiting than a call holds, the planner chooses among the most urgent job, which always goes in, and the next twenty those that fill the call best. A job is passed over at most once. Jobs that will be late never take the place of jobs in time. Calls with requests that may have crashed a target are filled in order, as before; the memory for results is checked as before.

--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -1,8 +1,11 @@
 #include "decision/stages/call_planner.hpp"
 
+#include "decision/stages/call_filling.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 
 namespace mangofold::decision
 {
@@ -200,51 +203,93 @@
     return suspects <= m_profile.max_pieces / 2;
 }
 
+bool call_planner::may_run(const stage_job& job,
+                           const downstream_estimates& downstream) const
+{
+    return job.is_started || downstream.may_start(job, average_call_time());
+}
+
+// Requests that may have crashed a target share no call with most others, so
+// their calls are filled in order.
+void call_planner::prefer_full_call(
+    std::vector<job_state*>& order, std::size_t space,
+    const downstream_estimates& downstream) const
+{
+    std::vector<job_state*> considered;
+    std::vector<fillable_job> jobs;
+    for (job_state* state : order)
+    {
+        if (jobs.size() > max_filling_jobs)
+            break;
+        if (!may_run(state->job, downstream))
+            continue;
+        if (state->crashes > 0)
+            return;
+        considered.push_back(state);
+        jobs.push_back({static_cast<std::uint32_t>(state->waiting.size()),
+                        state->was_passed_over, state->job.is_late ? 1U : 0U});
+    }
+    const call_filling filling = fill_call(jobs, space);
+    for (const std::size_t position : filling.passed_over)
+        considered[position]->was_passed_over = true;
+    std::set<const job_state*> chosen;
+    for (const std::size_t position : filling.chosen)
+        chosen.insert(considered[position]);
+    std::stable_partition(order.begin(), order.end(),
+                          [&chosen](const job_state* state)
+                          { return chosen.contains(state); });
+}
+
+void call_planner::add_pieces(planned_call& call, stage_target& target,
+                              job_state& state, std::size_t count)
+{
+    const std::uint64_t bytes = state.job.result_bytes * count;
+    target.reserved_bytes += bytes;
+    call.result_bytes += bytes;
+    m_waiting_pieces -= count;
+    for (; count > 0; --count)
+    {
+        call.pieces.push_back({state.job.number, state.waiting.back()});
+        state.waiting.pop_back();
+    }
+}
+
 bool call_planner::fill(planned_call& call, stage_target& target, instant now,
                         const downstream_estimates& downstream)
 {
     const auto capacity = static_cast<std::uint64_t>(
         static_cast<double>(m_profile.result_memory_bytes) *
         usable_memory_share);
-    std::uint64_t used = target.stored_bytes + target.reserved_bytes;
     std::size_t space = m_profile.max_pieces;
     const bool is_probe = is_probe_due(target, now);
     bool is_any_left_out = false;
     std::vector<job_state*> order = jobs_by_urgency(target, now, downstream);
     if (is_probe)
         std::reverse(order.begin(), order.end());
+    else if (m_waiting_pieces > space)
+        prefer_full_call(order, space, downstream);
     for (job_state* state : order)
     {
         if (space == 0 || (is_probe && !call.pieces.empty()))
             break;
-        const stage_job& job = state->job;
-        if (!may_join(*state, call) ||
-            (!job.is_started &&
-             !downstream.may_start(job, average_call_time())))
+        if (!may_join(*state, call) || !may_run(state->job, downstream))
             continue;
+        const std::uint64_t used = target.stored_bytes + target.reserved_bytes;
         const std::uint64_t bytes = state->job.result_bytes;
         const std::uint64_t fits =
             bytes == 0 ? space
                        : (capacity > used ? (capacity - used) / bytes : 0);
         const std::size_t wanted = state->waiting.size();
-        std::size_t count = std::min<std::size_t>(
+        const std::size_t count = std::min<std::size_t>(
             {wanted, space, static_cast<std::size_t>(fits)});
+        is_any_left_out = is_any_left_out || count < wanted;
         // A job is kept in one call if possible: split over two it would wait
         // for the later one. Only a job too large for any call is split.
-        is_any_left_out = is_any_left_out || count < wanted;
         if (count < wanted && wanted <= m_profile.max_pieces &&
             wanted * bytes <= capacity)
             continue;
-        for (; count > 0; --count)
-        {
-            call.pieces.push_back({state->job.number, state->waiting.back()});
-            state->waiting.pop_back();
-            used += bytes;
-            target.reserved_bytes += bytes;
-            call.result_bytes += bytes;
-            --space;
-            --m_waiting_pieces;
-        }
+        add_pieces(call, target, *state, count);
+        space -= count;
     }
     return !is_probe && (space == 0 || is_any_left_out);
 }
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -156,6 +156,8 @@
         std::vector<std::uint32_t> waiting; ///< Pieces that are in no call.
         std::map<std::uint32_t, std::string> results; ///< By piece.
         std::uint32_t crashes = 0; ///< See note_suspected_crash().
+        /// See fillable_job::was_passed_over.
+        bool was_passed_over = false;
 
         bool is_in_progress() const
         {
@@ -179,6 +181,15 @@
     /// be: it has no space left, or jobs that may run did not fit.
     bool fill(planned_call& call, stage_target& target, instant now,
               const downstream_estimates& downstream);
+    /// Whether a piece of \a job may be executed now.
+    bool may_run(const stage_job& job,
+                 const downstream_estimates& downstream) const;
+    /// Moves the jobs that together fill a call with \a space best to the front
+    /// of \a order.
+    void prefer_full_call(std::vector<job_state*>& order, std::size_t space,
+                          const downstream_estimates& downstream) const;
+    void add_pieces(planned_call& call, stage_target& target, job_state& state,
+                    std::size_t count);
     void note_pause(const stage_target& target, instant now);
     void requeue_results_of(const stage_target& producer);
     removed_job remove(std::map<std::uint64_t, job_state>::iterator entry);
