Stages: the next call is sent ahead of the end of the current one

Cause: a stage target is idle for about 28 ms, a network round trip, between two calls of 350 ms.

Ruled out: queueing every call. A queued call's pieces are fixed early, and wait for a target that becomes slow. A call is therefore sent ahead only with pieces for three quarters of a call, at most 30 ms before the expected end of a call that isn't overdue, and never two.

Change: the planner gives a busy target with a queue its next call under these conditions. A refusal of a call ahead leaves the target's current call, backoff and rests alone, and the target gets no calls ahead for a while. A call behind one that was lost has not begun: it is no cause of a crash and does not count as lost. The time of a call ahead counts from the end of the call before it. Inputs of a call ahead are kept until it has begun; inputs of a job with several calls until all of them have fetched them. New counters: calls_ahead (sent, refused) and calls_by_fill.

--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <limits>
 #include <set>
+#include <tuple>
 
 namespace mangofold::decision
 {
@@ -103,15 +104,19 @@
     std::vector<stage_target*> found;
     for (auto& [id, target] : m_targets)
     {
-        if (target.calls_in_progress >= m_profile.slots ||
-            target.unavailable_until() > now ||
+        const bool has_space = target.calls_in_progress < m_profile.slots ||
+                               may_take_call_ahead(target, now);
+        if (!has_space || target.unavailable_until() > now ||
             has_faster_alternative(target, now))
             continue;
         target.drop_expired(now);
         found.push_back(&target);
     }
-    const auto rank = [](const stage_target* target)
-    { return std::pair(target->slowdown, target->stored_bytes); };
+    const auto rank = [this](const stage_target* target)
+    {
+        return std::tuple(target->calls_in_progress >= m_profile.slots,
+                          target->slowdown, target->stored_bytes);
+    };
     std::sort(found.begin(), found.end(),
               [&rank](const stage_target* left, const stage_target* right)
               { return rank(left) < rank(right); });
@@ -294,45 +299,4 @@
     return !is_probe && (space == 0 || is_any_left_out);
 }
 
-// Pauses after failures or at targets that are skipped because they are slow
-// say nothing about the others. A target without memory for results may pause
-// for seconds; a few of these would dominate the average.
-void call_planner::note_pause(const stage_target& target, instant now)
-{
-    if (target.calls_in_progress > 0 || target.consecutive_failures > 0 ||
-        target.slowdown >= slow_threshold ||
-        target.last_call_ended_at <= m_idle_at)
-        return;
-    m_throughput.note_pause(std::min<duration>(now - target.last_call_ended_at,
-                                               m_profile.time_per_call * 4));
-}
-
-std::optional<planned_call>
-call_planner::next_call(instant now, const downstream_estimates& downstream)
-{
-    if (m_waiting_pieces == 0)
-    {
-        m_idle_at = now;
-        return std::nullopt;
-    }
-    for (stage_target* target : free_targets(now))
-    {
-        planned_call call;
-        call.target = target->incarnation;
-        const bool is_filled = fill(call, *target, now, downstream);
-        if (call.pieces.empty() && !is_filled)
-            m_idle_at = now;
-        if (call.pieces.empty())
-            continue;
-        note_pause(*target, now);
-        if (is_filled)
-            m_throughput.note_call(call.pieces.size());
-        call.expected_time = expected_time(*target, call.pieces.size());
-        ++target->calls_in_progress;
-        target->free_at = now + call.expected_time;
-        return call;
-    }
-    return std::nullopt;
-}
-
 } // namespace mangofold::decision
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -23,6 +23,9 @@
     std::vector<piece_ref> pieces;
     duration expected_time{};
     std::uint64_t result_bytes = 0; ///< Estimated size of the results.
+    /// Sent while the target still executes another call.
+    bool is_ahead = false;
+    std::uint64_t number = 0; ///< Unique per planner.
 
     friend bool operator==(const planned_call&, const planned_call&) = default;
 };
@@ -44,8 +47,10 @@
 /// Batches the pieces of all requests into calls to one stage service.
 ///
 /// Each call has a fixed cost, so throughput depends on full calls. The
-/// planner therefore never queues a call behind another one: it forms a call
-/// only when a target is free, from the most urgent pieces at that time.
+/// planner therefore forms a call only when a target is free, from the most
+/// urgent pieces at that time. While pieces for a whole further call wait, a
+/// target gets that call shortly before its current one ends, so that it is not
+/// idle for a network round trip.
 class call_planner
 {
 public:
@@ -72,6 +77,12 @@
     std::optional<planned_call>
     next_call(instant now, const downstream_estimates& downstream = {});
 
+    /// Whether \a call still waits behind another one, as far as is known.
+    bool is_queued(const planned_call& call) const;
+    /// Whether the target may have begun to execute \a call. It has not if the
+    /// call ahead of it was lost.
+    bool may_have_begun(const planned_call& call) const;
+
     /// Records that \a call was answered after \a took.
     void note_call_answered(const planned_call& call, duration took,
                             instant now);
@@ -191,6 +202,14 @@
     void add_pieces(planned_call& call, stage_target& target, job_state& state,
                     std::size_t count);
     void note_pause(const stage_target& target, instant now);
+    bool may_take_call_ahead(const stage_target& target, instant now) const;
+    void undo(const planned_call& call, stage_target& target);
+    void note_planned(planned_call& call, stage_target& target, bool is_filled,
+                      instant now);
+    /// Returns whether \a call failed as a call ahead of the target's current
+    /// one; otherwise it has no effect.
+    bool note_call_ahead_failed(const planned_call& call, stage_target& target,
+                                bool is_full, instant now);
     void requeue_results_of(const stage_target& producer);
     removed_job remove(std::map<std::uint64_t, job_state>::iterator entry);
 
@@ -199,6 +218,7 @@
     std::map<std::uint64_t, job_state> m_jobs;
     std::vector<std::uint64_t> m_finished;
     std::size_t m_waiting_pieces = 0;
+    std::uint64_t m_planned_calls = 0;
     std::uint64_t m_unanswered_calls = 0;
     double m_average_call_ns = 0; ///< Moving average; 0 before the first call.
     call_throughput m_throughput;
--- a/packages/decision/stages/call_planner_outcomes.cpp
+++ b/packages/decision/stages/call_planner_outcomes.cpp
@@ -29,8 +29,13 @@
     target.calls_in_progress -= target.calls_in_progress > 0 ? 1 : 0;
     target.reserved_bytes -= std::min(target.reserved_bytes, call.result_bytes);
     target.consecutive_failures = 0;
+    if (is_queued(call))
+        target.call_ahead = 0; // The target did not execute them in order.
+    target.end_current_call(now, false);
+    // A call ahead waited until the one before it had ended.
+    if (call.is_ahead)
+        took = now - std::max(now - took, target.last_call_ended_at);
     target.last_call_ended_at = now;
-    target.free_at = now;
     const auto nominal =
         static_cast<double>((m_profile.time_per_call +
                              m_profile.time_per_piece *
@@ -60,7 +65,10 @@
     stage_target& target = found->second;
     target.calls_in_progress -= target.calls_in_progress > 0 ? 1 : 0;
     target.reserved_bytes -= std::min(target.reserved_bytes, call.result_bytes);
+    if (note_call_ahead_failed(call, target, is_full, now))
+        return;
     ++target.consecutive_failures;
+    target.end_current_call(now, true);
     const double backoff_calls =
         is_full
             ? 0.5
@@ -69,7 +77,7 @@
         now + duration(static_cast<duration::rep>(
                   backoff_calls *
                   static_cast<double>(m_profile.time_per_call.count())));
-    target.free_at = target.backoff_until;
+    target.free_at = std::max(target.free_at, target.backoff_until);
 }
 
 // The handles of the results are unknown, so the results cannot be released.
--- a/packages/decision/stages/stage_target.cpp
+++ b/packages/decision/stages/stage_target.cpp
@@ -3,6 +3,14 @@
 namespace mangofold::decision
 {
 
+void stage_target::end_current_call(instant now, bool is_lost)
+{
+    free_at = call_ahead == 0 ? now : now + time_of_call_ahead;
+    if (is_lost)
+        unstarted_call = call_ahead;
+    call_ahead = 0;
+}
+
 void stage_target::drop_expired(instant now)
 {
     for (auto entry = stored.begin(); entry != stored.end();)
--- a/packages/decision/stages/stage_target.hpp
+++ b/packages/decision/stages/stage_target.hpp
@@ -23,6 +23,12 @@
     std::string zone;
     std::uint32_t calls_in_progress = 0; ///< Calls of this planner only.
     instant free_at{};                   ///< When they are expected to end.
+    /// Number of the call that waits behind the current one; 0 for none.
+    std::uint64_t call_ahead = 0;
+    duration time_of_call_ahead{}; ///< Expected, from its start.
+    /// Number of the call that waited behind one that was lost.
+    std::uint64_t unstarted_call = 0;
+    instant no_calls_ahead_until{};
     double slowdown = 1; ///< Measured call duration over the nominal one.
     instant last_call_ended_at{};
     std::uint32_t consecutive_failures = 0;
@@ -43,6 +49,9 @@
     {
         return std::max(backoff_until, next_call_at);
     }
+    /// Records that the current call ended or was lost at \a now: the call
+    /// behind it, if any, is the current one.
+    void end_current_call(instant now, bool is_lost);
     /// Forgets the results that the target has dropped by \a now.
     void drop_expired(instant now);
     void store(const std::string& handle, std::uint64_t bytes,
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -82,7 +82,8 @@
                                std::move(fetched),
                                false,
                                0,
-                               {}};
+                               {},
+                               0};
     queue->last_job_at = m_context.now();
     queue->planner.add(std::move(job));
     start_calls(service, *queue);
@@ -96,6 +97,7 @@
     while (auto plan = queue.planner.next_call(m_context.now(), m_estimates))
     {
         note_started_jobs(queue, *plan);
+        count_call(queue, *plan);
         m_context.request_limits.note_sent(plan->target, m_context.now());
         update_call_limits(service, queue);
         spawn(m_context.loop, run_call(service, std::move(*plan)));
@@ -135,19 +137,33 @@
                                 fetch_margin * bytes / bytes_per_ns));
 }
 
+// A call that waits behind another one fetches its inputs when it begins. A job
+// may have pieces in several calls, for example after a full target refused
+// one: its inputs are needed until all of them have been fetched.
 awaitable<void> piece_batcher::report_fetched_inputs(
     std::string service, decision::planned_call plan, duration after)
 {
-    loop_timer timer(m_context.loop, after);
+    service_queue& queue = *m_queues.at(service);
+    for (const std::uint64_t number : job_numbers(plan))
+        if (const auto accepted = queue.jobs.find(number);
+            accepted != queue.jobs.end())
+            ++accepted->second.pending_fetches;
+    loop_timer timer(m_context.loop);
     error_code ignored; // No other code cancels this timer.
+    while (queue.planner.is_queued(plan))
+    {
+        timer.expires_after(tick);
+        co_await timer.async_wait(store_error_in(ignored));
+    }
+    timer.expires_after(after);
     co_await timer.async_wait(store_error_in(ignored));
-    service_queue& queue = *m_queues.at(service);
-    for (const decision::piece_ref& ref : plan.pieces)
+    for (const std::uint64_t number : job_numbers(plan))
     {
-        const auto accepted = queue.jobs.find(ref.job);
+        const auto accepted = queue.jobs.find(number);
         if (accepted == queue.jobs.end() ||
+            --accepted->second.pending_fetches > 0 ||
             accepted->second.has_fetched_inputs ||
-            queue.planner.has_waiting_pieces(ref.job))
+            queue.planner.has_waiting_pieces(number))
             continue;
         accepted->second.has_fetched_inputs = true;
         accepted->second.fetched();
@@ -177,13 +193,15 @@
     spawn(m_context.loop,
           report_fetched_inputs(service, plan, fetch_time(queue, plan)));
     auto state = co_await sent_call->send_request(request, {}, timeout);
-    if (state == target_call::outcome::ok)
+    const bool is_full =
+        state == target_call::outcome::ok && sent_call->metadata().has_not_run;
+    // A target that refuses a call ahead is busy with the current one. It has
+    // no need of the rest that it asks for.
+    if (state == target_call::outcome::ok && !(is_full && plan.is_ahead))
         record_target_statements(m_context, *sent_call, started_at);
     while (state == target_call::outcome::ok && !sent_call->is_complete())
         state = co_await sent_call->read_more(timeout);
     const instant now = m_context.now();
-    const bool is_full =
-        state == target_call::outcome::ok && sent_call->metadata().has_not_run;
     constexpr unsigned ok = 200;
     if (state == target_call::outcome::ok &&
         sent_call->head().result_int() == ok)
@@ -208,25 +226,7 @@
     }
     else
     {
-        const bool is_unsent = state == target_call::outcome::not_sent;
-        if (is_full || is_unsent)
-            queue.planner.note_call_failed(plan, is_full, now);
-        else
-            queue.planner.note_call_unanswered(plan, now);
-        m_context.count("calls_failed", "why", is_full ? "full" : "lost");
-        if (state == target_call::outcome::connection_lost)
-        {
-            note_target_crashes(queue, plan, started_at);
-            queue.planner.note_suspected_crash(plan);
-        }
-        if (!is_full && !is_unsent)
-            runtime::event("call_lost")
-                .with("service", service)
-                .with("target", plan.target.id)
-                .with("pieces", plan.pieces.size())
-                .with("after_ms", whole_milliseconds(now - started_at))
-                .warn();
-        is_full ? requeue(queue, plan) : handle_lost_call(queue, plan);
+        handle_failed_call(service, plan, state, is_full, started_at);
         is_full ? sent_call->release_connection() : sent_call->abort();
     }
     queue.pieces += plan.pieces.size();
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -4,11 +4,13 @@
 #include "decision/stages/downstream_backlog.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/job_executor.hpp"
+#include "serving/target_call.hpp"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,6 +74,8 @@
         std::uint32_t lost_calls = 0;
         /// Why a target can't execute the job.
         std::optional<decision::job_status> failure;
+        /// Calls that may not have fetched the inputs of the job yet.
+        std::uint32_t pending_fetches = 0;
     };
 
     /// The jobs of one service and the targets that execute them.
@@ -132,6 +136,14 @@
                             const decision::piece_ref& piece,
                             decision::job_status status);
     void queue_release(service_queue& queue, const std::string& handle);
+    static std::set<std::uint64_t>
+    job_numbers(const decision::planned_call& plan);
+    void handle_failed_call(const std::string& service,
+                            const decision::planned_call& plan,
+                            target_call::outcome state, bool is_full,
+                            instant started_at);
+    void count_call(const service_queue& queue,
+                    const decision::planned_call& plan);
     static void handle_lost_call(service_queue& queue,
                                  const decision::planned_call& plan);
     void note_target_crashes(const service_queue& queue,
--- a/packages/serving/piece_batcher_results.cpp
+++ b/packages/serving/piece_batcher_results.cpp
@@ -102,6 +102,64 @@
     }
 }
 
+std::set<std::uint64_t>
+piece_batcher::job_numbers(const decision::planned_call& plan)
+{
+    std::set<std::uint64_t> numbers;
+    for (const decision::piece_ref& ref : plan.pieces)
+        numbers.insert(ref.job);
+    return numbers;
+}
+
+// A call that waited behind a lost one has not begun, so it is neither lost nor
+// a possible cause of the loss.
+void piece_batcher::handle_failed_call(const std::string& service,
+                                       const decision::planned_call& plan,
+                                       target_call::outcome state, bool is_full,
+                                       instant started_at)
+{
+    service_queue& queue = *m_queues.at(service);
+    const instant now = m_context.now();
+    const bool has_begun = queue.planner.may_have_begun(plan);
+    const bool is_unsent = state == target_call::outcome::not_sent;
+    if (is_full || is_unsent)
+        queue.planner.note_call_failed(plan, is_full, now);
+    else
+        queue.planner.note_call_unanswered(plan, now);
+    m_context.count("calls_failed", "why", is_full ? "full" : "lost");
+    if (plan.is_ahead && is_full)
+        m_context.count("calls_ahead", "how", "refused");
+    if (is_full || !has_begun)
+        return requeue(queue, plan);
+    if (state == target_call::outcome::connection_lost)
+    {
+        note_target_crashes(queue, plan, started_at);
+        queue.planner.note_suspected_crash(plan);
+    }
+    if (!is_unsent)
+        runtime::event("call_lost")
+            .with("service", service)
+            .with("target", plan.target.id)
+            .with("pieces", plan.pieces.size())
+            .with("after_ms", whole_milliseconds(now - started_at))
+            .warn();
+    handle_lost_call(queue, plan);
+}
+
+void piece_batcher::count_call(const service_queue& queue,
+                               const decision::planned_call& plan)
+{
+    if (plan.is_ahead)
+        m_context.count("calls_ahead", "how", "sent");
+    const std::size_t space = queue.planner.profile().max_pieces;
+    const std::size_t pieces = plan.pieces.size();
+    m_context.count("calls_by_fill", "share",
+                    pieces >= space           ? "full"
+                    : 4 * pieces >= 3 * space ? "three_quarters"
+                    : 2 * pieces >= space     ? "half"
+                                              : "less");
+}
+
 void piece_batcher::handle_lost_call(service_queue& queue,
                                      const decision::planned_call& plan)
 {
--- /dev/null
+++ b/tests/serving/stage_calls_test.cpp
@@ -0,0 +1,134 @@
+#include "support/serving_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold;
+using namespace mangofold::test;
+using namespace std::chrono_literals;
+using end = scripted_target::response::connection_action;
+
+namespace
+{
+
+/// An entry that batches the service "pieces": a call holds eight pieces, takes
+/// 280 ms, and one more call may wait at a target.
+struct batching_entry : serving_fixture
+{
+    /// Adds a job with eight pieces.
+    void add_job()
+    {
+        decision::stage_job job;
+        job.request = "r" + std::to_string(outcomes.size() + 1);
+        job.pieces = 8;
+        job.due = job.expires = time.now() + 60s;
+        const std::size_t index = outcomes.size();
+        outcomes.emplace_back();
+        fetched.push_back(false);
+        wanted.push_back(true);
+        batcher->add(
+            "pieces", job,
+            [this, index](serving::job_outcome outcome)
+            {
+                outcomes[index] = std::move(outcome);
+                return true;
+            },
+            [this, index] { return wanted[index]; },
+            [this, index] { fetched[index] = true; });
+    }
+
+    void advance(serving::duration total)
+    {
+        constexpr serving::duration step = 10ms;
+        for (serving::duration elapsed{}; elapsed < total; elapsed += step)
+        {
+            time.advance(step);
+            settle();
+        }
+    }
+
+    std::uint64_t count(const std::string& name, const std::string& label,
+                        const std::string& value)
+    {
+        return context->metrics.count({name, runtime::label(label, value)});
+    }
+
+    std::vector<std::optional<serving::job_outcome>> outcomes;
+    std::vector<bool> fetched;
+    std::vector<bool> wanted;
+};
+
+scripted_target::response results()
+{
+    std::string body;
+    for (int piece = 0; piece < 8; ++piece)
+        body += "x/" + std::to_string(piece) + "\n";
+    return {response_text("", body), end::keep};
+}
+
+} // namespace
+
+// Guards against jobs that fail or wait since a call ahead came too early: the
+// full target refuses it and asks for a rest, as it does with any request.
+TEST_CASE("a call ahead that a full target refuses costs nothing")
+{
+    batching_entry entry;
+    auto& target = entry.add_target(
+        "pieces",
+        [](const std::string&, std::size_t number)
+        {
+            if (number == 0)
+                return scripted_target::response{"", end::hang};
+            if (number == 1)
+                return scripted_target::response{
+                    response_text("", "", "503 Full",
+                                  "Not-Run: 1\r\nRest: 9\r\n"),
+                    end::keep};
+            return results();
+        });
+    for (int job = 0; job < 3; ++job)
+        entry.add_job();
+    entry.advance(240ms);
+    CHECK(target.requests().size() == 1);
+    entry.advance(40ms);
+    CHECK(target.requests().size() == 2);
+    CHECK(entry.count("calls_ahead", "how", "sent") == 1);
+    CHECK(entry.count("calls_ahead", "how", "refused") == 1);
+    CHECK_FALSE(entry.context->resting_targets.has_any());
+    // The first call is given up after 1,140 ms.
+    entry.advance(1200ms);
+    for (const std::size_t job : {1, 2})
+    {
+        REQUIRE(entry.outcomes[job]);
+        CHECK(entry.outcomes[job]->status == decision::job_status::completed);
+    }
+}
+
+// Guards against a call that fails because its inputs are gone: they were
+// released while the call still waited behind another one.
+TEST_CASE("the inputs of a call ahead are kept until it has begun")
+{
+    batching_entry entry;
+    auto& target =
+        entry.add_target("pieces",
+                         [](const std::string&, std::size_t) {
+                             return scripted_target::response{"", end::hang};
+                         });
+    for (int job = 0; job < 3; ++job)
+        entry.add_job();
+    entry.advance(100ms);
+    CHECK(entry.fetched[0]);
+    entry.advance(400ms);
+    CHECK(target.requests().size() == 2);
+    CHECK_FALSE(entry.fetched[1]);
+    CHECK_FALSE(entry.fetched[2]);
+}
+
+TEST_CASE("calls are counted by the share of their space that is used")
+{
+    batching_entry entry;
+    entry.add_target("pieces",
+                     [](const std::string&, std::size_t) { return results(); });
+    entry.add_job();
+    entry.run_until([&] { return entry.outcomes[0].has_value(); });
+    CHECK(entry.count("calls_by_fill", "share", "full") == 1);
+}
