--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -1,8 +1,12 @@
 #include "decision/stages/call_planner.hpp"
 
+#include "decision/stages/call_filling.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
+#include <tuple>
 
 namespace mangofold::decision
 {
@@ -10,19 +14,6 @@
 namespace
 {
 
-/// Longest backoff of a target after failed calls, in units of a call's fixed
-/// time. The first backoff is one fixed time: the target cannot be expected to
-/// be free again sooner.
-constexpr double max_backoff_calls = 8;
-
-/// Weight of the latest call in a target's slowdown. With a half, a target
-/// recovers from a slow period within three calls, about a second.
-constexpr double latest_call_weight = 0.5;
-
-/// A target with at least this slowdown is used only if waiting for another
-/// target takes longer.
-constexpr double slow_threshold = 1.5;
-
 /// Safety factor on the expected time of a request's stages. A request that
 /// starts without any slack mostly ends late, and takes the place of one that
 /// would have been on time. With a large factor whole bursts count as late, and
@@ -51,6 +42,13 @@
 
 } // namespace
 
+void call_planner::set_profile(const catalog::call_profile& profile)
+{
+    if (profile.max_pieces != m_profile.max_pieces)
+        m_throughput = {};
+    m_profile = profile;
+}
+
 void call_planner::add(stage_job job)
 {
     job_state state;
@@ -106,15 +104,19 @@
     std::vector<stage_target*> found;
     for (auto& [id, target] : m_targets)
     {
-        if (target.calls_in_progress >= m_profile.slots ||
-            target.unavailable_until() > now ||
+        const bool has_space = target.calls_in_progress < m_profile.slots ||
+                               may_take_call_ahead(target, now);
+        if (!has_space || target.unavailable_until() > now ||
             has_faster_alternative(target, now))
             continue;
         target.drop_expired(now);
         found.push_back(&target);
     }
-    const auto rank = [](const stage_target* target)
-    { return std::pair(target->slowdown, target->stored_bytes); };
+    const auto rank = [this](const stage_target* target)
+    {
+        return std::tuple(target->calls_in_progress >= m_profile.slots,
+                          target->slowdown, target->stored_bytes);
+    };
     std::sort(found.begin(), found.end(),
               [&rank](const stage_target* left, const stage_target* right)
               { return rank(left) < rank(right); });
@@ -206,143 +208,95 @@
     return suspects <= m_profile.max_pieces / 2;
 }
 
-void call_planner::fill(planned_call& call, stage_target& target, instant now,
+bool call_planner::may_run(const stage_job& job,
+                           const downstream_estimates& downstream) const
+{
+    return job.is_started || downstream.may_start(job, average_call_time());
+}
+
+// Requests that may have crashed a target share no call with most others, so
+// their calls are filled in order.
+void call_planner::prefer_full_call(
+    std::vector<job_state*>& order, std::size_t space,
+    const downstream_estimates& downstream) const
+{
+    std::vector<job_state*> considered;
+    std::vector<fillable_job> jobs;
+    for (job_state* state : order)
+    {
+        if (jobs.size() > max_filling_jobs)
+            break;
+        if (!may_run(state->job, downstream))
+            continue;
+        if (state->crashes > 0)
+            return;
+        considered.push_back(state);
+        jobs.push_back({static_cast<std::uint32_t>(state->waiting.size()),
+                        state->was_passed_over, state->job.is_late ? 1U : 0U});
+    }
+    const call_filling filling = fill_call(jobs, space);
+    for (const std::size_t position : filling.passed_over)
+        considered[position]->was_passed_over = true;
+    std::set<const job_state*> chosen;
+    for (const std::size_t position : filling.chosen)
+        chosen.insert(considered[position]);
+    std::stable_partition(order.begin(), order.end(),
+                          [&chosen](const job_state* state)
+                          { return chosen.contains(state); });
+}
+
+void call_planner::add_pieces(planned_call& call, stage_target& target,
+                              job_state& state, std::size_t count)
+{
+    const std::uint64_t bytes = state.job.result_bytes * count;
+    target.reserved_bytes += bytes;
+    call.result_bytes += bytes;
+    m_waiting_pieces -= count;
+    for (; count > 0; --count)
+    {
+        call.pieces.push_back({state.job.number, state.waiting.back()});
+        state.waiting.pop_back();
+    }
+}
+
+bool call_planner::fill(planned_call& call, stage_target& target, instant now,
                         const downstream_estimates& downstream)
 {
     const auto capacity = static_cast<std::uint64_t>(
         static_cast<double>(m_profile.result_memory_bytes) *
         usable_memory_share);
-    std::uint64_t used = target.stored_bytes + target.reserved_bytes;
     std::size_t space = m_profile.max_pieces;
     const bool is_probe = is_probe_due(target, now);
+    bool is_any_left_out = false;
     std::vector<job_state*> order = jobs_by_urgency(target, now, downstream);
     if (is_probe)
         std::reverse(order.begin(), order.end());
+    else if (m_waiting_pieces > space)
+        prefer_full_call(order, space, downstream);
     for (job_state* state : order)
     {
         if (space == 0 || (is_probe && !call.pieces.empty()))
             break;
-        const stage_job& job = state->job;
-        if (!may_join(*state, call) ||
-            (!job.is_started &&
-             !downstream.may_start(job, average_call_time())))
+        if (!may_join(*state, call) || !may_run(state->job, downstream))
             continue;
+        const std::uint64_t used = target.stored_bytes + target.reserved_bytes;
         const std::uint64_t bytes = state->job.result_bytes;
         const std::uint64_t fits =
             bytes == 0 ? space
                        : (capacity > used ? (capacity - used) / bytes : 0);
         const std::size_t wanted = state->waiting.size();
-        std::size_t count = std::min<std::size_t>(
+        const std::size_t count = std::min<std::size_t>(
             {wanted, space, static_cast<std::size_t>(fits)});
+        is_any_left_out = is_any_left_out || count < wanted;
         // A job is kept in one call if possible: split over two it would wait
         // for the later one. Only a job too large for any call is split.
         if (count < wanted && wanted <= m_profile.max_pieces &&
             wanted * bytes <= capacity)
             continue;
-        for (; count > 0; --count)
-        {
-            call.pieces.push_back({state->job.number, state->waiting.back()});
-            state->waiting.pop_back();
-            used += bytes;
-            target.reserved_bytes += bytes;
-            call.result_bytes += bytes;
-            --space;
-            --m_waiting_pieces;
-        }
+        add_pieces(call, target, *state, count);
+        space -= count;
     }
-}
-
-std::optional<planned_call>
-call_planner::next_call(instant now, const downstream_estimates& downstream)
-{
-    if (m_waiting_pieces == 0)
-        return std::nullopt;
-    for (stage_target* target : free_targets(now))
-    {
-        planned_call call;
-        call.target = target->incarnation;
-        fill(call, *target, now, downstream);
-        if (call.pieces.empty())
-            continue;
-        call.expected_time = expected_time(*target, call.pieces.size());
-        ++target->calls_in_progress;
-        target->free_at = now + call.expected_time;
-        return call;
-    }
-    return std::nullopt;
-}
-
-void call_planner::note_call_answered(const planned_call& call, duration took,
-                                      instant now)
-{
-    const auto found = m_targets.find(call.target);
-    if (found == m_targets.end())
-        return;
-    stage_target& target = found->second;
-    target.calls_in_progress -= target.calls_in_progress > 0 ? 1 : 0;
-    target.reserved_bytes -= std::min(target.reserved_bytes, call.result_bytes);
-    target.consecutive_failures = 0;
-    target.last_call_ended_at = now;
-    target.free_at = now;
-    const auto nominal =
-        static_cast<double>((m_profile.time_per_call +
-                             m_profile.time_per_piece *
-                                 static_cast<duration::rep>(call.pieces.size()))
-                                .count());
-    constexpr double average_weight = 0.1; // Calls of about two seconds.
-    const auto ns = static_cast<double>(took.count());
-    m_average_call_ns =
-        m_average_call_ns == 0
-            ? ns
-            : m_average_call_ns + average_weight * (ns - m_average_call_ns);
-    const double measured = static_cast<double>(took.count()) / nominal;
-    // One fast call shows that a slow period is over; one slow call may have
-    // had other causes.
-    target.slowdown = measured < slow_threshold
-                          ? std::max(1.0, measured)
-                          : target.slowdown * (1 - latest_call_weight) +
-                                latest_call_weight * measured;
-}
-
-void call_planner::note_call_failed(const planned_call& call, bool is_full,
-                                    instant now)
-{
-    const auto found = m_targets.find(call.target);
-    if (found == m_targets.end())
-        return;
-    stage_target& target = found->second;
-    target.calls_in_progress -= target.calls_in_progress > 0 ? 1 : 0;
-    target.reserved_bytes -= std::min(target.reserved_bytes, call.result_bytes);
-    ++target.consecutive_failures;
-    const double backoff_calls =
-        is_full
-            ? 0.5
-            : std::min<double>(target.consecutive_failures, max_backoff_calls);
-    target.backoff_until =
-        now + duration(static_cast<duration::rep>(
-                  backoff_calls *
-                  static_cast<double>(m_profile.time_per_call.count())));
-    target.free_at = target.backoff_until;
-}
-
-// The handles of the results are unknown, so the results cannot be released.
-// Calls planned as if that memory were free would return without most of their
-// pieces.
-void call_planner::note_call_unanswered(const planned_call& call, instant now)
-{
-    note_call_failed(call, false, now);
-    const auto found = m_targets.find(call.target);
-    if (found != m_targets.end() && call.result_bytes > 0)
-        found->second.store("lost/" + std::to_string(++m_unanswered_calls),
-                            call.result_bytes, now + m_profile.result_lifetime);
-}
-
-void call_planner::note_memory_full(const target_incarnation& target,
-                                    instant now)
-{
-    const auto found = m_targets.find(target);
-    if (found != m_targets.end())
-        found->second.backoff_until = now + m_profile.time_per_call / 2;
+    return !is_probe && (space == 0 || is_any_left_out);
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalog/catalog.hpp"
+#include "decision/stages/call_throughput.hpp"
 #include "decision/stages/stage_job.hpp"
 #include "decision/stages/stage_target.hpp"
 
@@ -22,6 +23,9 @@
     std::vector<piece_ref> pieces;
     duration expected_time{};
     std::uint64_t result_bytes = 0; ///< Estimated size of the results.
+    /// Sent while the target still executes another call.
+    bool is_ahead = false;
+    std::uint64_t number = 0; ///< Unique per planner.
 
     friend bool operator==(const planned_call&, const planned_call&) = default;
 };
@@ -43,17 +47,16 @@
 /// Batches the pieces of all requests into calls to one stage service.
 ///
 /// Each call has a fixed cost, so throughput depends on full calls. The
-/// planner therefore never queues a call behind another one: it forms a call
-/// only when a target is free, from the most urgent pieces at that time.
+/// planner therefore forms a call only when a target is free, from the most
+/// urgent pieces at that time. While pieces for a whole further call wait, a
+/// target gets that call shortly before its current one ends, so that it is not
+/// idle for a network round trip.
 class call_planner
 {
 public:
     explicit call_planner(catalog::call_profile profile) : m_profile(profile) {}
 
-    void set_profile(const catalog::call_profile& profile)
-    {
-        m_profile = profile;
-    }
+    void set_profile(const catalog::call_profile& profile);
     const catalog::call_profile& profile() const { return m_profile; }
 
     /// Sets the targets that may get calls, with their zones.
@@ -74,6 +77,12 @@
     std::optional<planned_call>
     next_call(instant now, const downstream_estimates& downstream = {});
 
+    /// Whether \a call still waits behind another one, as far as is known.
+    bool is_queued(const planned_call& call) const;
+    /// Whether the target may have begun to execute \a call. It has not if the
+    /// call ahead of it was lost.
+    bool may_have_begun(const planned_call& call) const;
+
     /// Records that \a call was answered after \a took.
     void note_call_answered(const planned_call& call, duration took,
                             instant now);
@@ -137,8 +146,9 @@
     /// Returns the moving average of the duration of calls.
     duration average_call_time() const;
 
-    /// Returns the time per piece at the throughput of the whole service with
-    /// full calls; a call's fixed time if no target can take calls.
+    /// Returns the time per piece at the throughput of the whole service, with
+    /// calls as full and pauses as long as measured; a call's fixed time if no
+    /// target can take calls.
     duration time_per_piece(instant now) const;
 
     /// Returns the bytes of the results stored at all targets.
@@ -157,6 +167,8 @@
         std::vector<std::uint32_t> waiting; ///< Pieces that are in no call.
         std::map<std::uint32_t, std::string> results; ///< By piece.
         std::uint32_t crashes = 0; ///< See note_suspected_crash().
+        /// See fillable_job::was_passed_over.
+        bool was_passed_over = false;
 
         bool is_in_progress() const
         {
@@ -176,8 +188,28 @@
     jobs_by_urgency(const stage_target& target, instant now,
                     const downstream_estimates& downstream);
     bool may_join(const job_state& state, const planned_call& call) const;
-    void fill(planned_call& call, stage_target& target, instant now,
+    /// Adds pieces to \a call. Returns whether the call is as full as it can
+    /// be: it has no space left, or jobs that may run did not fit.
+    bool fill(planned_call& call, stage_target& target, instant now,
               const downstream_estimates& downstream);
+    /// Whether a piece of \a job may be executed now.
+    bool may_run(const stage_job& job,
+                 const downstream_estimates& downstream) const;
+    /// Moves the jobs that together fill a call with \a space best to the front
+    /// of \a order.
+    void prefer_full_call(std::vector<job_state*>& order, std::size_t space,
+                          const downstream_estimates& downstream) const;
+    void add_pieces(planned_call& call, stage_target& target, job_state& state,
+                    std::size_t count);
+    void note_pause(const stage_target& target, instant now);
+    bool may_take_call_ahead(const stage_target& target, instant now) const;
+    void undo(const planned_call& call, stage_target& target);
+    void note_planned(planned_call& call, stage_target& target, bool is_filled,
+                      instant now);
+    /// Returns whether \a call failed as a call ahead of the target's current
+    /// one; otherwise it has no effect.
+    bool note_call_ahead_failed(const planned_call& call, stage_target& target,
+                                bool is_full, instant now);
     void requeue_results_of(const stage_target& producer);
     removed_job remove(std::map<std::uint64_t, job_state>::iterator entry);
 
@@ -186,8 +218,12 @@
     std::map<std::uint64_t, job_state> m_jobs;
     std::vector<std::uint64_t> m_finished;
     std::size_t m_waiting_pieces = 0;
+    std::uint64_t m_planned_calls = 0;
     std::uint64_t m_unanswered_calls = 0;
     double m_average_call_ns = 0; ///< Moving average; 0 before the first call.
+    call_throughput m_throughput;
+    /// When a target was last free although no piece could run.
+    instant m_idle_at{};
 };
 
 } // namespace mangofold::decision
