Soak: uneven targets, load headers and bursts of the most urgent route

Cause: the soak's targets all worked at one speed, stated no load, and no check compared what routes of different ranks get.

`--only uneven` adds bursts of more chats than the first stage can do, beside notes, which are less urgent and have more time. In every run the share of chats that is refused may exceed that of notes by 0.05 at most, with 50 or more of each. Targets check inputs when a call starts, as they fetch them then; with calls of over 40 ms the check at the end reported inputs that entries had rightly released.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -8,6 +8,7 @@
 from oracle import SentRequest
 
 TIME_BUDGET_S = 3.0
+LONG_TIME_BUDGET_S = 6.0  # Of notes, which are the least urgent.
 ABANDONED_SHARE = 0.1  # The share of requests that are abandoned early.
 REQUEST_KINDS = {
     "find": ("GET", "/find/x", {}),
@@ -17,6 +18,10 @@
 }
 
 
+def time_budget_s(sent):
+    return LONG_TIME_BUDGET_S if sent.kind == "note" else TIME_BUDGET_S
+
+
 class Connection:
     """A caller's persistent connection to an entry."""
 
@@ -29,7 +34,7 @@
         """Sends a request; a caller that gives up closes the connection."""
         try:
             await asyncio.wait_for(self._send(sent, method, path, fields),
-                                   abandon_after_s or TIME_BUDGET_S + 1)
+                                   abandon_after_s or time_budget_s(sent) + 1)
         except asyncio.TimeoutError:
             if abandon_after_s:
                 sent.disconnected_at = self.oracle.now()
@@ -45,7 +50,8 @@
                 host, int(port), limit=1 << 20)
         lines = [f"{method} {path} HTTP/1.1", "Host: h.example",
                  f"X-Mangofold-Request-Id: {sent.request_id}",
-                 f"X-Mangofold-Time-Budget-Ms: {int(TIME_BUDGET_S * 1000)}",
+                 "X-Mangofold-Time-Budget-Ms: "
+                 f"{int(time_budget_s(sent) * 1000)}",
                  f"X-Mangofold-Piece-Key: key-{sent.request_id}",
                  "X-Mangofold-Prompt-Prefix: aa:100,bb:20",
                  "X-Mangofold-Token-Count: 120,40"]
@@ -101,6 +107,11 @@
                 int(count) for count in pieces.split(",") if count]
         return sent
 
+    def pick_entry(self):
+        return self.random.choice(
+            [entry for entry in self.oracle.fleet
+             if not entry.is_stopping] or self.oracle.fleet)
+
     async def run(self, until, mean_pause_s):
         """Sends one request after another, mostly on open connections."""
         connection = None
@@ -109,10 +120,7 @@
             if connection is None or self.random.random() < 0.1:
                 if connection:
                     connection.close()
-                candidates = [entry for entry in self.oracle.fleet
-                              if not entry.is_stopping] or self.oracle.fleet
-                connection = Connection(self.random.choice(candidates),
-                                        self.oracle)
+                connection = Connection(self.pick_entry(), self.oracle)
             kind = self.random.choice(list(REQUEST_KINDS))
             sent = self.new_request(kind, connection.entry)
             method, path, fields = REQUEST_KINDS[kind]
@@ -124,18 +132,35 @@
             if connection.writer is None:
                 connection = None
 
-    async def send_poison(self, kind, poison, entry):
-        """Sends a request that crashes each target that runs it."""
+    async def send_once(self, kind, entry, poison=""):
+        """Sends a request on a connection of its own.
+
+        poison is the path of a request that crashes each target that runs it.
+        """
         sent = self.new_request(kind, entry, poison)
         if "-stage-" in poison:
             self.oracle.log.stage_poisons[sent.request_id] = poison
         method, path, fields = REQUEST_KINDS[kind]
         connection = Connection(entry, self.oracle)
-        await connection.send(sent, method, path.replace("/x", poison), {
+        path = path.replace("/x", poison or "/x")
+        await connection.send(sent, method, path, {
             **fields, "Authorization": "Bearer always"})
         connection.close()
         self.oracle.check_outcome(sent)
 
+    async def send_burst(self, rates, until):
+        """Sends requests at these rates by kind, answered or not."""
+        kinds = list(rates)
+        at = self.oracle.now()
+        requests = []
+        while at < until:
+            at += self.random.expovariate(sum(rates.values()))
+            await asyncio.sleep(at - self.oracle.now())
+            kind, = self.random.choices(kinds, rates.values())
+            requests.append(asyncio.create_task(
+                self.send_once(kind, self.pick_entry())))
+        await asyncio.gather(*requests)
+
     async def probe(self, until):
         """Probes entries in turn for the route and key versions in force."""
         while self.oracle.now() < until:
--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -11,7 +11,7 @@
 
 MAX_ACTIVE_POISONS = 2  # So that each still finds targets to crash.
 # Not drawn by default, so that existing seeds replay unchanged.
-OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest")
+OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven")
 GROW_INTERVAL_S = 3  # So that a narrow link can carry all versions.
 
 
@@ -28,12 +28,15 @@
         self.last_grow_at = 0.0
         self.poison_numbers = itertools.count(1)
         self.active_poisons = 0
+        self.is_bursting = False
+        self.until = 0.0  # When the run ends.
         names = [name for name in dir(self) if name.startswith("do_")]
         self.kinds = [name for name in names
                       if name[3:] in (kinds or ()) or
                       not kinds and name[3:] not in OPT_IN_KINDS]
 
     async def run(self, until):
+        self.until = until
         if not self.kinds:
             await asyncio.sleep(until - self.oracle.now())
         while self.oracle.now() < until and self.kinds:
@@ -217,7 +220,7 @@
         while self.oracle.now() < until:
             entry = self.random.choice(self.oracle.fleet)
             requests.append(asyncio.create_task(
-                caller.send_poison(kind, poison, entry)))
+                caller.send_once(kind, entry, poison)))
             await asyncio.sleep(self.random.uniform(0.02, 0.5))
         await asyncio.gather(*requests)
         self.active_poisons -= 1
@@ -309,6 +312,20 @@
         await self._overload_target(
             1, 6, rest_s=self.random.choice((1, 2.5, 3)))
 
+    async def do_uneven(self):
+        """Sends a burst, mostly of the most urgent route, then pauses."""
+        if self.is_bursting or self.oracle.now() >= self.until:
+            return
+        self.is_bursting = True
+        duration_s = self.random.uniform(3, 5)
+        rates = self.platform.burst_rates()
+        self.log(f"burst of {sum(rates.values()):.0f}/s, {duration_s:.1f} s")
+        await Caller(self.oracle, self.random.random()).send_burst(
+            rates, min(self.oracle.now() + duration_s, self.until))
+        await asyncio.sleep(min(duration_s / 2,
+                                max(0, self.until - self.oracle.now())))
+        self.is_bursting = False
+
     async def do_replace(self):
         if target := self.pick_target():
             self.log(f"replace {target.service} {target.id}")
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -10,6 +10,10 @@
 MAX_POISON_CRASHES = 3  # Targets that a request may crash, then quarantine.
 MAX_LATE_SENDS = 3  # Times that it may be sent after that.
 SLACK_S = 0.5  # Added to each bound, for a busy machine.
+# The most and the least urgent route of a service.
+MOST_URGENT, LEAST_URGENT = "chat", "note"
+MIN_RANKED_REQUESTS = 50  # Of each, to compare how often they are refused.
+MAX_EXCESS_REFUSED = 0.05  # Of the most urgent route's requests.
 STALL_S = 0.25  # Half of SLACK_S: the slack may not cover a longer stall.
 
 
@@ -180,6 +184,7 @@
                 self.faults.append(
                     f"{request_id}: {sent.entry.name} sent it to {target.id} "
                     f"{at - draining_since:.1f} s after it began to drain")
+        self._check_ranks()
         self._check_invalid_records()
         self._check_evacuations()
         for need in self.needs:
@@ -193,6 +198,27 @@
                 self.faults.append(
                     f"{entry.name}: exited unexpectedly: {exit_code}")
 
+    def refused_shares(self):
+        """Returns the refused share of the most and least urgent route."""
+        shares = []
+        for kind in (MOST_URGENT, LEAST_URGENT):
+            statuses = [sent.status for sent in self.requests.values()
+                        if sent.kind == kind and sent.is_complete
+                        and not sent.poison]
+            if len(statuses) < MIN_RANKED_REQUESTS:
+                return None
+            shares.append(sum(status in NOT_EXECUTED_STATUSES
+                              for status in statuses) / len(statuses))
+        return shares
+
+    def _check_ranks(self):
+        """Checks that the most urgent route isn't refused more often."""
+        shares = self.refused_shares()
+        if shares and shares[0] > shares[1] + MAX_EXCESS_REFUSED:
+            self.faults.append(
+                f"{MOST_URGENT} refused in {shares[0]:.3f} of its requests, "
+                f"the less urgent {LEAST_URGENT} in {shares[1]:.3f}")
+
     def _check_invalid_records(self):
         """Checks that no work goes to a target whose record is invalid."""
         for target_id, invalid_from, invalid_to in self.invalid_records:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,9 +53,10 @@
 
 
 async def soak(options, folder):
-    platform = PlatformStandin(options.base)
+    platform = PlatformStandin(options.base, options.seed)
     if options.only and "cold" in options.only:
         platform.warm_up = WARM_UP
+    platform.has_bursts = "uneven" in (options.only or ())
     await platform.start(options.copies)
     # As Entry numbers its ports.
     first_peer_port = 1002 if options.direct else 1004
@@ -107,6 +108,9 @@
         print(f"  {kind}: {', '.join(outcomes)}")
     if options.verbose or oracle.faults:
         print("\n".join(injector.history))
+    if shares := oracle.refused_shares():
+        print(f"  refused: {shares[0]:.3f} of the most urgent route, "
+              f"{shares[1]:.3f} of the least urgent one")
     for fault in oracle.faults[:20]:
         print(f"FAULT {fault}")
     state = "clean" if not oracle.faults else f"{len(oracle.faults)} faults"
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -42,8 +42,12 @@
 class Target:
     _target_numbers = itertools.count(1)
 
-    def __init__(self, log, service, address, zone, target_id=None):
+    slots = 8  # As stated in the load header.
+
+    def __init__(self, log, service, address, zone, pace, target_id=None):
         self.log = log
+        self.pace = pace
+        self.running = self.waiting = 0
         self.service = service
         self.address = address  # As listed; a proxy may listen there.
         self.zone = zone
@@ -93,6 +97,9 @@
     def stated_fields(self):
         """Returns what the target states about itself in each response."""
         fields = self.need.response_fields() if self.need else {}
+        fields["X-Mangofold-Server-Load"] = self.pace.stated_load(
+            asyncio.get_running_loop().time(), self.running, self.waiting,
+            self.slots)
         if self.state == "draining":
             fields["Server-Leaving"] = 1
         return fields
@@ -126,6 +133,9 @@
             self.check_cold_arrivals(now)
         await self.work(message, writer)
 
+    def duration(self, mean_s):
+        return mean_s * self.pace.factor(asyncio.get_running_loop().time())
+
     def run(self, request_id):
         self.log.runs[request_id].append(self.id)
 
@@ -211,6 +221,14 @@
         self.run(request_id)
         if await self.run_poison(message):
             return
+        self.running += 1
+        try:
+            await self.stream(message, writer)
+        finally:
+            self.running -= 1
+
+    async def stream(self, message, writer):
+        request_id = message.field("x-mangofold-request-id")
         first_event = int(message.field("last-event-id") or 0) + 1
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
                 "Transfer-Encoding: chunked"]
@@ -218,8 +236,8 @@
                  for name, value in self.response_fields(message).items()]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
         for number in range(first_event, EVENT_COUNT + 1):
-            await asyncio.sleep(
-                0.3 if self.mode == "slow" else EVENT_INTERVAL_S)
+            await asyncio.sleep(0.3 if self.mode == "slow" else
+                                self.duration(EVENT_INTERVAL_S))
             if self.mode in ("lost", "cut") and number > EVENT_COUNT // 2:
                 writer.transport.abort()
                 return
@@ -232,10 +250,12 @@
 # Runs calls of pieces and keeps their results by handle.
 class StageTarget(Target):
     _result_numbers = itertools.count(1)
+    slots = 1
 
-    def __init__(self, log, service, address, zone, target_id=None, slots=1):
-        super().__init__(log, service, address, zone, target_id)
-        self.free_slots = asyncio.Semaphore(slots)
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.call_s = PIECES_CALL_S
+        self.free_slot = asyncio.Lock()
 
     async def work(self, message, writer):
         body = json.loads(message.body)
@@ -251,17 +271,29 @@
             if poison := self.log.stage_poisons.get(item["id"]):
                 await self.crash_on_poison(poison)
                 return
-        async with self.free_slots:
-            await asyncio.sleep(1 if self.mode == "slow" else PIECES_CALL_S)
+        self.waiting += 1
+        async with self.free_slot:
+            self.waiting -= 1
+            self.running = 1
+            are_present = [self.fetch_inputs(item) for item in body["items"]]
+            await asyncio.sleep(1 if self.mode == "slow" else
+                                self.duration(self.call_s))
+            self.running = 0
         if self.mode == "lost":
             writer.transport.abort()
             return
-        items = [self.make_result(item) for item in body["items"]]
+        items = [self.make_result(item) if is_present else {"why": "gone"}
+                 for item, is_present in zip(body["items"], are_present)]
         writer.write(wire.serialize_response(
             200, json.dumps({"items": items}).encode(),
             Content_Type="application/json", **self.stated_fields()))
 
-    def make_result(self, item):
+    def fetch_inputs(self, item):
+        """Returns whether the inputs of a piece are there, and checks them.
+
+        Targets fetch inputs at the start of a call; entries may release them
+        soon after that.
+        """
         request_id = item["id"]
         if item["stage"] == 0 and item.get("key") != f"key-{request_id}":
             self.log.add_fault(
@@ -269,7 +301,7 @@
         for handle in item.get("inputs", []):
             producer = self.log.results.get(handle)
             if producer is None:
-                return {"why": "gone"}
+                return False
             if producer != (request_id, item["stage"] - 1):
                 self.log.add_fault(
                     f"{request_id}: a piece got an input of {producer}")
@@ -280,6 +312,9 @@
                     len(inputs) != expected_count:
                 self.log.add_fault(f"{request_id}: a dependent piece has "
                                    f"{len(inputs)} of {expected_count} inputs")
+        return True
+
+    def make_result(self, item):
         handle = f"{self.address}/{next(self._result_numbers):x}"
-        self.log.results[handle] = (request_id, item["stage"])
+        self.log.results[handle] = (item["id"], item["stage"])
         return {"handle": handle}
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,9 +1,12 @@
 """A small platform for the entries under test: store, operator, targets."""
 
 import asyncio
+import collections
+import random
 
 import wire
 from fleet import DRAIN_S
+from pace import SPEEDS, Pace
 from proxy import Proxy
 from store import Store
 from targets import EngineTarget, PlainTarget, StageTarget, TargetLog
@@ -15,9 +18,19 @@
 HEARTBEAT_S = 0.4  # A dead target's record is removed after three of these.
 # Warm-up settings of the engines' service, if enabled.
 WARM_UP = {"warmup_s": 2.0, "warmup_per_s": 4.0}
-
-
-def configuration(version, extra_routes=0, warm_up=None):
+# A slow stage, so that few requests are a burst.
+BURST_PIECES = {"batch": 4, "call_ms": 100.0, "item_ms": 0.0}
+# Requests per second in a burst, by the pieces per second of a stage's targets
+# at their usual speed. A chat has two pieces of the first stage, so that not
+# even all chats can be served.
+BURST_RATES = {"chat": 0.55, "note": 0.3}
+# Times of the most and of the least urgent route. A program that refuses those
+# that have the least time refuses the most urgent ones.
+URGENT = {"timeout_ms": 1200, "target_latency_ms": 700}
+PATIENT = {"timeout_ms": 6000, "target_latency_ms": 1500}
+
+
+def configuration(version, extra_routes=0, warm_up=None, has_bursts=False):
     """Returns a version: the shared routes, its own one, and extra ones."""
     def route(name, route_type, service, **settings):
         return {"name": name, "host": "h.example", "prefix": f"/{name}/",
@@ -28,7 +41,7 @@
               {"backend": "rank", "after": [0], "bytes": 6000}]
     pieces = {"capacity": 1, "queue": 2, "batch": 8, "call_ms": 30.0,
               "item_ms": 1.0, "room_mb": 1.0, "handle_s": 4.0,
-              "link_mbps": 1000}
+              "link_mbps": 1000, **(BURST_PIECES if has_bursts else {})}
     keys = ["always"] + [f"key-{key_version}"
                          for key_version in (version - 1, version)]
     return {
@@ -37,9 +50,11 @@
             route("find", "idempotent", "desk", max_attempts=2),
             route("book", "non_idempotent", "desk"),
             route("chat", "streaming", "models", stages=stages,
-                  stream_resume=True, gap_aim_ms=300, max_attempts=2),
+                  stream_resume=True, gap_aim_ms=300, max_attempts=2,
+                  **(URGENT if has_bursts else {})),
             route("note", "streaming", "models", stages=stages,
-                  stream_resume=False, gap_aim_ms=300),
+                  stream_resume=False, gap_aim_ms=300, priority=2,
+                  **(PATIENT if has_bursts else {})),
             route(f"v{version}", "idempotent", "desk", max_attempts=2),
             *(route(f"more{number}", "idempotent", "desk")
               for number in range(extra_routes))],
@@ -57,8 +72,10 @@
 # Runs the store and the targets, and acts as operator of the platform. Each
 # target listens behind a proxy; the store lists the proxy's address.
 class PlatformStandin:
-    def __init__(self, base):
+    def __init__(self, base, seed=1):
         self.base = base
+        self.random = random.Random(f"pace {seed}")
+        self.unused_speeds = collections.defaultdict(list)  # By service.
         self.store = Store()
         self.store_address = f"127.0.0.1:{base}"
         self.log = TargetLog()
@@ -68,6 +85,7 @@
         self.version = 1
         self.extra_routes = 0
         self.warm_up = None  # WARM_UP, if engines start cold.
+        self.has_bursts = False
         self._next_port = base + 1
         self._crash_tasks = set()
 
@@ -75,10 +93,28 @@
         self._next_port += 1
         return f"127.0.0.1:{self._next_port}"
 
+    def configuration(self):
+        return configuration(self.version, self.extra_routes, self.warm_up,
+                             self.has_bursts)
+
+    def new_pace(self, service):
+        """Returns a new target's pace; each service gets all speeds."""
+        speeds = self.unused_speeds[service]
+        if not speeds:
+            speeds += self.random.sample(SPEEDS, len(SPEEDS))
+        return Pace(speeds.pop(), self.random.random())
+
+    def burst_rates(self):
+        """Returns requests per second by kind."""
+        calls_per_s = sum(1000 / BURST_PIECES["call_ms"] / target.pace.speed
+                          for target in self.targets
+                          if target.service == "encode")
+        return {kind: share * calls_per_s * BURST_PIECES["batch"]
+                for kind, share in BURST_RATES.items()}
+
     async def start(self, copies):
         await wire.serve(self.store_address, self.store.handle)
-        self.store.put("op/config", configuration(self.version,
-                                                  warm_up=self.warm_up))
+        self.store.put("op/config", self.configuration())
         for number in range(copies):
             for service in SERVICES:
                 await self.add_target(service, "ab"[number % 2])
@@ -99,7 +135,9 @@
         self.proxies[listed_address].target = target_address
         self.proxies[listed_address].set_mode("open")
         target = SERVICES[service](self.log, service, listed_address, zone,
-                                   target_id)
+                                   self.new_pace(service), target_id)
+        if self.has_bursts:
+            target.call_s = BURST_PIECES["call_ms"] / 1000
         await target.start(target_address)
         self.targets.append(target)
         self.store.put(f"servers/{target.id}", target.record())
@@ -170,7 +208,5 @@
 
     def publish(self, published):
         self.version += 1
-        self.store.put("op/config",
-                       configuration(self.version, self.extra_routes,
-                                     self.warm_up))
+        self.store.put("op/config", self.configuration())
         published[self.version] = asyncio.get_running_loop().time()
