Soak: a mutant for the check of the ranks

Cause: nothing showed that the soak detects a program that serves the less urgent route first. Change: a mutant reverses the ranks of routes where the configuration is read.

--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -101,6 +101,10 @@
      "packages/decision/quarantine.cpp",
      "now < found->second + trusted_time;", "now < found->second;",
      ["poison"], ["--entries", "6"]),
+    ("the ranks of routes are reversed", "platform/catalog_reader.cpp",
+     'route.priority = value.value("priority", 0U);',
+     'route.priority = 9U - value.value("priority", 0U);',
+     ["uneven"], ["--entries", "6"]),
 ]
 
 
