--- a/tests/tools/explain_test.py
+++ b/tests/tools/explain_test.py
@@ -21,6 +21,8 @@
     log_line(9, "e2", "service_gathered", service="rank", waiting_pieces=900),
     log_line(10, "e1", "request_refused", request="abc1", why="stages_late",
              target="", status=503),
+    log_line(10, "e1", "request_refused", request="iii1", why="overloaded",
+             target="", status=503),
     log_line(10, "e1", "request_refused", request="def2", why="target_silent",
              target="t1", status=504),
     log_line(10, "e1", "attempt_lost", request="def2", content="c0",
@@ -50,6 +52,13 @@
         self.assertIn("waiting_pieces 900", output)
         self.assertNotIn("waiting_pieces 1\n", output)
 
+    def test_an_overloaded_request_shows_pieces_waiting_at_that_time(self):
+        # Without them, nothing shows which service had no capacity.
+        output = explain("iii").stdout
+        self.assertIn("none of them was started", output)
+        self.assertIn("waiting_pieces 900", output)
+        self.assertNotIn("waiting_pieces 1\n", output)
+
     def test_a_silent_target_shows_the_lines_of_target_and_entry(self):
         output = explain("def2").stdout
         self.assertIn("may have run", output)
