Platform: the load that targets state is parsed

Cause: targets state their running and waiting work, their slots and the pace of their machine in X-Mangofold-Server-Load, and nothing read it.

Change: the header is translated into response_metadata::load. Statements that are unreadable, negative or absurd (pace outside 10 to 2,000 percent, counts above 10,000, no slot) are no statement and are counted (loads_unreadable). A response without the header is as before. input_release decides by the load of an engine whether the inputs of a request may be released early; nothing uses it yet.

--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -12,6 +12,7 @@
 #include "decision/request_limits.hpp"
 #include "decision/resting_targets.hpp"
 #include "decision/retry_budget.hpp"
+#include "decision/stages/input_release.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/target_health.hpp"
 #include "decision/zone_evacuations.hpp"
@@ -116,6 +117,7 @@
     target_connection_pool connection_pool; ///< Idle target connections.
     decision::target_health target_health;
     decision::engine_selector engines;
+    decision::input_release input_release; ///< By the engines' statements.
     decision::quarantine quarantine;
     /// Returns the rank of this entry among all entries for a subject. The
     /// default ranks this entry as the only one.
--- a/packages/serving/message_metadata.hpp
+++ b/packages/serving/message_metadata.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/stages/target_load_report.hpp"
 #include "serving/asio.hpp"
 
 #include <cstdint>
@@ -90,6 +91,10 @@
     std::optional<duration> rest;
     /// The target asks for a rest whose length cannot be parsed.
     bool is_rest_unreadable = false;
+    /// The load that the target states; nothing if it states none.
+    std::optional<decision::target_load_report> load;
+    /// The target states a load that cannot be parsed or is not plausible.
+    bool is_load_unreadable = false;
     std::optional<duration> keep_alive_timeout; ///< For which the target keeps
                                                 ///< an idle connection open.
 
--- a/packages/serving/target_statements.cpp
+++ b/packages/serving/target_statements.cpp
@@ -56,6 +56,16 @@
             .info();
 }
 
+void record_load(entry_context& context, const target_call& call)
+{
+    const response_metadata& response = call.metadata();
+    if (response.is_load_unreadable)
+        ++context.metrics.count({"loads_unreadable", ""});
+    if (response.load)
+        context.input_release.note_load(call.target().incarnation,
+                                        *response.load, context.now());
+}
+
 void record_leaving(entry_context& context,
                     const decision::target_incarnation& target)
 {
@@ -78,6 +88,7 @@
         record_leaving(context, call.target().incarnation);
     record_request_limit(context, call, sent_at);
     record_rest(context, call);
+    record_load(context, call);
 }
 
 void merge_request_limit(entry_context& context,
--- a/tests/platform/untrusted_input_test.cpp
+++ b/tests/platform/untrusted_input_test.cpp
@@ -144,12 +144,27 @@
         [&]
         {
             serving::http_response answer{serving::http::status::ok, 11};
-            for (const char* name :
-                 {"Keep-Alive", "X-Mangofold-Request-Id", "Connection"})
+            for (const char* name : {"Keep-Alive", "X-Mangofold-Request-Id",
+                                     "Connection", "X-Mangofold-Server-Load"})
                 answer.set(name, *header_value());
-            dialect.parse_response(answer.base());
+            const auto metadata = dialect.parse_response(answer.base());
+            RC_ASSERT(metadata.load.has_value() != metadata.is_load_unreadable);
             dialect.returned_fields(answer.base());
         }));
+    // Figures of any size, so that some of them are plausible.
+    CHECK(rc::check(
+        [&](const std::vector<std::int16_t>& figures)
+        {
+            std::string text;
+            for (const std::int16_t figure : figures)
+                text += (text.empty() ? "" : ",") + std::to_string(figure);
+            serving::http_response answer{serving::http::status::ok, 11};
+            answer.set("X-Mangofold-Server-Load", text);
+            const auto metadata = dialect.parse_response(answer.base());
+            RC_ASSERT(metadata.load.has_value() != metadata.is_load_unreadable);
+            if (metadata.load)
+                RC_ASSERT(decision::is_plausible(*metadata.load));
+        }));
     for (const char* body :
          {"{}", "[]", R"({"items":3})", R"({"items":[3]})",
           R"({"items":[{"handle":3}]})", R"({"items":[{"why":[]}]})"})
--- a/tests/platform/untrusted_response_test.cpp
+++ b/tests/platform/untrusted_response_test.cpp
@@ -60,3 +60,57 @@
     answer.set("Retry-After", "99999999999999999999999");
     CHECK(dialect.parse_response(answer.base()).rest == std::chrono::hours(24));
 }
+
+TEST_CASE("the load that a target states is parsed")
+{
+    const platform::request_dialect dialect;
+    serving::http_response answer{serving::http::status::ok, 11};
+    CHECK_FALSE(dialect.parse_response(answer.base()).load);
+    CHECK_FALSE(dialect.parse_response(answer.base()).is_load_unreadable);
+    using report = decision::target_load_report;
+    answer.set("X-Mangofold-Server-Load", "3,0,8");
+    CHECK(dialect.parse_response(answer.base()).load == report{3, 0, 8, {}});
+    answer.set("X-Mangofold-Server-Load", " 3 , 1, 8,250 ");
+    CHECK(dialect.parse_response(answer.base()).load == report{3, 1, 8, 2.5});
+}
+
+// Guards against a target that gets no work, or an error that ends what waits
+// for its response, because it states a load that no target can have.
+TEST_CASE("an unreadable or absurd load of a target is no load")
+{
+    const platform::request_dialect dialect;
+    serving::http_response answer{serving::http::status::ok, 11};
+    const std::string too_long(400, '9');
+    for (const char* value : {"",
+                              "x",
+                              "1",
+                              "1,2",
+                              "1,2,",
+                              "1,2,3,",
+                              "1,2,3,4,5",
+                              "1,2,3,nan",
+                              "-1,0,4",
+                              "1,-1,4",
+                              "1,0,-4",
+                              "1,0,0",
+                              "10001,0,4",
+                              "1,10001,4",
+                              "1,0,10001",
+                              "1,0,4,9",
+                              "1,0,4,2001",
+                              "1,0,4,-100",
+                              "1,0,4,1e2",
+                              "1,0,4,inf",
+                              "1.5,0,4",
+                              "1 1,0,4",
+                              "99999999999,0,4",
+                              "\xff,0,4",
+                              too_long.c_str()})
+    {
+        CAPTURE(value);
+        answer.set("X-Mangofold-Server-Load", value);
+        const auto metadata = dialect.parse_response(answer.base());
+        CHECK_FALSE(metadata.load);
+        CHECK(metadata.is_load_unreadable);
+    }
+}
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -3,6 +3,7 @@
 #include "serving/dialect.hpp"
 
 #include <charconv>
+#include <sstream>
 
 namespace mangofold::test
 {
@@ -63,6 +64,16 @@
         if (response.count("Rest") > 0)
             metadata.rest =
                 std::chrono::seconds(std::stoi(text(response, "Rest")));
+        if (response.count("Load") > 0)
+        {
+            std::istringstream load(text(response, "Load"));
+            decision::target_load_report report;
+            load >> report.running >> report.waiting >> report.slots;
+            double pace = 0;
+            if (load >> pace)
+                report.pace = pace;
+            metadata.load = report;
+        }
         metadata.keep_alive_timeout = std::chrono::seconds(10);
         return metadata;
     }
