Stages: jobs start by urgency instead of a delay for each rank

Cause: ranks were ordered by due time plus a delay of 0.4 s for each rank of the route and 0.5 s for each of the account. A less urgent request that was due earlier went first, and late jobs were ordered by due time, so that a burst of the most urgent route waited behind late ones of the least urgent.

Ruled out: larger delays. Due times of routes differ by seconds, and a delay that exceeds all of them is an order by rank.

Change: decision::urgency holds the ranks of account and route, the account first. The planner orders the jobs that are not started and can be on time by urgency and due time, late ones by urgency, returning ones first, then due time. Started jobs keep their order and go before the unstarted ones: their results would be thrown away. peer::Job carries the ranks. The former delay is still sent for entries of the version before, and read from them: without it their jobs would count as the most urgent. Ways for a job to end that this version doesn't know are read as "failed".

--- a/bench/ablation/mechanisms.py
+++ b/bench/ablation/mechanisms.py
@@ -3,6 +3,7 @@
 """
 
 PLANNER = "packages/decision/stages/call_planner.cpp"
+ORDER = "packages/decision/stages/call_planner_order.cpp"
 ROSTER = "packages/decision/entry_roster.cpp"
 ENGINES = "packages/decision/engines/engine_selector.cpp"
 STAGES = "packages/serving/stage_runner.cpp"
@@ -24,13 +25,13 @@
      "    return m_own_address.empty() && static_cast<double>(count) >="),
     ("zone of results", STAGES,
      "    job.zone = preferred_zone(stage);", "    job.zone = {};"),
-    ("wait for a target of the zone", PLANNER,
-     "        if (waits_for_zone(job, target, now))",
-     "        if (waits_for_zone(job, target, now) && job.zone.empty())"),
-    ("late requests last", PLANNER,
+    ("wait for a target of the zone", ORDER,
+     "        if (!waits_for_zone(job, target, now))",
+     "        if (!waits_for_zone(job, target, now) || !job.zone.empty())"),
+    ("late requests last", ORDER,
      "        if (!job.is_started)\n            job.is_late =",
      "        if (false)\n            job.is_late ="),
-    ("margin of the forecast", PLANNER,
+    ("margin of the forecast", ORDER,
      "constexpr double time_margin = 1.2;",
      "constexpr double time_margin = 1.0;"),
     ("beginning only what later stages can take", PLANNER,
@@ -38,9 +39,9 @@
      "             !downstream.may_start(job, average_call_time()))",
      "(job.pieces == 0 &&\n"
      "             !downstream.may_start(job, average_call_time()))"),
-    ("ranks of routes and accounts", PLANNER,
-     "            effective_due += job.priority_delay;",
-     "            effective_due += job.priority_delay * 0;"),
+    ("ranks of routes and accounts", ORDER,
+     "        order.urgency = job.urgency;",
+     "        order.urgency = {};"),
     ("leaving slow targets alone", PLANNER,
      "    if (target.slowdown < slow_threshold || is_probe_due(target, now))",
      "    if (target.slowdown < 1e9 || is_probe_due(target, now))"),
--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -23,18 +23,6 @@
 /// target takes longer.
 constexpr double slow_threshold = 1.5;
 
-/// Safety factor on the expected time of a request's stages. A request that
-/// starts without any slack mostly ends late, and takes the place of one that
-/// would have been on time. With a large factor whole bursts count as late, and
-/// their requests can no longer be told apart.
-constexpr double time_margin = 1.2;
-
-duration with_margin(duration expected)
-{
-    return duration(static_cast<duration::rep>(
-        time_margin * static_cast<double>(expected.count())));
-}
-
 /// A slow target is probed with one job, the least urgent, after this many
 /// times a call's fixed time: about a second, in which a slow period can be
 /// over.
@@ -143,46 +131,6 @@
         });
 }
 
-// Jobs are ordered by due time plus priority delay. A request that would be
-// late goes after those that can be on time, so that one late request does not
-// make all others late too. Whether it would be late is decided once, when it
-// starts: a request that started on time continues as such, or its results
-// would be dropped and produced again. A job that prefers another zone counts
-// as due one call's time later.
-std::vector<call_planner::job_state*>
-call_planner::jobs_by_urgency(const stage_target& target, instant now,
-                              const downstream_estimates& downstream)
-{
-    std::vector<std::pair<std::pair<bool, instant>, job_state*>> order;
-    const duration call = average_call_time();
-    for (auto& [number, state] : m_jobs)
-    {
-        if (state.waiting.empty())
-            continue;
-        stage_job& job = state.job;
-        if (!job.is_started)
-            job.is_late = now + with_margin(call + downstream.remaining_time(
-                                                       job, call, false)) >
-                          job.due;
-        if (waits_for_zone(job, target, now))
-            continue;
-        // Priority decides which requests start. Delaying a request of low
-        // priority after its start would make it late and waste its results.
-        instant effective_due = job.due;
-        if (!job.is_started)
-            effective_due += job.priority_delay;
-        if (!job.zone.empty() && job.zone != target.zone)
-            effective_due += call;
-        order.push_back({{job.is_late, effective_due}, &state});
-    }
-    std::sort(order.begin(), order.end());
-    std::vector<job_state*> jobs;
-    jobs.reserve(order.size());
-    for (const auto& [key, state] : order)
-        jobs.push_back(state);
-    return jobs;
-}
-
 // A request that crashes its targets would fail all other requests of its call
 // again and again: they are due together, so they would share the next call
 // too. Requests of a call whose target crashed are therefore executed in two
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -164,6 +164,19 @@
         }
     };
 
+    /// The place of a job among those that wait; the members are compared in
+    /// this order.
+    struct job_order
+    {
+        bool is_late = false;
+        bool is_unstarted = false;
+        decision::urgency urgency;
+        bool is_first_time = false; ///< Late, and not returning.
+        instant due{};
+
+        friend auto operator<=>(const job_order&, const job_order&) = default;
+    };
+
     duration expected_time(const stage_target& target,
                            std::size_t pieces) const;
     std::vector<stage_target*> free_targets(instant now);
@@ -172,6 +185,8 @@
     bool has_faster_alternative(const stage_target& target, instant now) const;
     bool waits_for_zone(const stage_job& job, const stage_target& target,
                         instant now) const;
+    job_order order_of(const job_state& state,
+                       const stage_target& target) const;
     std::vector<job_state*>
     jobs_by_urgency(const stage_target& target, instant now,
                     const downstream_estimates& downstream);
--- a/packages/decision/stages/stage_job.hpp
+++ b/packages/decision/stages/stage_job.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/admission/urgency.hpp"
 #include "decision/digest.hpp"
 #include "decision/time.hpp"
 
@@ -37,8 +38,10 @@
     std::uint64_t input_bytes = 0;   ///< Approximate input size of one piece.
     std::string zone;    ///< Preferred zone of the results; empty for any.
     instant queued_at{}; ///< When the planning entry received the job.
-    duration priority_delay{}; ///< Added to the due time when jobs are ordered,
-                               ///< so that jobs of a higher priority go first.
+    decision::urgency urgency;
+    std::string account;            ///< Name of the client account.
+    bool is_returning = false;      ///< The caller retries after a rejection.
+    bool accepts_rejection = false; ///< The submitter knows `rejected`.
     instant due{};           ///< When all stages should be done for full value.
     instant expires{};       ///< When all stages must be done to be of any use.
     bool is_started = false; ///< Other stages of the request have started.
@@ -64,7 +67,8 @@
     completed,  ///< All results are available.
     expired,    ///< The job expired before it was done.
     input_lost, ///< An input no longer exists.
-    failed      ///< No target could execute the pieces.
+    failed,     ///< No target could execute the pieces.
+    rejected    ///< Not started, since there is no capacity for it in time.
 };
 
 } // namespace mangofold::decision
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -90,7 +90,8 @@
     instant latest_send_time() const;
     const std::string& choose_service();
     awaitable<void> serve();
-    duration priority_delay() const;
+    decision::urgency urgency() const;
+    stage_terms stage_terms_for(const entry_context::route_times& times) const;
     instant stages_deadline() const;
     std::string expected_engine_zone();
     awaitable<bool> run_stages();
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -5,25 +5,9 @@
 namespace mangofold::serving
 {
 
-namespace
+decision::urgency exchange::urgency() const
 {
-
-/// Delay added to a request's due time for each priority rank below the most
-/// urgent. It is about the time of one call: in a burst the ranks are then
-/// served in order, and a request that has waited long is still not starved.
-constexpr duration delay_per_route_rank = std::chrono::milliseconds(400);
-constexpr duration delay_per_account_rank = std::chrono::milliseconds(500);
-
-} // namespace
-
-// A less urgent request is scheduled as if it were due later. The account's
-// rank weighs more than the route's.
-duration exchange::priority_delay() const
-{
-    const std::uint32_t account =
-        m_account == nullptr ? 0 : m_account->priority;
-    return delay_per_route_rank * m_route->priority +
-           delay_per_account_rank * account;
+    return {m_account == nullptr ? 0 : m_account->priority, m_route->priority};
 }
 
 // A caller abandons a stream that stays silent, which may be long before the
@@ -54,6 +38,20 @@
     return target == nullptr ? std::string() : target->zone;
 }
 
+stage_terms
+exchange::stage_terms_for(const entry_context::route_times& times) const
+{
+    stage_terms terms;
+    terms.urgency = urgency();
+    terms.account = m_account == nullptr ? std::string() : m_account->name;
+    terms.due = m_started_at + m_route->latency_objective -
+                times.time_to_first_event.mean_plus(1);
+    terms.expires =
+        std::min(stages_deadline() - times.time_to_first_event.mean(),
+                 latest_send_time());
+    return terms;
+}
+
 awaitable<bool> exchange::run_stages()
 {
     constexpr int max_attempts = 2;
@@ -67,11 +65,7 @@
         release_stages();
         m_stages = std::make_unique<stage_runner>(
             m_context, *m_route, m_metadata, content_digest(),
-            expected_engine_zone(), priority_delay(),
-            m_started_at + m_route->latency_objective -
-                times.time_to_first_event.mean_plus(1),
-            std::min(stages_deadline() - times.time_to_first_event.mean(),
-                     latest_send_time()));
+            expected_engine_zone(), stage_terms_for(times));
         status = co_await m_stages->run();
         if (m_session->check_disconnected())
             co_return false;
--- a/packages/serving/job_executor.hpp
+++ b/packages/serving/job_executor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/stages/stage_job.hpp"
+#include "decision/time.hpp"
 #include "serving/auto_reset_event.hpp"
 
 #include <memory>
@@ -18,6 +19,8 @@
     std::vector<std::string> handles;
     /// Whether the request was already late when the job was started.
     bool was_late = false;
+    /// Of a rejected job: when there will be capacity for it.
+    duration retry_in{};
 
     friend bool operator==(const job_outcome&, const job_outcome&) = default;
 };
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -8,6 +8,39 @@
 namespace mangofold::serving
 {
 
+namespace
+{
+
+/// The delay for each rank in the message of an entry that orders jobs by due
+/// time plus delay. Entries that know the ranks ignore it.
+constexpr duration delay_per_route_rank = std::chrono::milliseconds(400);
+constexpr duration delay_per_account_rank = std::chrono::milliseconds(500);
+
+/// Longer delays than that of the last rank are of no use to any entry.
+constexpr std::uint32_t last_delayed_rank = 100;
+
+duration delay_of(const decision::urgency& urgency)
+{
+    return delay_per_route_rank *
+               std::min(urgency.route_rank, last_delayed_rank) +
+           delay_per_account_rank *
+               std::min(urgency.account_rank, last_delayed_rank);
+}
+
+/// Returns the ranks of a job. Those of an entry that sends only a delay are
+/// derived from it: without ranks its jobs would go before all others.
+decision::urgency read_urgency(const peer::Job& message)
+{
+    if (message.account_rank() > 0 || message.route_rank() > 0)
+        return {message.account_rank(), message.route_rank()};
+    const duration delay(std::clamp<std::int64_t>(
+        message.yields_ns(), 0,
+        (delay_per_route_rank * last_delayed_rank).count()));
+    return {0, static_cast<std::uint32_t>(delay / delay_per_route_rank)};
+}
+
+} // namespace
+
 peer::Frame job_frame(const std::string& service,
                       const decision::stage_job& job, instant now)
 {
@@ -28,7 +61,12 @@
     message.set_is_late(job.is_late);
     message.set_zone(job.zone);
     message.set_is_begun(job.is_started);
-    message.set_yields_ns(job.priority_delay.count());
+    message.set_yields_ns(delay_of(job.urgency).count());
+    message.set_account_rank(job.urgency.account_rank);
+    message.set_route_rank(job.urgency.route_rank);
+    message.set_account(job.account);
+    message.set_is_returning(job.is_returning);
+    message.set_accepts_rejection(job.accepts_rejection);
     message.set_due_in_ns((job.due - now).count());
     message.set_expires_in_ns((job.expires - now).count());
     for (const decision::downstream_pieces& stage : job.downstream)
@@ -54,7 +92,10 @@
     job.is_late = message.is_late();
     job.zone = message.zone();
     job.is_started = message.is_begun();
-    job.priority_delay = duration(message.yields_ns());
+    job.urgency = read_urgency(message);
+    job.account = message.account();
+    job.is_returning = message.is_returning();
+    job.accepts_rejection = message.accepts_rejection();
     job.due = now + duration(message.due_in_ns());
     job.expires = now + duration(message.expires_in_ns());
     for (const peer::LaterPieces& later : message.later())
@@ -156,6 +197,7 @@
     message.set_number(number);
     message.set_end(static_cast<std::uint32_t>(outcome.status));
     message.set_was_late(outcome.was_late);
+    message.set_retry_in_ns(outcome.retry_in.count());
     for (const std::string& handle : outcome.handles)
         message.add_handles(handle);
     return frame;
@@ -165,10 +207,14 @@
 {
     job_outcome outcome;
     constexpr auto last =
-        static_cast<std::uint32_t>(decision::job_status::failed);
-    outcome.status =
-        static_cast<decision::job_status>(std::min(message.end(), last));
+        static_cast<std::uint32_t>(decision::job_status::rejected);
+    // A later version may know further ways to end.
+    outcome.status = message.end() > last
+                         ? decision::job_status::failed
+                         : static_cast<decision::job_status>(message.end());
     outcome.was_late = message.was_late();
+    outcome.retry_in =
+        duration(std::max<std::int64_t>(0, message.retry_in_ns()));
     outcome.handles.assign(message.handles().begin(), message.handles().end());
     return outcome;
 }
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -17,11 +17,9 @@
 stage_runner::stage_runner(entry_context& context, const catalog::route& route,
                            const request_metadata& metadata,
                            const decision::digest& content, std::string zone,
-                           duration priority_delay, instant due,
-                           instant expires)
+                           stage_terms terms)
     : m_context(context), m_route(route), m_metadata(metadata),
-      m_content(content), m_zone(std::move(zone)),
-      m_priority_delay(priority_delay), m_due(due), m_expires(expires),
+      m_content(content), m_zone(std::move(zone)), m_terms(std::move(terms)),
       m_changed(std::make_shared<auto_reset_event>(context.loop)),
       m_states(route.stages.size())
 {
@@ -147,9 +145,11 @@
     job.pieces = state.pieces;
     job.result_bytes = stage.result_bytes;
     job.zone = preferred_zone(stage);
-    job.priority_delay = m_priority_delay;
-    job.due = m_due;
-    job.expires = m_expires;
+    job.urgency = m_terms.urgency;
+    job.account = m_terms.account;
+    job.is_returning = m_terms.is_returning;
+    job.due = m_terms.due;
+    job.expires = m_terms.expires;
     job.is_started = is_request_started;
     job.is_late = m_is_late;
     for (const std::size_t later : longest_path_from(index))
@@ -244,9 +244,9 @@
         if (may_start)
             continue;
         const instant now = m_context.now();
-        if (m_is_aborted || now >= m_expires + outcome_grace)
+        if (m_is_aborted || now >= m_terms.expires + outcome_grace)
             co_return decision::job_status::expired;
-        co_await m_changed->wait(m_expires + outcome_grace - now);
+        co_await m_changed->wait(m_terms.expires + outcome_grace - now);
     }
 }
 
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -11,6 +11,19 @@
 namespace mangofold::serving
 {
 
+/// What decides when the stages of a request start.
+struct stage_terms
+{
+    decision::urgency urgency;
+    std::string account; ///< Name of the client account.
+    instant due;         ///< When the stages should be done.
+    instant expires;     ///< When they must be done to be of any use.
+    bool is_returning = false;
+    bool accepts_rejection = false;
+
+    friend bool operator==(const stage_terms&, const stage_terms&) = default;
+};
+
 /// Executes the stages of one request, each stage as soon as the stages that it
 /// depends on are done. The owner calls release() when it no longer needs the
 /// results: the destructor can't, since at the end of the process the objects
@@ -21,7 +34,7 @@
     stage_runner(entry_context& context, const catalog::route& route,
                  const request_metadata& metadata,
                  const decision::digest& content, std::string zone,
-                 duration priority_delay, instant due, instant expires);
+                 stage_terms terms);
     stage_runner(const stage_runner&) = delete;
     stage_runner& operator=(const stage_runner&) = delete;
 
@@ -93,9 +106,7 @@
     decision::digest m_content;
     /// The zone in which the request itself will probably run.
     std::string m_zone;
-    duration m_priority_delay;
-    instant m_due;
-    instant m_expires;
+    stage_terms m_terms;
     std::shared_ptr<auto_reset_event> m_changed;
     std::vector<stage_state> m_states;
     bool m_is_aborted = false;
--- a/tests/decision/stages/call_planner_test.cpp
+++ b/tests/decision/stages/call_planner_test.cpp
@@ -53,6 +53,18 @@
                                      now);
 }
 
+/// Returns the jobs of the next call in the order in which they joined it.
+std::vector<std::uint64_t> start_order(call_planner& planner)
+{
+    std::vector<std::uint64_t> numbers;
+    const auto call = planner.next_call(start);
+    if (call)
+        for (const piece_ref& piece : call->pieces)
+            if (numbers.empty() || numbers.back() != piece.job)
+                numbers.push_back(piece.job);
+    return numbers;
+}
+
 } // namespace
 
 TEST_CASE("a call holds pieces of several requests, the earliest due first")
@@ -320,24 +332,54 @@
     CHECK(planner.take_expired(start + 3950ms, downstream).size() == 1);
 }
 
-TEST_CASE("a job of low priority is ordered as if due later")
+// Guards against a less urgent request that takes the place of an urgent one
+// because it is due earlier: in a burst the urgent one is then late.
+TEST_CASE("jobs that can be on time start by urgency, then by due time")
 {
     call_planner planner = make_planner(1);
-    stage_job low_priority = make_job(1, 10, 800ms);
-    low_priority.priority_delay = 300ms;
-    planner.add(low_priority);
-    planner.add(make_job(2, 10, 1s));
-    CHECK(planner.next_call(start)->pieces[0].job == 2);
+    const auto add =
+        [&planner](std::uint64_t number, urgency ranks, duration due)
+    {
+        stage_job added = make_job(number, 2, due);
+        added.urgency = ranks;
+        planner.add(added);
+    };
+    add(1, {1, 0}, 800ms);
+    add(2, {0, 1}, 900ms);
+    add(3, {0, 0}, 5s);
+    add(4, {0, 0}, 4s);
+    CHECK(start_order(planner) == std::vector<std::uint64_t>{4, 3, 2, 1});
+}
+
+// Guards against late requests that are served by due time alone: the urgent
+// ones, which arrive in a burst, would wait behind all less urgent ones that
+// are late already. Callers that were rejected before go first.
+TEST_CASE("late jobs start last, by urgency, returning ones first")
+{
+    call_planner planner = make_planner(1);
+    const auto add = [&planner](std::uint64_t number, urgency ranks,
+                                bool is_returning, duration due)
+    {
+        stage_job added = make_job(number, 2, due);
+        added.urgency = ranks;
+        added.is_returning = is_returning;
+        planner.add(added);
+    };
+    add(1, {0, 2}, true, 10ms);
+    add(2, {0, 1}, false, 20ms);
+    add(3, {0, 1}, true, 30ms);
+    add(4, {0, 9}, false, 4s);
+    CHECK(start_order(planner) == std::vector<std::uint64_t>{4, 3, 2, 1});
 }
 
 // Guards against a request of low priority that ends late although it started
 // on time: at its next stage it waits behind requests of a higher priority that
 // are due slightly later.
-TEST_CASE("a started job has no priority delay")
+TEST_CASE("a started job goes before more urgent ones")
 {
     call_planner planner = make_planner(1);
     stage_job started = make_job(1, 10, 800ms);
-    started.priority_delay = 300ms;
+    started.urgency = {1, 1};
     started.is_started = true;
     planner.add(started);
     planner.add(make_job(2, 10, 1s));
