Admission: requests that can't be served in time are rejected at once

Cause: under overload the planner started requests without slack, and callers of requests that could not be served learned so only shortly before their deadline, as "stages_late". Late jobs were recognized only by the waits of later services, not by the jobs that wait before them.

Change: admission_forecast passes the waiting jobs, in the order in which they would start, through all services on their paths. A job that would end after its due time is late at once; one that would end after its expiry, in the capacity that arrivals in time leave, is rejected with the time when there will be capacity (return_schedule). Accounts of one rank take turns while some of its jobs are late. A rank of which less than a quarter of the overall share was started in ten seconds goes first (admission_record). The exchange answers 503 "overloaded" with Retry-After. A report of a later service's wait that is older than half a second decays. The log line service_gathered and the metrics jobs_started, jobs_late, jobs_rejected and jobs_returned count by service and rank.

The test of the downstream stages' time now states it by the outlook of the services, which the forecast uses, instead of by remaining_time.

Tests: test_decision and test_serving pass.

--- a/bench/ablation/mechanisms.py
+++ b/bench/ablation/mechanisms.py
@@ -4,6 +4,7 @@
 
 PLANNER = "packages/decision/stages/call_planner.cpp"
 ORDER = "packages/decision/stages/call_planner_order.cpp"
+FORECAST = "packages/decision/admission/admission_forecast.cpp"
 ROSTER = "packages/decision/entry_roster.cpp"
 ENGINES = "packages/decision/engines/engine_selector.cpp"
 STAGES = "packages/serving/stage_runner.cpp"
@@ -26,12 +27,13 @@
     ("zone of results", STAGES,
      "    job.zone = preferred_zone(stage);", "    job.zone = {};"),
     ("wait for a target of the zone", ORDER,
-     "        if (!waits_for_zone(job, target, now))",
-     "        if (!waits_for_zone(job, target, now) || !job.zone.empty())"),
+     "!waits_for_zone(state.job, target, now))",
+     "(!waits_for_zone(state.job, target, now) ||\n"
+     "             !state.job.zone.empty()))"),
     ("late requests last", ORDER,
-     "        if (!job.is_started)\n            job.is_late =",
-     "        if (false)\n            job.is_late ="),
-    ("margin of the forecast", ORDER,
+     "    order.is_late = job.is_late;",
+     "    order.is_late = false;"),
+    ("margin of the forecast", FORECAST,
      "constexpr double time_margin = 1.2;",
      "constexpr double time_margin = 1.0;"),
     ("beginning only what later stages can take", PLANNER,
--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -47,6 +47,7 @@
         state.waiting.push_back(piece);
     m_waiting_pieces += state.waiting.size();
     state.job = std::move(job);
+    m_is_forecast_outdated = true;
     m_jobs.insert_or_assign(number, std::move(state));
 }
 
@@ -212,6 +213,7 @@
         fill(call, *target, now, downstream);
         if (call.pieces.empty())
             continue;
+        note_starts(call, now);
         call.expected_time = expected_time(*target, call.pieces.size());
         ++target->calls_in_progress;
         target->free_at = now + call.expected_time;
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "catalog/catalog.hpp"
+#include "decision/admission/admission_forecast.hpp"
+#include "decision/admission/admission_record.hpp"
 #include "decision/stages/stage_job.hpp"
 #include "decision/stages/stage_target.hpp"
 
@@ -35,11 +37,26 @@
     std::function<duration(const stage_job&, duration call, bool is_late)>
         remaining_time = [](const stage_job&, duration, bool)
     { return duration::zero(); };
+    /// Returns what is known of the load of a downstream service.
+    std::function<service_outlook(const std::string& service)> outlook =
+        [](const std::string&) { return service_outlook(); };
     /// Whether a request of which no stage was started yet may start now.
     std::function<bool(const stage_job&, duration call)> may_start =
         [](const stage_job&, duration) { return true; };
 };
 
+/// What became of the requests of one rank at a planner.
+struct admission_counts
+{
+    std::uint64_t started = 0;
+    std::uint64_t late = 0; ///< Of the started ones.
+    std::uint64_t rejected = 0;
+    std::uint64_t returned = 0; ///< Arrivals after a rejection.
+
+    friend bool operator==(const admission_counts&,
+                           const admission_counts&) = default;
+};
+
 /// Batches the pieces of all requests into calls to one stage service.
 ///
 /// Each call has a fixed cost, so throughput depends on full calls. The
@@ -118,6 +135,20 @@
     std::vector<removed_job>
     take_expired(instant now, const downstream_estimates& downstream = {});
 
+    struct rejected_job
+    {
+        stage_job job;
+        duration retry_in{}; ///< When there will be capacity.
+    };
+    /// Removes and returns the jobs that were not started and, as the forecast
+    /// shows, can't be done before they expire.
+    std::vector<rejected_job>
+    take_rejected(instant now, const downstream_estimates& downstream = {});
+
+    /// Returns what became of the jobs of each rank since the last call of this
+    /// function.
+    std::map<urgency, admission_counts> take_admission_counts();
+
     /// Removes and returns the job \a number, or returns nothing.
     std::optional<removed_job> take(std::uint64_t number);
 
@@ -157,7 +188,15 @@
         std::vector<std::uint32_t> waiting; ///< Pieces that are in no call.
         std::map<std::uint32_t, std::string> results; ///< By piece.
         std::uint32_t crashes = 0; ///< See note_suspected_crash().
-
+        bool has_been_forecast = false;
+        bool is_start_noted = false;
+        // See admission_candidate.
+        bool goes_first = false;
+        bool is_hopeless = false;
+        double account_turn = 0;
+        duration backlog{};
+
+        bool is_unstarted() const;
         bool is_in_progress() const
         {
             return waiting.size() + results.size() < job.pieces;
@@ -168,10 +207,12 @@
     /// this order.
     struct job_order
     {
+        bool is_behind_first = true; ///< See admission_candidate::goes_first.
         bool is_late = false;
         bool is_unstarted = false;
         decision::urgency urgency;
         bool is_first_time = false; ///< Late, and not returning.
+        double account_turn = 0;
         instant due{};
 
         friend auto operator<=>(const job_order&, const job_order&) = default;
@@ -187,6 +228,18 @@
                         instant now) const;
     job_order order_of(const job_state& state,
                        const stage_target& target) const;
+    bool has_usable_target(instant now) const;
+    service_outlook own_outlook(instant now);
+    void note_arrival(job_state& state, admission_forecast& forecast,
+                      instant now);
+    std::vector<admission_candidate>
+    unstarted_jobs(admission_forecast& forecast,
+                   std::vector<job_state*>& states, instant now);
+    void choose_first_jobs(std::vector<admission_candidate>& candidates,
+                           instant now);
+    void update_forecast(instant now, const downstream_estimates& downstream);
+    void note_starts(const planned_call& call, instant now);
+    duration return_delay_of(const job_state& state, instant now);
     std::vector<job_state*>
     jobs_by_urgency(const stage_target& target, instant now,
                     const downstream_estimates& downstream);
@@ -202,6 +255,13 @@
     std::vector<std::uint64_t> m_finished;
     std::size_t m_waiting_pieces = 0;
     std::uint64_t m_unanswered_calls = 0;
+    admission_record m_admission;
+    std::map<urgency, admission_counts> m_admission_counts;
+    std::optional<instant> m_last_arrival_at;
+    instant m_planning_since{};
+    instant m_forecast_at{};
+    bool m_is_forecast_outdated = true;
+    bool m_is_overloaded = false; ///< Some waiting job will be late.
     double m_average_call_ns = 0; ///< Moving average; 0 before the first call.
 };
 
--- /dev/null
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -0,0 +1,234 @@
+#include "decision/admission/admission_forecast.hpp"
+#include "decision/admission/return_schedule.hpp"
+#include "decision/stages/call_planner.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangofold::decision
+{
+
+namespace
+{
+
+/// How long a forecast is used while no job arrives: a tenth of a call's fixed
+/// time.
+constexpr duration forecast_validity = std::chrono::milliseconds(20);
+
+/// A planner rejects nothing in its first second: the jobs that other entries
+/// submit again after a failover arrive all at once, and what later services
+/// report is not known yet.
+constexpr duration initial_grace = std::chrono::seconds(1);
+
+/// Divisor of a call's size that gives how many jobs of one rank go first for
+/// the minimum share.
+constexpr std::uint32_t max_first_divisor = 4;
+
+/// A planner without jobs for this time starts anew.
+constexpr duration idle_period = std::chrono::seconds(10);
+
+} // namespace
+
+bool call_planner::job_state::is_unstarted() const
+{
+    return !job.is_started && results.empty() && waiting.size() == job.pieces;
+}
+
+bool call_planner::has_usable_target(instant now) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(),
+                       [now](const auto& entry)
+                       { return entry.second.backoff_until <= now; });
+}
+
+service_outlook call_planner::own_outlook(instant now)
+{
+    instant first_free = instant::max();
+    for (const auto& [id, target] : m_targets)
+        first_free =
+            std::min(first_free, target.calls_in_progress < m_profile.slots
+                                     ? target.unavailable_until()
+                                     : std::max(target.free_at,
+                                                target.unavailable_until()));
+    const duration wait =
+        m_targets.empty() ? duration::zero() : std::max(first_free, now) - now;
+    return {wait, wait, time_per_piece(now), average_call_time(),
+            m_admission.spare_share({}, now)};
+}
+
+// Jobs that are in time reserve capacity that late ones can't have; each counts
+// once, when it is first seen.
+void call_planner::note_arrival(job_state& state, admission_forecast& forecast,
+                                instant now)
+{
+    if (std::exchange(state.has_been_forecast, true))
+        return;
+    const stage_job& job = state.job;
+    if (!m_last_arrival_at || now > *m_last_arrival_at + idle_period)
+        m_planning_since = now;
+    m_last_arrival_at = now;
+    m_admission.note_arrival(job, now);
+    m_admission_counts[job.urgency].returned += job.is_returning ? 1 : 0;
+    if (job.is_late)
+        return;
+    const auto note = [&](const std::string& service, std::uint32_t pieces)
+    {
+        m_admission.note_work_on_time(
+            service, job.urgency,
+            forecast.outlook(service).time_per_piece * pieces, now);
+    };
+    note({}, job.pieces);
+    for (const downstream_pieces& stage : job.downstream)
+        note(stage.service, stage.pieces);
+}
+
+std::vector<admission_candidate>
+call_planner::unstarted_jobs(admission_forecast& forecast,
+                             std::vector<job_state*>& states, instant now)
+{
+    const auto account_starts = m_admission.account_starts(now);
+    std::vector<admission_candidate> found;
+    for (auto& [number, state] : m_jobs)
+    {
+        if (state.waiting.empty())
+            continue;
+        const auto pieces = static_cast<std::uint32_t>(state.waiting.size());
+        if (!state.is_unstarted())
+        {
+            forecast.add_started(state.job, pieces);
+            continue;
+        }
+        const auto starts = account_starts.find(state.job.account);
+        admission_candidate& next = found.emplace_back();
+        next.job = &state.job;
+        next.pieces = pieces;
+        next.was_on_time = state.has_been_forecast && !state.job.is_late;
+        next.account_starts =
+            starts == account_starts.end() ? 0 : starts->second;
+        states.push_back(&state);
+    }
+    return found;
+}
+
+// Only while requests are late: without overload all ranks are served, and a
+// rank seems starved when its first job has just arrived. A rank gets at most a
+// part of each call, so that others get the rest.
+void call_planner::choose_first_jobs(
+    std::vector<admission_candidate>& candidates, instant now)
+{
+    if (!m_is_overloaded)
+        return;
+    const std::uint32_t max_jobs =
+        std::max(1U, m_profile.max_pieces / max_first_divisor);
+    for (const auto& [rank, missing] : m_admission.starved_ranks(now))
+    {
+        std::vector<admission_candidate*> waiting;
+        for (admission_candidate& candidate : candidates)
+            if (candidate.job->urgency == rank)
+                waiting.push_back(&candidate);
+        const auto chosen =
+            std::min<std::size_t>({missing, max_jobs, waiting.size()});
+        const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(chosen);
+        std::partial_sort(
+            waiting.begin(), end, waiting.end(),
+            [](const auto* left, const auto* right)
+            { return left->job->queued_at < right->job->queued_at; });
+        std::for_each(waiting.begin(), end,
+                      [](admission_candidate* candidate)
+                      { candidate->goes_first = true; });
+    }
+}
+
+void call_planner::update_forecast(instant now,
+                                   const downstream_estimates& downstream)
+{
+    if (!m_is_forecast_outdated && now < m_forecast_at + forecast_validity)
+        return;
+    m_is_forecast_outdated = false;
+    m_forecast_at = now;
+    admission_forecast forecast(
+        now, own_outlook(now),
+        [&](const std::string& service)
+        {
+            service_outlook outlook = downstream.outlook(service);
+            outlook.spare_share = m_admission.spare_share(service, now);
+            return outlook;
+        },
+        m_profile.max_pieces);
+    std::vector<job_state*> states;
+    std::vector<admission_candidate> candidates =
+        unstarted_jobs(forecast, states, now);
+    choose_first_jobs(candidates, now);
+    forecast.evaluate(candidates);
+    m_is_overloaded = false;
+    for (std::size_t index = 0; index < states.size(); ++index)
+    {
+        job_state& state = *states[index];
+        const admission_candidate& found = candidates[index];
+        state.goes_first = found.goes_first;
+        state.is_hopeless = found.is_hopeless;
+        state.account_turn = found.account_turn;
+        state.backlog = found.backlog;
+        // A job that goes first is started as if it were in time, or it would
+        // be the last one at the next service.
+        state.job.is_late = found.is_late && !found.goes_first;
+        m_is_overloaded = m_is_overloaded || found.is_late;
+        note_arrival(state, forecast, now);
+    }
+}
+
+void call_planner::note_starts(const planned_call& call, instant now)
+{
+    for (const piece_ref& piece : call.pieces)
+    {
+        job_state& state = m_jobs.at(piece.job);
+        if (state.job.is_started || std::exchange(state.is_start_noted, true))
+            continue;
+        m_admission.note_start(state.job, now);
+        admission_counts& counts = m_admission_counts[state.job.urgency];
+        ++counts.started;
+        counts.late += state.job.is_late ? 1 : 0;
+    }
+}
+
+duration call_planner::return_delay_of(const job_state& state, instant now)
+{
+    const stage_job& job = state.job;
+    double spare = m_admission.spare_share({}, job.urgency, now);
+    for (const downstream_pieces& stage : job.downstream)
+        spare = std::min(
+            spare, m_admission.spare_share(stage.service, job.urgency, now));
+    return return_delay({state.backlog, spare, average_call_time(),
+                         job.expires - now, job.content});
+}
+
+std::vector<call_planner::rejected_job>
+call_planner::take_rejected(instant now, const downstream_estimates& downstream)
+{
+    std::vector<rejected_job> rejected;
+    if (m_jobs.empty())
+        return rejected;
+    update_forecast(now, downstream);
+    if (now < m_planning_since + initial_grace || !has_usable_target(now))
+        return rejected;
+    for (auto entry = m_jobs.begin(); entry != m_jobs.end();)
+    {
+        const auto next = std::next(entry);
+        job_state& state = entry->second;
+        if (state.is_hopeless && state.is_unstarted())
+        {
+            const duration retry_in = return_delay_of(state, now);
+            ++m_admission_counts[state.job.urgency].rejected;
+            rejected.push_back({remove(entry).job, retry_in});
+        }
+        entry = next;
+    }
+    return rejected;
+}
+
+std::map<urgency, admission_counts> call_planner::take_admission_counts()
+{
+    return std::exchange(m_admission_counts, {});
+}
+
+} // namespace mangofold::decision
--- a/packages/decision/stages/call_planner_order.cpp
+++ b/packages/decision/stages/call_planner_order.cpp
@@ -5,23 +5,6 @@
 namespace mangofold::decision
 {
 
-namespace
-{
-
-/// Safety factor on the expected time of a request's stages. A request that
-/// starts without any slack mostly ends late, and takes the place of one that
-/// would have been on time. With a large factor whole bursts count as late, and
-/// their requests can no longer be told apart.
-constexpr double time_margin = 1.2;
-
-duration with_margin(duration expected)
-{
-    return duration(static_cast<duration::rep>(
-        time_margin * static_cast<double>(expected.count())));
-}
-
-} // namespace
-
 // Jobs that can be on time go before those that will be late, so that one late
 // request does not make all others late too. Whether a request would be late is
 // decided once, when it starts: one that started on time continues as such, or
@@ -34,12 +17,14 @@
 {
     const stage_job& job = state.job;
     job_order order;
+    order.is_behind_first = !state.goes_first;
     order.is_late = job.is_late;
     order.is_unstarted = !job.is_started;
     if (!job.is_started)
     {
         order.urgency = job.urgency;
         order.is_first_time = job.is_late && !job.is_returning;
+        order.account_turn = state.account_turn;
     }
     order.due = job.due;
     if (!job.zone.empty() && job.zone != target.zone)
@@ -52,19 +37,10 @@
                               const downstream_estimates& downstream)
 {
     std::vector<std::pair<job_order, job_state*>> order;
-    const duration call = average_call_time();
+    update_forecast(now, downstream);
     for (auto& [number, state] : m_jobs)
-    {
-        if (state.waiting.empty())
-            continue;
-        stage_job& job = state.job;
-        if (!job.is_started)
-            job.is_late = now + with_margin(call + downstream.remaining_time(
-                                                       job, call, false)) >
-                          job.due;
-        if (!waits_for_zone(job, target, now))
+        if (!state.waiting.empty() && !waits_for_zone(state.job, target, now))
             order.emplace_back(order_of(state, target), &state);
-    }
     // Jobs of the same order keep that of their numbers.
     std::stable_sort(order.begin(), order.end(),
                      [](const auto& left, const auto& right)
--- a/packages/decision/stages/downstream_backlog.cpp
+++ b/packages/decision/stages/downstream_backlog.cpp
@@ -5,6 +5,16 @@
 namespace mangofold::decision
 {
 
+namespace
+{
+
+/// A report counts in full for this time and no longer at all after twice the
+/// time. Reports arrive ten times a second, so a service whose reports are
+/// older has lost the entry that plans its calls.
+constexpr duration report_lifetime = std::chrono::milliseconds(500);
+
+} // namespace
+
 void downstream_backlog::note_wait_times(const std::string& service,
                                          const service_wait_times& reported,
                                          instant now)
@@ -35,6 +45,38 @@
                : found->second.reported.call_time;
 }
 
+// The service works off what it reported. An old report decays to "no wait":
+// requests are started rather than held back for a wait that nobody confirms.
+duration downstream_backlog::reported_wait(const backlog& known, instant now,
+                                           bool is_late)
+{
+    const duration reported =
+        is_late ? known.reported.late : known.reported.on_time;
+    const duration age = now - known.reported_at;
+    if (age <= report_lifetime || reported <= age)
+        return reported - age;
+    const double weight =
+        std::clamp(2 - static_cast<double>(age.count()) /
+                           static_cast<double>(report_lifetime.count()),
+                   0.0, 1.0);
+    return duration(static_cast<duration::rep>(
+        weight * static_cast<double>((reported - age).count())));
+}
+
+duration downstream_backlog::work_ahead(const std::string& service, instant now,
+                                        bool is_late) const
+{
+    const auto found = m_backlogs.find(service);
+    if (found == m_backlogs.end())
+        return duration::zero();
+    duration work =
+        std::max(reported_wait(found->second, now, is_late), duration::zero());
+    for (const started_work& started : found->second.arriving)
+        if ((is_late || !started.is_late) && started.arrives > now)
+            work += started.time;
+    return work;
+}
+
 duration downstream_backlog::expected_wait(const std::string& service,
                                            instant now, duration arrives_in,
                                            bool is_late) const
@@ -43,9 +85,7 @@
     if (found == m_backlogs.end())
         return duration::zero();
     const backlog& known = found->second;
-    const duration reported =
-        is_late ? known.reported.late : known.reported.on_time;
-    duration wait = reported - (now - known.reported_at) - arrives_in;
+    duration wait = reported_wait(known, now, is_late) - arrives_in;
     for (const started_work& work : known.arriving)
         if ((is_late || !work.is_late) && work.arrives > now &&
             work.arrives <= now + arrives_in)
--- a/packages/decision/stages/downstream_backlog.hpp
+++ b/packages/decision/stages/downstream_backlog.hpp
@@ -47,6 +47,11 @@
     duration expected_wait(const std::string& service, instant now,
                            duration arrives_in, bool is_late) const;
 
+    /// Returns how long \a service needs for all work that is known, also for
+    /// what was started here and has not arrived there.
+    duration work_ahead(const std::string& service, instant now,
+                        bool is_late) const;
+
     /// Returns the reported duration of a call to \a service, or
     /// \a default_time if none was reported.
     duration call_time(const std::string& service, duration default_time) const;
@@ -65,6 +70,9 @@
         std::deque<started_work> arriving; ///< Started here, not there yet.
     };
 
+    static duration reported_wait(const backlog& known, instant now,
+                                  bool is_late);
+
     std::map<std::string, backlog> m_backlogs; ///< By service.
 };
 
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -44,7 +44,8 @@
     evacuated,
     targets_cold,
     targets_limited,
-    targets_resting
+    targets_resting,
+    overloaded
 };
 
 /// Returns the name of \a value that answers, metrics and logs show.
@@ -188,6 +189,8 @@
     bool m_is_head_sent = false;
     /// Milliseconds from the start of the request to the end of each stage.
     std::string m_stage_times;
+    /// When there will be capacity, if the stages were rejected.
+    duration m_retry_in{};
     /// Whether the stages were already expected to end late at their start.
     bool m_are_stages_late = false;
     bool m_is_prompt_read = false; ///< By the engine, in the newest attempt.
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -15,12 +15,13 @@
 /// Callers follow a delay of at most a third of it.
 constexpr double retry_after_share = 0.3;
 
-constexpr std::array<std::string_view, 20> refusal_names{
+constexpr std::array<std::string_view, 21> refusal_names{
     "none",          "malformed",      "no_catalog",      "no_route",
     "unknown_key",   "no_target",      "targets_full",    "too_late",
     "stages_late",   "stages_failed",  "retries_spent",   "target_lost",
     "target_silent", "answer_spoiled", "stopping",        "quarantined",
-    "evacuated",     "targets_cold",   "targets_limited", "targets_resting"};
+    "evacuated",     "targets_cold",   "targets_limited", "targets_resting",
+    "overloaded"};
 
 } // namespace
 
@@ -79,6 +80,11 @@
                    std::max(min_delay_s,
                             seconds(m_next_send->at - m_context.now()).count()))
             .substr(0, 5);
+    if (m_refusal == refusal::overloaded)
+        return std::to_string(std::max(min_delay_s,
+                                       std::min(remaining_s * retry_after_share,
+                                                seconds(m_retry_in).count())))
+            .substr(0, 5);
     // How long operators keep a zone evacuated is unknown.
     if (m_refusal == refusal::evacuated)
         return std::to_string(
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -63,9 +63,12 @@
          ++attempts)
     {
         release_stages();
+        stage_terms terms = stage_terms_for(times);
+        // Results of this request may exist already, and its caller has waited.
+        terms.accepts_rejection = attempts == 0 && m_sends->sends() == 0;
         m_stages = std::make_unique<stage_runner>(
             m_context, *m_route, m_metadata, content_digest(),
-            expected_engine_zone(), stage_terms_for(times));
+            expected_engine_zone(), terms);
         status = co_await m_stages->run();
         if (m_session->check_disconnected())
             co_return false;
@@ -74,6 +77,13 @@
         m_stage_times = m_stages->completion_times(m_started_at);
         if (status == decision::job_status::completed)
             co_return true;
+        if (status == decision::job_status::rejected)
+        {
+            m_retry_in = m_stages->retry_in();
+            m_context.count("stages_ended", "how", "rejected");
+            m_refusal = refusal::overloaded;
+            co_return false;
+        }
         // Stage results that were lost with the target that produced them are
         // produced again from the start.
         if (status == decision::job_status::expired)
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -40,6 +40,8 @@
     m_estimates.may_start =
         [this](const decision::stage_job& job, duration call_time)
     { return forecast_for(job, call_time, job.is_late).may_start; };
+    m_estimates.outlook = [this](const std::string& service)
+    { return outlook_of(service); };
 }
 
 piece_batcher::service_queue*
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -29,6 +29,10 @@
     /// Called once the targets no longer need the inputs of the job.
     using fetched_callback = std::function<void()>;
 
+    /// The load of a service counts as known while jobs for it arrived within
+    /// this time.
+    static constexpr duration recent_job_time = std::chrono::seconds(1);
+
     explicit piece_batcher(entry_context& context);
 
     /// Executes \a job. Exactly one outcome is passed to \a done.
@@ -106,6 +110,9 @@
                                          bool is_late) const;
     const catalog::call_profile*
     call_profile_of(const std::string& service) const;
+    decision::service_outlook outlook_of(const std::string& service) const;
+    duration time_per_piece_of(const std::string& service,
+                               const catalog::call_profile& profile) const;
     void note_started_jobs(const service_queue& queue,
                            const decision::planned_call& plan);
     service_queue* queue_of(const std::string& service);
@@ -133,9 +140,9 @@
     static void requeue(service_queue& queue,
                         const decision::planned_call& plan);
     void end_job(const std::string& service, service_queue& queue,
-                 std::uint64_t number, decision::job_status status,
-                 std::vector<std::string> handles, bool was_late = false);
+                 std::uint64_t number, job_outcome outcome);
     void end_finished_jobs(const std::string& service, service_queue& queue);
+    void end_rejected_jobs(const std::string& service, service_queue& queue);
     void end_unwanted_jobs(const std::string& service, service_queue& queue);
     std::vector<piece_task>
     piece_tasks(const service_queue& queue,
@@ -150,6 +157,8 @@
     void hold_back_releases(service_queue& queue, const std::string& address,
                             const decision::target_incarnation& producer,
                             std::vector<std::string> handles);
+    std::string count_admission(const std::string& service,
+                                service_queue& queue);
     void summarize(const std::string& service, service_queue& queue);
 
     entry_context& m_context;
--- a/packages/serving/piece_batcher_forecast.cpp
+++ b/packages/serving/piece_batcher_forecast.cpp
@@ -22,10 +22,6 @@
 /// during a burst.
 constexpr duration forecast_validity = std::chrono::milliseconds(2);
 
-/// The wait times of a service are reported while jobs for it arrived within
-/// this time.
-constexpr duration recent_job_time = std::chrono::seconds(1);
-
 } // namespace
 
 // A request is started when its next stages can accept it about a call's time
--- a/packages/serving/piece_batcher_results.cpp
+++ b/packages/serving/piece_batcher_results.cpp
@@ -121,19 +121,18 @@
 }
 
 void piece_batcher::end_job(const std::string& service, service_queue& queue,
-                            std::uint64_t number, decision::job_status status,
-                            std::vector<std::string> handles, bool was_late)
+                            std::uint64_t number, job_outcome outcome)
 {
     const auto accepted = queue.jobs.find(number);
     if (accepted == queue.jobs.end())
         return;
     const outcome_callback done = std::move(accepted->second.done);
     queue.jobs.erase(accepted);
-    std::vector<std::string> all_handles = handles;
-    const bool is_completed = status == decision::job_status::completed;
+    const std::vector<std::string> all_handles = outcome.handles;
+    const bool is_completed = outcome.status == decision::job_status::completed;
     if (!is_completed)
-        handles.clear();
-    const bool is_taken = done({status, std::move(handles), was_late});
+        outcome.handles.clear();
+    const bool is_taken = done(std::move(outcome));
     if (!is_completed || !is_taken)
         release(service, all_handles);
 }
@@ -143,8 +142,8 @@
 {
     for (auto& done : queue.planner.take_finished())
         end_job(service, queue, done.job.number,
-                decision::job_status::completed, std::move(done.handles),
-                done.job.is_late);
+                {decision::job_status::completed, std::move(done.handles),
+                 done.job.is_late});
 }
 
 bool piece_batcher::is_unavailable(const std::string& service) const
@@ -181,13 +180,15 @@
     }
     for (const auto& [number, status] : ended)
         if (auto job = queue.planner.take(number))
-            end_job(service, queue, number, status, std::move(job->handles));
+            end_job(service, queue, number, {status, std::move(job->handles)});
+    end_rejected_jobs(service, queue);
     for (auto& expired_job :
          queue.planner.take_expired(m_context.now(), m_estimates))
     {
         ++queue.expired_jobs;
-        end_job(service, queue, expired_job.job.number,
-                decision::job_status::expired, std::move(expired_job.handles));
+        end_job(
+            service, queue, expired_job.job.number,
+            {decision::job_status::expired, std::move(expired_job.handles)});
     }
 }
 
@@ -208,6 +209,7 @@
         .with("room_used", queue.planner.stored_bytes())
         .with("no_room", queue.memory_refusals)
         .with("late", queue.expired_jobs)
+        .with("admission", count_admission(service, queue))
         .info();
     m_context.metrics.count({"calls", runtime::label("service", service)}) +=
         queue.calls;
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -44,6 +44,25 @@
            longest_path_from(index).size() >= longest_remaining_path();
 }
 
+bool stage_runner::can_start_any() const
+{
+    return std::any_of(m_states.begin(), m_states.end(),
+                       [this](const stage_state& state) {
+                           return can_start(static_cast<std::size_t>(
+                               &state - m_states.data()));
+                       });
+}
+
+// Of two stages that start together, one may have run when the other is
+// rejected.
+bool stage_runner::has_other_start() const
+{
+    for (std::size_t index = 0; index < m_states.size(); ++index)
+        if (m_states[index].pieces > 0 && can_start(index))
+            return true;
+    return false;
+}
+
 std::size_t stage_runner::longest_remaining_path() const
 {
     std::size_t longest = 0;
@@ -148,6 +167,8 @@
     job.urgency = m_terms.urgency;
     job.account = m_terms.account;
     job.is_returning = m_terms.is_returning;
+    job.accepts_rejection =
+        m_terms.accepts_rejection && !is_request_started && !has_other_start();
     job.due = m_terms.due;
     job.expires = m_terms.expires;
     job.is_started = is_request_started;
@@ -177,7 +198,10 @@
         state.handles = outcome.handles;
         m_is_late = m_is_late || outcome.was_late;
         if (outcome.status != decision::job_status::completed)
+        {
+            m_retry_in = outcome.retry_in;
             return outcome.status;
+        }
         state.status = stage_status::done;
         state.done_at = m_context.now();
     }
@@ -235,13 +259,7 @@
         release_consumed();
         if (is_done())
             co_return decision::job_status::completed;
-        const bool may_start =
-            std::any_of(m_states.begin(), m_states.end(),
-                        [this](const stage_state& state) {
-                            return can_start(static_cast<std::size_t>(
-                                &state - m_states.data()));
-                        });
-        if (may_start)
+        if (can_start_any())
             continue;
         const instant now = m_context.now();
         if (m_is_aborted || now >= m_terms.expires + outcome_grace)
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -53,6 +53,9 @@
     /// deadline.
     bool is_late() const { return m_is_late; }
 
+    /// Returns when there will be capacity for a request that was rejected.
+    duration retry_in() const { return m_retry_in; }
+
     /// Returns the handles of the results that the request itself reads: those
     /// of stages without dependents.
     std::vector<std::string> results() const;
@@ -84,6 +87,8 @@
     };
 
     bool can_start(std::size_t index) const;
+    bool can_start_any() const;
+    bool has_other_start() const;
     bool has_started() const;
     bool has_dependents(std::size_t index) const;
     void start_stage(std::size_t index);
@@ -112,6 +117,7 @@
     bool m_is_aborted = false;
     /// Whether a job was already late when it was started.
     bool m_is_late = false;
+    duration m_retry_in{}; ///< Of a rejected job.
 };
 
 } // namespace mangofold::serving
--- a/tests/decision/stages/call_planner_test.cpp
+++ b/tests/decision/stages/call_planner_test.cpp
@@ -322,11 +322,16 @@
 TEST_CASE("lateness and expiry include the time of the downstream stages")
 {
     call_planner planner = make_planner(1);
-    planner.add(make_job(1, 10, 500ms));
+    stage_job slow = make_job(1, 10, 500ms);
+    slow.downstream = {{"slow", 1}};
+    planner.add(slow);
     planner.add(make_job(2, 10, 900ms));
     downstream_estimates downstream;
     downstream.remaining_time = [](const stage_job& candidate, duration, bool)
     { return candidate.number == 1 ? duration(400ms) : duration(100ms); };
+    downstream.outlook = [](const std::string&) {
+        return service_outlook{0ms, 0ms, 0ms, 400ms, 1};
+    };
     CHECK(planner.next_call(start, downstream)->pieces[0].job == 2);
     CHECK(planner.take_expired(start + 3800ms, downstream).empty());
     CHECK(planner.take_expired(start + 3950ms, downstream).size() == 1);
--- /dev/null
+++ b/tests/serving/peer_messages_test.cpp
@@ -0,0 +1,69 @@
+#include "serving/peer_messages.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold;
+using namespace mangofold::serving;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const instant start{1h};
+
+decision::stage_job make_job()
+{
+    decision::stage_job job;
+    job.request = "r1";
+    job.urgency = {1, 2};
+    job.account = "customer";
+    job.is_returning = true;
+    job.accepts_rejection = true;
+    job.due = start + 1s;
+    job.expires = start + 2s;
+    return job;
+}
+
+} // namespace
+
+TEST_CASE("a job keeps what decides its admission on its way to another entry")
+{
+    const peer::Frame frame = job_frame("rerank", make_job(), start);
+    CHECK(read_job(frame.job(), start) == make_job());
+}
+
+// Guards against jobs of an entry of the version before that go before all
+// others: it sends a delay instead of ranks.
+TEST_CASE("the ranks of an older entry's job are derived from its delay")
+{
+    peer::Frame frame = job_frame("rerank", make_job(), start);
+    CHECK(frame.job().yields_ns() == (1300ms / 1ns));
+    frame.mutable_job()->clear_account_rank();
+    frame.mutable_job()->clear_route_rank();
+    frame.mutable_job()->clear_accepts_rejection();
+    frame.mutable_job()->set_yields_ns(800ms / 1ns);
+    const decision::stage_job job = read_job(frame.job(), start);
+    CHECK(job.urgency == decision::urgency{0, 2});
+    CHECK_FALSE(job.accepts_rejection);
+    frame.mutable_job()->set_yields_ns(-1);
+    CHECK(read_job(frame.job(), start).urgency == decision::urgency{0, 0});
+}
+
+TEST_CASE("a rejection says when there will be capacity")
+{
+    const job_outcome rejected{
+        decision::job_status::rejected, {}, false, 700ms};
+    const peer::Frame frame = job_end_frame(7, rejected);
+    CHECK(read_outcome(frame.job_end()) == rejected);
+}
+
+// Guards against a status of a later version that is taken for another one, and
+// against a negative delay.
+TEST_CASE("an unknown way to end counts as failed")
+{
+    peer::JobEnd message;
+    message.set_end(99);
+    message.set_retry_in_ns(-5);
+    CHECK(read_outcome(message) ==
+          job_outcome{decision::job_status::failed, {}, false, 0ms});
+}
