--- a/packages/decision/stages/call_planner_calls.cpp
+++ b/packages/decision/stages/call_planner_calls.cpp
@@ -97,6 +97,7 @@
         else if (!call.pieces.empty())
         {
             note_planned(call, *target, is_filled, now);
+            note_starts(call, now);
             return call;
         }
     }
--- a/packages/serving/piece_batcher_forecast.cpp
+++ b/packages/serving/piece_batcher_forecast.cpp
@@ -22,10 +22,6 @@
 /// during a burst.
 constexpr duration forecast_validity = std::chrono::milliseconds(2);
 
-/// The wait times of a service are reported while jobs for it arrived within
-/// this time.
-constexpr duration recent_job_time = std::chrono::seconds(1);
-
 } // namespace
 
 // A request is started when its next stages can accept it about a call's time
@@ -106,17 +102,8 @@
             const auto* profile = call_profile_of(next.service);
             if (profile == nullptr)
                 continue;
-            const auto targets =
-                static_cast<duration::rep>(std::max<std::size_t>(
-                    1, m_context.directory.serving(next.service).size()));
-            const duration declared =
-                (profile->time_per_call / profile->max_pieces +
-                 profile->time_per_piece) /
-                targets;
-            // A service without usable targets reports a call's time.
             const duration per_piece =
-                std::min(time_per_piece(next.service, declared),
-                         std::max(declared, profile->time_per_call));
+                time_per_piece_of(next.service, *profile);
             const duration wait = m_backlog.expected_wait(
                 next.service, now, arrives_in, job->is_late);
             m_backlog.note_started(next, per_piece, now, arrives_in,
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -17,11 +17,9 @@
 stage_runner::stage_runner(entry_context& context, const catalog::route& route,
                            const request_metadata& metadata,
                            const decision::digest& content, std::string zone,
-                           duration priority_delay, instant due,
-                           instant expires)
+                           stage_terms terms)
     : m_context(context), m_route(route), m_metadata(metadata),
-      m_content(content), m_zone(std::move(zone)),
-      m_priority_delay(priority_delay), m_due(due), m_expires(expires),
+      m_content(content), m_zone(std::move(zone)), m_terms(std::move(terms)),
       m_changed(std::make_shared<auto_reset_event>(context.loop)),
       m_states(route.stages.size())
 {
@@ -46,6 +44,25 @@
            longest_path_from(index).size() >= longest_remaining_path();
 }
 
+bool stage_runner::can_start_any() const
+{
+    return std::any_of(m_states.begin(), m_states.end(),
+                       [this](const stage_state& state) {
+                           return can_start(static_cast<std::size_t>(
+                               &state - m_states.data()));
+                       });
+}
+
+// Of two stages that start together, one may have run when the other is
+// rejected.
+bool stage_runner::has_other_start() const
+{
+    for (std::size_t index = 0; index < m_states.size(); ++index)
+        if (m_states[index].pieces > 0 && can_start(index))
+            return true;
+    return false;
+}
+
 std::size_t stage_runner::longest_remaining_path() const
 {
     std::size_t longest = 0;
@@ -147,9 +164,13 @@
     job.pieces = state.pieces;
     job.result_bytes = stage.result_bytes;
     job.zone = preferred_zone(stage);
-    job.priority_delay = m_priority_delay;
-    job.due = m_due;
-    job.expires = m_expires;
+    job.urgency = m_terms.urgency;
+    job.account = m_terms.account;
+    job.is_returning = m_terms.is_returning;
+    job.accepts_rejection =
+        m_terms.accepts_rejection && !is_request_started && !has_other_start();
+    job.due = m_terms.due;
+    job.expires = m_terms.expires;
     job.is_started = is_request_started;
     job.is_late = m_is_late;
     for (const std::size_t later : longest_path_from(index))
@@ -177,7 +198,10 @@
         state.handles = outcome.handles;
         m_is_late = m_is_late || outcome.was_late;
         if (outcome.status != decision::job_status::completed)
+        {
+            m_retry_in = outcome.retry_in;
             return outcome.status;
+        }
         state.status = stage_status::done;
         state.done_at = m_context.now();
     }
@@ -235,18 +259,12 @@
         release_consumed();
         if (is_done())
             co_return decision::job_status::completed;
-        const bool may_start =
-            std::any_of(m_states.begin(), m_states.end(),
-                        [this](const stage_state& state) {
-                            return can_start(static_cast<std::size_t>(
-                                &state - m_states.data()));
-                        });
-        if (may_start)
+        if (can_start_any())
             continue;
         const instant now = m_context.now();
-        if (m_is_aborted || now >= m_expires + outcome_grace)
+        if (m_is_aborted || now >= m_terms.expires + outcome_grace)
             co_return decision::job_status::expired;
-        co_await m_changed->wait(m_expires + outcome_grace - now);
+        co_await m_changed->wait(m_terms.expires + outcome_grace - now);
     }
 }
 
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -11,6 +11,19 @@
 namespace mangofold::serving
 {
 
+/// What decides when the stages of a request start.
+struct stage_terms
+{
+    decision::urgency urgency;
+    std::string account; ///< Name of the client account.
+    instant due;         ///< When the stages should be done.
+    instant expires;     ///< When they must be done to be of any use.
+    bool is_returning = false;
+    bool accepts_rejection = false;
+
+    friend bool operator==(const stage_terms&, const stage_terms&) = default;
+};
+
 /// Executes the stages of one request, each stage as soon as the stages that it
 /// depends on are done. The owner calls release() when it no longer needs the
 /// results: the destructor can't, since at the end of the process the objects
@@ -21,7 +34,7 @@
     stage_runner(entry_context& context, const catalog::route& route,
                  const request_metadata& metadata,
                  const decision::digest& content, std::string zone,
-                 duration priority_delay, instant due, instant expires);
+                 stage_terms terms);
     stage_runner(const stage_runner&) = delete;
     stage_runner& operator=(const stage_runner&) = delete;
 
@@ -40,6 +53,9 @@
     /// deadline.
     bool is_late() const { return m_is_late; }
 
+    /// Returns when there will be capacity for a request that was rejected.
+    duration retry_in() const { return m_retry_in; }
+
     /// Returns the handles of the results that the request itself reads: those
     /// of stages without dependents.
     std::vector<std::string> results() const;
@@ -71,6 +87,8 @@
     };
 
     bool can_start(std::size_t index) const;
+    bool can_start_any() const;
+    bool has_other_start() const;
     bool has_started() const;
     bool has_dependents(std::size_t index) const;
     void start_stage(std::size_t index);
@@ -93,14 +111,13 @@
     decision::digest m_content;
     /// The zone in which the request itself will probably run.
     std::string m_zone;
-    duration m_priority_delay;
-    instant m_due;
-    instant m_expires;
+    stage_terms m_terms;
     std::shared_ptr<auto_reset_event> m_changed;
     std::vector<stage_state> m_states;
     bool m_is_aborted = false;
     /// Whether a job was already late when it was started.
     bool m_is_late = false;
+    duration m_retry_in{}; ///< Of a rejected job.
 };
 
 } // namespace mangofold::serving
