Decision: learned pace of engines, and engine costs in time

Cause: engines differ in speed by 0.7 to 1.7 and have slow periods of 0.6 s, but the selector counts prompt tokens, as if all engines read at one speed.

Ruled out: a pace of the engine alone from its last first event. A first event that waited behind other prompts would make a busy engine look slow, and one sample differs from the next by more than the engines do.

--- a/packages/decision/engines/engine_selector.cpp
+++ b/packages/decision/engines/engine_selector.cpp
@@ -20,33 +20,24 @@
 /// each step of the engine.
 constexpr double running_cost = 60;
 
-/// Cost of each byte that an engine fetches from another zone, in prefill
-/// tokens: 800 tokens for a megabyte. Large results then stay in their zone
+/// Time for each byte that an engine fetches from another zone, in
+/// milliseconds: 22 ms for a megabyte. Large results then stay in their zone
 /// where that costs little extra prefill.
-constexpr double cross_zone_byte_cost = 800.0 / (1 << 20U);
+constexpr double cross_zone_byte_ms = 22.0 / (1 << 20U);
 
-/// Cost of sending the request to another zone, in prefill tokens: the round
-/// trip takes as long as reading them.
-constexpr double remote_zone_cost = 150;
+/// Time of the round trip to another zone, in milliseconds.
+constexpr double remote_zone_ms = 150 * 22.0 / 800;
+
+/// Cost of an engine that is backed off: chosen only if all candidates are.
+constexpr double backed_off_ms = 1e9;
 
 /// Share of the prompt's shared tokens that count as cached at the engine that
 /// all entries prefer for them: other entries may have sent the tokens to it.
 constexpr double affinity_hit_share = 0.6;
 
-/// Returns the prefill cost at the preferred engine of a prompt, where
-/// \a uncached_tokens is the cost estimated from what this entry has sent to
-/// the engine. Segments
-/// used often enough for several engines are certainly cached at each of them;
-/// an engine to which this entry has sent the segments before must not attract
-/// all of the entry's requests.
-double preferred_engine_cost(double uncached_tokens, bool is_replicated,
-                             double shared_tokens,
-                             const generation_request& work)
-{
-    const double prefill = is_replicated
-                               ? static_cast<double>(work.prompt.back().tokens)
-                               : uncached_tokens;
-    return prefill - affinity_hit_share * shared_tokens;
+double milliseconds(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
 }
 
 constexpr duration initial_backoff = std::chrono::milliseconds(300);
@@ -75,6 +66,34 @@
     return tokens;
 }
 
+double engine_selector::expected_ms(const listed_target& target,
+                                    const generation_request& work,
+                                    double prefill_tokens, instant now) const
+{
+    double tokens = prefill_tokens;
+    double ms = 0;
+    const auto known = m_engines.find(target.incarnation);
+    if (known != m_engines.end())
+    {
+        const engine_state& engine = known->second;
+        tokens += engine.queued_tokens + running_cost * engine.running;
+        if (engine.backoff_until > now)
+            ms += backed_off_ms;
+    }
+    ms += m_pace.pace(target.incarnation, now) *
+          (milliseconds(m_pace.fixed_time(work.service)) +
+           tokens * milliseconds(m_pace.time_per_token(work.service)));
+    for (const auto& [source_zone, bytes] : work.inputs)
+        if (source_zone != target.zone)
+            ms += cross_zone_byte_ms * static_cast<double>(bytes);
+    return ms;
+}
+
+// Segments used often enough for several engines are certainly cached at each
+// of them; an engine to which this entry has sent the segments before must not
+// attract all of the entry's requests. The preference for an engine is a time
+// at the average pace: a slow or busy engine loses the request once the time
+// that it would take longer is worth more than the cached segments.
 const listed_target*
 engine_selector::choose(const std::vector<const listed_target*>& candidates,
                         const std::set<target_incarnation>& tried,
@@ -86,29 +105,25 @@
     double shared_tokens = 0;
     for (std::size_t index = 0; index + 1 < work.prompt.size(); ++index)
         shared_tokens += work.prompt[index].tokens;
+    const double preference_ms =
+        affinity_hit_share * shared_tokens *
+        milliseconds(m_pace.time_per_token(work.service));
     const listed_target* best = nullptr;
     double least = 0;
     for (const listed_target* candidate : candidates)
     {
         if (tried.contains(candidate->incarnation))
             continue;
-        double cost = uncached_tokens(candidate->incarnation, work, now);
-        if (candidate == preferred.engine)
-            cost = preferred_engine_cost(cost, preferred.is_replicated,
-                                         shared_tokens, work);
-        const auto known = m_engines.find(candidate->incarnation);
-        if (known != m_engines.end())
-        {
-            cost += known->second.queued_tokens;
-            cost += running_cost * known->second.running;
-            if (known->second.backoff_until > now)
-                cost += 1e9; // Chosen only if all candidates are backed off.
-        }
-        for (const auto& [source_zone, bytes] : work.inputs)
-            if (source_zone != candidate->zone)
-                cost += cross_zone_byte_cost * static_cast<double>(bytes);
+        const bool is_preferred = candidate == preferred.engine;
+        const double prefill =
+            is_preferred && preferred.is_replicated
+                ? work.prompt.back().tokens
+                : uncached_tokens(candidate->incarnation, work, now);
+        double cost = expected_ms(*candidate, work, prefill, now);
+        if (is_preferred)
+            cost -= preference_ms;
         if (candidate->zone != zone)
-            cost += remote_zone_cost;
+            cost += remote_zone_ms;
         if (best != nullptr && cost >= least)
             continue;
         best = candidate;
@@ -146,6 +161,28 @@
     engine.queued_tokens = std::max(0.0, engine.queued_tokens - tokens);
 }
 
+awaited_first_event
+engine_selector::await_first_event(const target_incarnation& target,
+                                   const generation_request& work, instant now)
+{
+    return m_pace.note_sent(work.service, target,
+                            m_engines[target].queued_tokens, now);
+}
+
+void engine_selector::note_first_event(const target_incarnation& target,
+                                       const awaited_first_event& awaited,
+                                       duration took, instant now)
+{
+    m_pace.note_first_event(target, awaited, took, now);
+    note_answered(target);
+}
+
+void engine_selector::note_abandoned(const target_incarnation& target,
+                                     const awaited_first_event& awaited)
+{
+    m_pace.note_abandoned(target, awaited);
+}
+
 void engine_selector::note_ended(const target_incarnation& target)
 {
     engine_state& engine = m_engines[target];
@@ -171,4 +208,11 @@
     engine.backoff_until = {};
 }
 
+bool engine_selector::is_backed_off(const target_incarnation& target,
+                                    instant now) const
+{
+    const auto known = m_engines.find(target);
+    return known != m_engines.end() && known->second.backoff_until > now;
+}
+
 } // namespace mangofold::decision
--- a/packages/decision/engines/engine_selector.hpp
+++ b/packages/decision/engines/engine_selector.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/engines/engine_pace.hpp"
 #include "decision/engines/prompt_affinity.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/time.hpp"
@@ -20,6 +21,8 @@
     std::vector<prompt_segment> prompt;
     /// Bytes of stage results that the engine fetches, by zone.
     std::map<std::string, std::uint64_t> inputs;
+    std::string service{};
+    std::uint32_t max_output_tokens = 0;
 
     friend bool operator==(const generation_request&,
                            const generation_request&) = default;
@@ -27,11 +30,10 @@
 
 /// Selects the model engine for a generation.
 ///
-/// An engine's cost is the number of prompt tokens that it has to read
-/// (prefill) before the first output token: the tokens of the prompt that are
-/// not in its cache and those of the generations queued ahead. Other costs,
-/// such as fetching results from another zone, are expressed in prefill tokens
-/// too.
+/// An engine's cost is the expected time to the first output token: reading
+/// (prefill) the tokens of the prompt that are not in its cache and those of
+/// the generations queued ahead, at the engine's pace, and fetching inputs and
+/// the request itself from another zone.
 class engine_selector
 {
 public:
@@ -52,6 +54,21 @@
     /// queued.
     void note_prompt_read(const target_incarnation& target, double tokens);
 
+    /// Returns what is expected of the first event of \a work, for which
+    /// note_sent() was called just now.
+    awaited_first_event await_first_event(const target_incarnation& target,
+                                          const generation_request& work,
+                                          instant now);
+
+    /// Notes that the first event arrived, \a took after the request was sent.
+    void note_first_event(const target_incarnation& target,
+                          const awaited_first_event& awaited, duration took,
+                          instant now);
+
+    /// Notes that the first event is not awaited any longer.
+    void note_abandoned(const target_incarnation& target,
+                        const awaited_first_event& awaited);
+
     void note_ended(const target_incarnation& target);
 
     /// Records that \a target did not answer, or that it refused the request.
@@ -60,6 +77,12 @@
 
     void note_answered(const target_incarnation& target);
 
+    /// Whether \a target gets nothing for a while after a failure.
+    bool is_backed_off(const target_incarnation& target, instant now) const;
+
+    engine_pace& pace() { return m_pace; }
+    const engine_pace& pace() const { return m_pace; }
+
     /// Returns the tokens of \a work that \a target would have to prefill,
     /// estimated from what this entry has sent to \a target.
     double uncached_tokens(const target_incarnation& target,
@@ -76,9 +99,13 @@
     };
 
     void prune(engine_state& engine, instant now);
+    double expected_ms(const listed_target& target,
+                       const generation_request& work, double prefill_tokens,
+                       instant now) const;
 
     std::unordered_map<target_incarnation, engine_state> m_engines;
     prompt_affinity m_affinity;
+    engine_pace m_pace;
 };
 
 } // namespace mangofold::decision
--- /dev/null
+++ b/tests/decision/engines/engine_scheduling_simulation_test.cpp
@@ -0,0 +1,58 @@
+#include "decision/engines/engine_fleet_simulation.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::size_t most_at_one_engine(bool has_scheduler)
+{
+    test::engine_fleet_simulation::options options;
+    options.entries = 31;
+    options.paces.assign(40, 1.0);
+    options.has_scheduler = has_scheduler;
+    test::engine_fleet_simulation fleet(options);
+    fleet.start_at_once(31);
+    const auto& sent = fleet.sent_to();
+    return *std::max_element(sent.begin(), sent.end());
+}
+
+decision::duration slow_time(bool has_scheduler)
+{
+    test::engine_fleet_simulation::options options;
+    options.entries = 31;
+    options.per_second = 160;
+    options.has_scheduler = has_scheduler;
+    for (int index = 0; index < 24; ++index)
+        options.paces.push_back(index % 2 == 0 ? 0.6 : 1.8);
+    test::engine_fleet_simulation fleet(options);
+    fleet.advance(5s);
+    fleet.reset_statistics();
+    fleet.advance(10s);
+    return fleet.first_event_time(0.9);
+}
+
+} // namespace
+
+// Load: 31 entries choose at the same moment. Guards against all of them
+// choosing the one engine that is free by everybody's records.
+TEST_CASE("generations that start at once are spread by a scheduler")
+{
+    CHECK(most_at_one_engine(false) > 10);
+    CHECK(most_at_one_engine(true) <= 2);
+}
+
+// Load: engines three to one in speed. Guards against requests that wait behind
+// those of other entries at a slow engine: one entry in 31 sees too few
+// generations to know the engines.
+TEST_CASE("a scheduler shortens the time to the first event")
+{
+    const decision::duration without = slow_time(false);
+    const decision::duration with = slow_time(true);
+    CAPTURE(without.count() / 1000000);
+    CAPTURE(with.count() / 1000000);
+    CHECK(with < without * 2 / 3);
+}
