Serving: one entry schedules the engines of a service for all

Cause: an entry sees a thirtieth of the generations, so it neither knows the load of the engines nor learns their pace.

Ruled out: gossip of loads, which is a second old when it arrives, and reservations, which need a further round trip.

Change: for each engine service, the entry roster elects an entry that schedules for all; only entries that announce it are asked. An entry asks it before it sends a generation, and reports the first event and the end of the generation. Without an answer within 40 ms, or with a placement at an engine that it does not list or must not use, it chooses by its own records and reports its choice. After three unanswered questions in a row it does not ask for a second. The scheduler forgets generations that have ended, after 30 s, and two seconds after the connection to their entry was lost. A service with more than 128 engines is split into groups with a scheduler each. Own generations go through the same record, so that a newly elected scheduler starts with what it has sent. Counters: placements by how (scheduled, own, timeout); gauges: engine_pace (lowest, highest), generations_recorded.

--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -4,7 +4,7 @@
 #include "decision/cold_targets.hpp"
 #include "decision/decaying_max.hpp"
 #include "decision/drain.hpp"
-#include "decision/engines/engine_selector.hpp"
+#include "decision/engines/generation_record.hpp"
 #include "decision/loop_lag.hpp"
 #include "decision/moving_mean.hpp"
 #include "decision/quarantine.hpp"
@@ -34,6 +34,8 @@
 /// Interval of the timer that measures how late the event loop runs.
 constexpr duration loop_probe_interval = std::chrono::milliseconds(100);
 
+class engine_scheduler;
+
 /// State shared by the components of one entry process. Used only on the thread
 /// of its event loop.
 struct entry_context
@@ -116,6 +118,10 @@
     target_connection_pool connection_pool; ///< Idle target connections.
     decision::target_health target_health;
     decision::engine_selector engines;
+    decision::generation_record generations{engines};
+    /// Asks and answers for engines; set by the owner. Without it, this entry
+    /// chooses by its own records.
+    engine_scheduler* scheduler = nullptr;
     decision::quarantine quarantine;
     /// Returns the rank of this entry among all entries for a subject. The
     /// default ranks this entry as the only one.
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -44,6 +44,7 @@
     : m_context(loop, time, protocol, settings(), seed),
       m_settings(m_context, std::move(settings)), m_batcher(m_context),
       m_source(m_context, source), m_mesh(m_context, m_source, m_batcher),
+      m_scheduler(m_context, m_mesh),
       m_peers(
           m_context, m_batcher,
           [this](const std::string& address) { m_mesh.add(address); },
@@ -55,6 +56,7 @@
       m_signals(loop, SIGTERM, SIGINT)
 {
     m_context.stage_executor = &m_router;
+    m_context.scheduler = &m_scheduler;
     m_context.ordinal_for = [this](const std::string& subject)
     { return m_mesh.ordinal_for(subject); };
     m_context.is_fleet_size_known = [this] { return m_mesh.is_settled(); };
@@ -128,6 +130,7 @@
         // The reader of the source expires targets after each watch, but a
         // watch can take seconds, and a removed target must expire sooner.
         m_context.directory.expire(m_context.now());
+        m_scheduler.maintain();
         m_context.cold_targets.expire(m_context.now());
         m_context.metrics.set_gauge(
             {"targets_cold", {}},
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -43,6 +43,7 @@
     piece_batcher m_batcher;
     source_reader m_source;
     peer_mesh m_mesh;
+    engine_scheduler m_scheduler;
     peer_server m_peers;
     job_router m_router;
     request_server m_requests;
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -83,16 +83,6 @@
     return *m_content_digest;
 }
 
-decision::generation_request exchange::make_generation_request() const
-{
-    decision::generation_request result;
-    for (const prompt_segment& part : m_metadata.prompt)
-        result.prompt.push_back({part.id, part.tokens});
-    if (m_stages)
-        result.inputs = m_stages->result_bytes_by_zone();
-    return result;
-}
-
 awaitable<void> exchange::run()
 {
     m_session->set_on_disconnect(
@@ -194,8 +184,7 @@
                                      m_context.fleet_size(), m_context.now());
     m_context.request_limits.note_sent(target, m_context.now());
     if (is_engine_service())
-        m_prefill_tokens = m_context.engines.note_sent(
-            target, make_generation_request(), m_context.now());
+        start_generation(target);
     else
         m_context.target_health.note_sent(target);
     m_is_prompt_read = false;
@@ -206,11 +195,7 @@
 {
     if (m_verdict.outcome != decision::quarantine::admission::unrestricted)
         m_context.quarantine.note_finished(content_digest(), target);
-    if (!is_engine_service())
-        return;
-    if (!m_is_prompt_read)
-        m_context.engines.note_prompt_read(target, m_prefill_tokens);
-    m_context.engines.note_ended(target);
+    report_generation(decision::generation_event::ended);
 }
 
 awaitable<exchange::attempt_outcome> exchange::attempt()
@@ -238,6 +223,8 @@
         co_return attempt_outcome::given_up;
     }
     const auto* target = co_await wait_for_target_choice();
+    if (target != nullptr && is_engine_service())
+        target = co_await place_generation(target);
     if (target == nullptr)
     {
         note_no_target();
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -5,6 +5,7 @@
 #include "decision/sending_record.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/entry_context.hpp"
+#include "serving/placement_messages.hpp"
 #include "serving/stage_runner.hpp"
 #include "serving/target_call.hpp"
 
@@ -139,6 +140,17 @@
     duration attempt_timeout() const;
     void record_attempt_start(const decision::target_incarnation& target);
     void record_attempt_end(const decision::target_incarnation& target);
+    /// Returns the engine for the request: \a own_choice or the one that the
+    /// scheduler chooses; null if the request is not to be sent any more.
+    awaitable<const decision::listed_target*>
+    place_generation(const decision::listed_target* own_choice);
+    void cancel_placement();
+    placement_request make_placement_request();
+    const decision::listed_target*
+    find_usable(const decision::target_incarnation& target);
+    /// Records that the request is sent to the engine \a target now.
+    void start_generation(const decision::target_incarnation& target);
+    void report_generation(decision::generation_event event);
     awaitable<void> send_refusal();
     unsigned refusal_status() const;
     std::string retry_after() const;
@@ -192,8 +204,10 @@
     bool m_is_prompt_read = false; ///< By the engine, in the newest attempt.
     /// Whether the outcome of the newest attempt is already recorded.
     bool m_is_outcome_recorded = false;
-    /// Prefill tokens that the newest attempt added at its engine.
-    double m_prefill_tokens = 0;
+    decision::generation_key m_generation; ///< Of the newest attempt.
+    std::string m_scheduler; ///< Entry that is told of it; empty for none.
+    /// The engine that the scheduler chose for it.
+    std::optional<decision::target_incarnation> m_placed_at;
     decision::target_incarnation m_last_target;
     instant m_sent_at{};          ///< Of the newest attempt.
     instant m_stages_done_at{};   ///< When the stages ended.
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -143,9 +143,7 @@
                 m_is_prompt_read = true;
                 if (m_first_byte_at == instant{})
                     m_first_byte_at = m_context.now();
-                m_context.engines.note_prompt_read(call.target().incarnation,
-                                                   m_prefill_tokens);
-                m_context.engines.note_answered(call.target().incarnation);
+                report_generation(decision::generation_event::first_event);
                 m_context.times_by_route[m_route->name].time_to_first_event.add(
                     m_context.now() - m_sent_at);
                 if (m_stages)
--- a/packages/serving/exchange_failures.cpp
+++ b/packages/serving/exchange_failures.cpp
@@ -14,7 +14,7 @@
     if (is_unsent)
         m_sends->note_not_run();
     if (is_engine_service())
-        m_context.engines.note_failed(target, false, now);
+        report_generation(decision::generation_event::failed);
     else
         m_context.target_health.note_no_answer(target, now);
     const bool may_have_ended = result == target_call::outcome::not_sent ||
@@ -54,7 +54,7 @@
     const unsigned status = call.head().result_int();
     m_context.count("attempts_refused", "status", std::to_string(status));
     if (is_engine_service())
-        m_context.engines.note_failed(target, true, now);
+        report_generation(decision::generation_event::refused);
     else
         m_context.target_health.note_refused(target, now);
     m_refusal = refusal::targets_full;
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "serving/peer_link.hpp"
 
 #include "runtime/event.hpp"
+#include "serving/engine_scheduler.hpp"
 #include "serving/peer_messages.hpp"
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -189,6 +190,10 @@
         return m_listener.handle_targets(m_address, frame.targets());
     case peer::Frame::kEnds:
         return handle_target_crashes(m_context, frame.ends(), m_address);
+    case peer::Frame::kPlacement:
+        if (m_context.scheduler != nullptr)
+            m_context.scheduler->handle_placement(m_address, frame.placement());
+        return;
     case peer::Frame::kJobEnd:
     {
         const auto submitted = m_submitted.find(frame.job_end().number());
@@ -267,6 +272,12 @@
     m_submitted[job.number] = {service, std::move(job), std::move(pending)};
 }
 
+void peer_link::send(const peer::Frame& frame)
+{
+    if (m_is_alive && m_socket)
+        m_socket->send(frame);
+}
+
 void peer_link::release(const std::string& service,
                         const std::vector<std::string>& handles)
 {
--- a/packages/serving/peer_link.hpp
+++ b/packages/serving/peer_link.hpp
@@ -86,6 +86,9 @@
     void release(const std::string& service,
                  const std::vector<std::string>& handles);
 
+    /// Sends \a frame if the other entry answers.
+    void send(const peer::Frame& frame);
+
     /// Pings the other entry now instead of at the next interval.
     void ping_now() { m_ping_now.set(); }
 
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -92,6 +92,7 @@
 void peer_mesh::note_lost(const std::string& address)
 {
     m_roster.note_lost(address);
+    m_schedulers.erase(address);
     m_catalog_catch_up.note_unavailable(address);
     m_target_catch_up.note_unavailable(address);
 }
@@ -115,6 +116,7 @@
     state.set_has_targets(m_context.has_some_targets);
     state.set_ends_summary(m_context.quarantine.crashes().summary());
     state.set_limits_digest(m_context.request_limits.digest());
+    state.set_schedules_engines(m_context.scheduler != nullptr);
     write_zones(m_context.evacuations.snapshot(), state);
     for (const auto& [service, times] : m_batcher.wait_times())
     {
@@ -203,6 +205,10 @@
          peer_state.catalog_version() > 0 && peer_state.has_targets(),
          duration(peer_state.stopping_for_ns())},
         m_context.now());
+    if (peer_state.schedules_engines())
+        m_schedulers.insert(address);
+    else
+        m_schedulers.erase(address);
     m_context.peak_entries = std::max(m_context.peak_entries, m_roster.size());
     apply_zone_evacuations(m_context, read_zones(peer_state), address);
     for (const decision::limit_statement& statement :
@@ -284,20 +290,6 @@
     }
 }
 
-void peer_mesh::update_services()
-{
-    if (!m_context.catalog ||
-        m_context.catalog->version() == m_services_version)
-        return;
-    m_services_version = m_context.catalog->version();
-    std::vector<std::string> services;
-    for (const catalog::service& service :
-         m_context.catalog->content().services)
-        if (service.calls)
-            services.push_back(service.name);
-    m_roster.set_services(std::move(services));
-}
-
 void peer_mesh::set_started()
 {
     std::vector<std::string> seeds;
--- a/packages/serving/peer_mesh.hpp
+++ b/packages/serving/peer_mesh.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "decision/catch_up.hpp"
+#include "serving/engine_scheduler.hpp"
 #include "serving/peer_link.hpp"
 #include "serving/piece_batcher.hpp"
 #include "serving/source_reader.hpp"
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,7 +18,7 @@
 /// The links to all other entries: discovers entries from a few seeds, tracks
 /// which of them answer, and exchanges the catalog and the list of targets with
 /// them.
-class peer_mesh : public peer_listener
+class peer_mesh : public peer_listener, public placement_channel
 {
 public:
     peer_mesh(entry_context& context, source_reader& source,
@@ -32,6 +34,9 @@
     /// this entry does.
     peer_link* batching_peer(const std::string& service);
 
+    std::string scheduler_of(const std::string& group) override;
+    void send(const std::string& address, const peer::Frame& frame) override;
+
     /// Notes that this entry starts now and knows its seeds only.
     void set_started();
 
@@ -95,14 +100,13 @@
     source_reader& m_source;
     piece_batcher& m_batcher;
     decision::entry_roster m_roster;
-    /// Catalog version of the services that m_roster was given.
-    std::uint64_t m_services_version = 0;
     /// Newest catalog version held by any entry.
     std::uint64_t m_newest_catalog_version = 0;
     decision::catch_up m_catalog_catch_up;
     decision::catch_up m_target_catch_up;
     std::map<std::string, std::shared_ptr<peer_link>> m_links;
     std::map<std::string, instant> m_added_at;
+    std::set<std::string> m_schedulers; ///< Entries that can schedule engines.
     job_sink m_job_sink;
 };
 
--- a/packages/serving/peer_server.cpp
+++ b/packages/serving/peer_server.cpp
@@ -1,6 +1,7 @@
 #include "serving/peer_server.hpp"
 
 #include "serving/catalog_parts.hpp"
+#include "serving/engine_scheduler.hpp"
 #include "serving/peer_messages.hpp"
 #include "serving/request_server.hpp"
 
@@ -42,11 +43,14 @@
 
 awaitable<void> peer_server::serve(frame_socket_ptr socket)
 {
-    const auto client = std::make_shared<client_entry>(m_context, socket);
+    const auto client =
+        std::make_shared<client_entry>(m_context, socket, ++m_last_connection);
     while (auto frame = co_await socket->read())
         handle_frame(*frame, client);
     for (auto& [number, is_wanted] : client->jobs)
         *is_wanted = false;
+    if (m_context.scheduler != nullptr)
+        m_context.scheduler->note_sender_lost(client->connection);
 }
 
 void peer_server::handle_ping(const peer::Ping& ping, client_entry& client)
@@ -95,11 +99,28 @@
         return m_batcher.release(frame.release().service(),
                                  {frame.release().handles().begin(),
                                   frame.release().handles().end()});
+    case peer::Frame::kPlacementRequest:
+        return handle_placement_request(frame.placement_request(), *client);
+    case peer::Frame::kGenerationUpdate:
+        if (m_context.scheduler != nullptr)
+            m_context.scheduler->handle_update(client->connection,
+                                               frame.generation_update());
+        return;
     default:
         return;
     }
 }
 
+void peer_server::handle_placement_request(
+    const peer::PlacementRequest& message, const client_entry& client)
+{
+    if (m_context.scheduler == nullptr)
+        return;
+    if (const auto reply =
+            m_context.scheduler->handle_request(client.connection, message))
+        client.socket->send(*reply);
+}
+
 // All entries that start at once ask the first ones that hold a list. If the
 // list is sent to all of them, each copy takes seconds of the sender's link,
 // and responses to its callers wait behind the copies.
--- a/packages/serving/peer_server.hpp
+++ b/packages/serving/peer_server.hpp
@@ -50,11 +50,14 @@
     /// One connected entry.
     struct client_entry
     {
-        client_entry(entry_context& context, frame_socket_ptr client_socket)
-            : socket(std::move(client_socket)), crash_sync(context)
+        client_entry(entry_context& context, frame_socket_ptr client_socket,
+                     std::uint64_t number)
+            : connection("connection-" + std::to_string(number)),
+              socket(std::move(client_socket)), crash_sync(context)
         {
         }
 
+        std::string connection; ///< Unique name.
         frame_socket_ptr socket;
         std::string address; ///< From its hello message; empty before.
         wanted_jobs jobs;
@@ -67,6 +70,8 @@
     void handle_ping(const peer::Ping& ping, client_entry& client);
     void handle_want(const peer::Want& want, const frame_socket_ptr& socket);
     bool try_start_copy(const frame_socket_ptr& socket);
+    void handle_placement_request(const peer::PlacementRequest& message,
+                                  const client_entry& client);
     void handle_job(const peer::Job& message,
                     const std::shared_ptr<client_entry>& client);
 
@@ -77,6 +82,7 @@
     catalog_source m_catalog_text;
     ping_handler m_ping_handler;
     tcp::acceptor m_acceptor;
+    std::uint64_t m_last_connection = 0;
     /// Copies in progress.
     std::vector<std::weak_ptr<frame_socket>> m_copy_sockets;
 };
--- /dev/null
+++ b/tests/decision/engines/generation_record_test.cpp
@@ -0,0 +1,90 @@
+#include "decision/engines/generation_record.hpp"
+#include "decision/engines/scheduler_contact.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr instant start{1h};
+
+/// Two engines and the record of the generations there.
+struct recorded_engines
+{
+    const listed_target* choose(instant now)
+    {
+        return engines.choose({&first, &second}, {}, work, "a", now);
+    }
+
+    listed_target first{{"e1", 5}, "s", "", "a"};
+    listed_target second{{"e2", 5}, "s", "", "a"};
+    generation_request work{{{"own", 2000}}, {}};
+    engine_selector engines;
+    generation_record record{engines};
+};
+
+} // namespace
+
+// Guards against an engine that counts as loaded for ever, or as free although
+// it is loaded, since an event was reported twice or in the wrong order.
+TEST_CASE("repeated and late events of a generation have no effect")
+{
+    recorded_engines world;
+    world.record.add({"x", 1}, {"e1", 5}, world.work, start);
+    for (const auto event :
+         {generation_event::first_event, generation_event::first_event,
+          generation_event::ended, generation_event::ended,
+          generation_event::first_event})
+        world.record.note_event({"x", 1}, event, 100ms, start);
+    CHECK(world.record.size() == 0);
+    world.record.add({"x", 2}, {"e2", 5}, world.work, start);
+    CHECK(world.choose(start) == &world.first);
+}
+
+// Guards against a restarted engine that is avoided for the load of the run
+// before.
+TEST_CASE("the load of an engine is not that of its next incarnation")
+{
+    recorded_engines world;
+    world.record.add({"x", 1}, {"e1", 5}, world.work, start);
+    world.first.incarnation.started_ms = 6;
+    CHECK(world.choose(start) == &world.first);
+}
+
+// Guards against prompts that are read again after another entry, which may be
+// partitioned from an engine, reports that the engine does not answer.
+TEST_CASE("a failure reported by another entry leaves the cached segments")
+{
+    recorded_engines world;
+    for (const char* sender : {"", "x"})
+    {
+        world.record.add({sender, 1}, {"e1", 5}, world.work, start);
+        world.record.note_event({sender, 1}, generation_event::failed, 1s,
+                                start);
+        CHECK(world.engines.is_backed_off({"e1", 5}, start));
+        const bool is_own = std::string(sender).empty();
+        CHECK(world.engines.uncached_tokens({"e1", 5}, world.work, start) ==
+              (is_own ? 2000 : 0));
+    }
+}
+
+// Guards against requests that all wait for a scheduler that has died.
+TEST_CASE(
+    "a scheduler that does not answer three times is asked a second later")
+{
+    scheduler_contact contact;
+    CHECK_FALSE(contact.note_unanswered("a", start));
+    contact.note_answered("a");
+    CHECK_FALSE(contact.note_unanswered("a", start));
+    CHECK_FALSE(contact.note_unanswered("a", start));
+    CHECK(contact.should_ask("a", start));
+    CHECK(contact.note_unanswered("a", start));
+    CHECK_FALSE(contact.should_ask("a", start + 999ms));
+    CHECK(contact.should_ask("b", start));
+    CHECK(contact.should_ask("a", start + 1s));
+    CHECK(contact.note_unanswered("a", start + 1s));
+    CHECK_FALSE(contact.should_ask("a", start + 1500ms));
+}
--- a/tests/serving/peer_mesh_test.cpp
+++ b/tests/serving/peer_mesh_test.cpp
@@ -82,6 +82,28 @@
     CHECK(entry.catalogs_requested() >= 2);
 }
 
+// Guards against generations that wait for an entry of an older version, which
+// does not answer questions for engines.
+TEST_CASE("only entries that say so are asked for engines")
+{
+    outdated_entry entry;
+    for (auto& other : entry.others)
+        other->holding.set_has_targets(true);
+    entry.advance(2s);
+    // A service for which another entry is elected.
+    std::string service = "s";
+    for (int tries = 0; tries < 20; ++tries)
+        if (entry.mesh.batching_peer(service) == nullptr)
+            service += 's';
+    REQUIRE(entry.mesh.batching_peer(service) != nullptr);
+    const std::string elected = entry.mesh.batching_peer(service)->address();
+    CHECK(entry.mesh.scheduler_of(service).empty());
+    for (auto& other : entry.others)
+        other->holding.set_schedules_engines(true);
+    entry.advance(2s);
+    CHECK(entry.mesh.scheduler_of(service) == elected);
+}
+
 // Guards against an invalid target address that is passed on by an entry with
 // less strict validation.
 TEST_CASE("targets received from another entry are validated")
