Serving: state the priority of generations to engines

Cause: engines order their queue by a priority header that entries do not set, so urgent generations wait behind others.

Ruled out: setting it always. Without the header engines assume 5; a deployment whose requests are all alike would get another header for nothing.

Change: the priority is three times the account's rank plus the route's, each up to 2, and is sent only if the ranks of the service's routes or of the accounts differ in the catalog.

--- a/packages/catalog/catalog_index.cpp
+++ b/packages/catalog/catalog_index.cpp
@@ -19,6 +19,25 @@
     for (const account& account : m_content.accounts)
         for (const std::string& key : account.keys)
             m_accounts_by_key[key] = &account;
+    find_ranks();
+}
+
+void catalog_index::find_ranks()
+{
+    std::unordered_map<std::string, std::uint32_t> priorities;
+    for (const route& route : m_content.routes)
+        for (const weighted_service& part : route.services)
+        {
+            const auto known =
+                priorities.try_emplace(part.service, route.priority).first;
+            if (known->second != route.priority)
+                m_ranked_services.insert(part.service);
+        }
+    const auto& accounts = m_content.accounts;
+    m_have_accounts_ranks =
+        std::any_of(accounts.begin(), accounts.end(),
+                    [&](const account& other)
+                    { return other.priority != accounts.front().priority; });
 }
 
 const route* catalog_index::find_route(std::string_view host,
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -145,6 +145,7 @@
     awaitable<const decision::listed_target*>
     place_generation(const decision::listed_target* own_choice);
     void cancel_placement();
+    decision::urgency urgency() const;
     placement_request make_placement_request();
     const decision::listed_target*
     find_usable(const decision::target_incarnation& target);
--- a/packages/serving/exchange_engines.cpp
+++ b/packages/serving/exchange_engines.cpp
@@ -18,6 +18,11 @@
     return result;
 }
 
+decision::urgency exchange::urgency() const
+{
+    return {m_account == nullptr ? 0 : m_account->priority, m_route->priority};
+}
+
 // Engines that this entry could not reach lately are excluded, too: the
 // scheduler may be able to reach them.
 placement_request exchange::make_placement_request()
@@ -26,8 +31,7 @@
     request.number = m_generation.number;
     request.work = make_generation_request();
     request.zone = m_context.settings.zone;
-    request.urgency = {m_account == nullptr ? 0 : m_account->priority,
-                       m_route->priority};
+    request.urgency = urgency();
     for (const auto* target : m_context.directory.serving(m_service))
         if (find_usable(target->incarnation) == nullptr ||
             m_context.engines.is_backed_off(target->incarnation,
--- a/packages/serving/exchange_targets.cpp
+++ b/packages/serving/exchange_targets.cpp
@@ -1,3 +1,4 @@
+#include "decision/engines/engine_priority.hpp"
 #include "serving/exchange.hpp"
 
 #include <algorithm>
@@ -151,6 +152,9 @@
     if (!m_route->stages.empty() && !m_metadata.pieces.empty())
         metadata.inputs =
             m_stages ? m_stages->results() : std::vector<std::string>();
+    // Without the header, engines assume a priority for all alike.
+    if (is_engine_service() && m_catalog->has_ranks(m_service))
+        metadata.priority = decision::engine_priority(urgency());
     if (m_last_event_id)
         metadata.last_event_id = std::to_string(*m_last_event_id);
     return metadata;
--- a/tests/decision/engines/generation_record_test.cpp
+++ b/tests/decision/engines/generation_record_test.cpp
@@ -1,3 +1,4 @@
+#include "decision/engines/engine_priority.hpp"
 #include "decision/engines/generation_record.hpp"
 #include "decision/engines/scheduler_contact.hpp"
 
@@ -88,3 +89,11 @@
     CHECK(contact.note_unanswered("a", start + 1s));
     CHECK_FALSE(contact.should_ask("a", start + 1500ms));
 }
+
+TEST_CASE("the account's rank decides the priority before the route's")
+{
+    CHECK(engine_priority({0, 0}) == 0);
+    CHECK(engine_priority({0, 9}) == 2);
+    CHECK(engine_priority({1, 0}) == 3);
+    CHECK(engine_priority({9, 9}) == 8);
+}
--- a/tests/serving/engine_scheduler_test.cpp
+++ b/tests/serving/engine_scheduler_test.cpp
@@ -309,3 +309,35 @@
     entry.report("x", 1, peer::GenerationUpdate::UNKNOWN);
     CHECK(entry.context->generations.size() == 0);
 }
+
+// Guards against urgent generations that wait at an engine behind others, and
+// against a changed order in deployments whose requests are all alike.
+TEST_CASE("engines learn the priority of a generation where ranks differ")
+{
+    for (const bool has_ranks : {false, true})
+    {
+        asking_entry entry;
+        entry.channel.scheduler.clear();
+        catalog::document changed = entry.context->catalog->content();
+        if (has_ranks)
+        {
+            changed.accounts[0].priority = 1;
+            changed.accounts.push_back({"other", 0, {}});
+        }
+        for (catalog::route& route : changed.routes)
+            if (route.services[0].service == "events")
+                route.priority = 7;
+        entry.context->catalog =
+            std::make_shared<catalog::catalog_index>(changed);
+        entry.send_request();
+        entry.finish_request();
+        const auto& requests = entry.first->requests().empty()
+                                   ? entry.second->requests()
+                                   : entry.first->requests();
+        const bool has_priority =
+            requests.at(0).find("Priority: 5\r\n") != std::string::npos;
+        CHECK(has_priority == has_ranks);
+        CHECK((requests.at(0).find("Priority:") == std::string::npos) !=
+              has_ranks);
+    }
+}
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -44,6 +44,8 @@
         fields.set("To", metadata.target_id);
         if (metadata.account)
             fields.set("Account", *metadata.account);
+        if (metadata.priority)
+            fields.set("Priority", std::to_string(*metadata.priority));
         if (metadata.last_event_id)
             fields.set("After", *metadata.last_event_id);
         return fields;
