Decision: engines without a free slot or memory cost the wait for one

Cause: the selector knows neither how many generations an engine runs at once nor how many tokens fit its memory, and sends it more while another engine could start at once.

Ruled out: excluding full engines. The record of one entry is incomplete, and if all are full, the one that is free first is the best.

Change: the catalog's capacity comes with each generation. An engine without a free slot, or without memory for the uncached prompt and the output, costs a part of the mean time of a generation, which is learned by service: generations end evenly distributed over it.

--- a/packages/decision/engines/engine_selector.cpp
+++ b/packages/decision/engines/engine_selector.cpp
@@ -40,6 +40,9 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+/// Time of a generation that is assumed before any has ended.
+constexpr duration initial_generation_time = std::chrono::seconds(1);
+
 constexpr duration initial_backoff = std::chrono::milliseconds(300);
 constexpr std::uint32_t max_backoff_doublings = 4;
 
@@ -66,6 +69,30 @@
     return tokens;
 }
 
+// Running generations end evenly distributed over the time of one, and free
+// what they hold.
+double engine_selector::capacity_wait_ms(const engine_state& engine,
+                                         const generation_request& work,
+                                         double prefill_tokens) const
+{
+    double missing_share = 0; // Of what the running generations hold.
+    const engine_limits& limits = work.limits;
+    if (limits.slots > 0 && engine.running >= limits.slots)
+        missing_share = static_cast<double>(engine.running - limits.slots + 1) /
+                        engine.running;
+    const double excess = engine.held_tokens + prefill_tokens +
+                          work.max_output_tokens -
+                          static_cast<double>(limits.memory_tokens);
+    if (limits.memory_tokens > 0 && excess > 0 && engine.held_tokens > 0)
+        missing_share =
+            std::max(missing_share, std::min(1.0, excess / engine.held_tokens));
+    const auto known = m_generation_times.find(work.service);
+    const duration mean = known == m_generation_times.end()
+                              ? initial_generation_time
+                              : known->second.mean();
+    return missing_share * milliseconds(mean);
+}
+
 double engine_selector::expected_ms(const listed_target& target,
                                     const generation_request& work,
                                     double prefill_tokens, instant now) const
@@ -77,6 +104,7 @@
     {
         const engine_state& engine = known->second;
         tokens += engine.queued_tokens + running_cost * engine.running;
+        ms += capacity_wait_ms(engine, work, prefill_tokens);
         if (engine.backoff_until > now)
             ms += backed_off_ms;
     }
@@ -149,6 +177,7 @@
     for (const prompt_segment& segment : work.prompt)
         engine.last_used[segment.id] = now;
     engine.queued_tokens += tokens;
+    engine.held_tokens += tokens + work.max_output_tokens;
     ++engine.running;
     m_affinity.note_placed(work.prompt, tokens + running_cost, now);
     return tokens;
@@ -183,10 +212,20 @@
     m_pace.note_abandoned(target, awaited);
 }
 
-void engine_selector::note_ended(const target_incarnation& target)
+void engine_selector::note_ended(const target_incarnation& target,
+                                 double tokens)
 {
     engine_state& engine = m_engines[target];
     engine.running -= engine.running > 0 ? 1 : 0;
+    engine.held_tokens = std::max(0.0, engine.held_tokens - tokens);
+}
+
+void engine_selector::note_generation_time(const std::string& service,
+                                           duration took)
+{
+    m_generation_times
+        .try_emplace(service, moving_mean(initial_generation_time))
+        .first->second.add(took);
 }
 
 void engine_selector::note_failed(const target_incarnation& target,
--- a/packages/decision/engines/engine_selector.hpp
+++ b/packages/decision/engines/engine_selector.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/engines/engine_pace.hpp"
 #include "decision/engines/prompt_affinity.hpp"
+#include "decision/moving_mean.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/time.hpp"
 
@@ -15,6 +16,16 @@
 namespace mangofold::decision
 {
 
+/// What one engine of a service can hold; 0 is unknown.
+struct engine_limits
+{
+    std::uint32_t slots = 0;         ///< Generations that run concurrently.
+    std::uint64_t memory_tokens = 0; ///< Prompt and output tokens.
+
+    friend bool operator==(const engine_limits&,
+                           const engine_limits&) = default;
+};
+
 /// A text generation to be placed at a model engine.
 struct generation_request
 {
@@ -23,6 +34,7 @@
     std::map<std::string, std::uint64_t> inputs;
     std::string service{};
     std::uint32_t max_output_tokens = 0;
+    engine_limits limits{};
 
     friend bool operator==(const generation_request&,
                            const generation_request&) = default;
@@ -33,7 +45,8 @@
 /// An engine's cost is the expected time to the first output token: reading
 /// (prefill) the tokens of the prompt that are not in its cache and those of
 /// the generations queued ahead, at the engine's pace, and fetching inputs and
-/// the request itself from another zone.
+/// the request itself from another zone. An engine without a free slot or
+/// memory costs the expected wait for it, too.
 class engine_selector
 {
 public:
@@ -69,7 +82,12 @@
     void note_abandoned(const target_incarnation& target,
                         const awaited_first_event& awaited);
 
-    void note_ended(const target_incarnation& target);
+    /// Notes that a generation has ended, which held \a tokens in the memory of
+    /// \a target.
+    void note_ended(const target_incarnation& target, double tokens = 0);
+
+    /// Notes how long a complete generation of \a service took.
+    void note_generation_time(const std::string& service, duration took);
 
     /// Records that \a target did not answer, or that it refused the request.
     void note_failed(const target_incarnation& target, bool is_refusal,
@@ -92,6 +110,7 @@
     struct engine_state
     {
         double queued_tokens = 0;  ///< Sent there and not read yet.
+        double held_tokens = 0;    ///< In memory, for running generations.
         std::uint32_t running = 0; ///< Generations.
         std::uint32_t consecutive_failures = 0;
         instant backoff_until{};
@@ -99,6 +118,9 @@
     };
 
     void prune(engine_state& engine, instant now);
+    double capacity_wait_ms(const engine_state& engine,
+                            const generation_request& work,
+                            double prefill_tokens) const;
     double expected_ms(const listed_target& target,
                        const generation_request& work, double prefill_tokens,
                        instant now) const;
@@ -106,6 +128,7 @@
     std::unordered_map<target_incarnation, engine_state> m_engines;
     prompt_affinity m_affinity;
     engine_pace m_pace;
+    std::map<std::string, moving_mean> m_generation_times; ///< By service.
 };
 
 } // namespace mangofold::decision
--- a/packages/decision/engines/generation_record.cpp
+++ b/packages/decision/engines/generation_record.cpp
@@ -28,6 +28,7 @@
     generation added;
     added.target = target;
     added.prefill_tokens = m_engines.note_sent(target, work, now);
+    added.held_tokens = added.prefill_tokens + work.max_output_tokens;
     added.awaited = m_engines.await_first_event(target, work, now);
     added.added_at = now;
     m_generations.emplace(key, std::move(added));
@@ -41,7 +42,7 @@
         m_engines.note_prompt_read(removed.target, removed.prefill_tokens);
         m_engines.note_abandoned(removed.target, removed.awaited);
     }
-    m_engines.note_ended(removed.target);
+    m_engines.note_ended(removed.target, removed.held_tokens);
     m_generations.erase(position);
 }
 
@@ -61,6 +62,10 @@
             event == generation_event::refused || !key.sender.empty();
         if (event != generation_event::ended)
             m_engines.note_failed(reported.target, keeps_cache, now);
+        else if (reported.is_prompt_read)
+            m_engines.note_generation_time(
+                reported.awaited.service,
+                std::clamp(after, duration::zero(), max_age));
         return remove(found);
     }
     if (reported.is_prompt_read)
--- a/packages/decision/engines/generation_record.hpp
+++ b/packages/decision/engines/generation_record.hpp
@@ -70,6 +70,7 @@
     {
         target_incarnation target;
         double prefill_tokens = 0;
+        double held_tokens = 0; ///< In the engine's memory.
         awaited_first_event awaited;
         bool is_prompt_read = false;
         instant added_at{};
--- a/packages/serving/engine_scheduler.cpp
+++ b/packages/serving/engine_scheduler.cpp
@@ -130,7 +130,8 @@
 engine_scheduler::handle_request(const std::string& sender,
                                  const peer::PlacementRequest& message)
 {
-    const placement_request request = read_placement_request(message);
+    placement_request request = read_placement_request(message);
+    request.work.limits = m_context.engine_limits_of(request.work.service);
     const decision::generation_key key{sender, request.number};
     const instant now = m_context.now();
     if (request.chosen)
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -85,6 +85,15 @@
         return found == nullptr ? decision::warm_up() : found->warm_up;
     }
 
+    /// Returns what one engine of \a service can hold.
+    decision::engine_limits engine_limits_of(const std::string& service) const
+    {
+        const auto* found = catalog ? catalog->find_service(service) : nullptr;
+        if (found == nullptr || !found->engine)
+            return {};
+        return {found->engine->slots, found->engine->memory_tokens};
+    }
+
     /// Returns the retry budget of \a service.
     decision::retry_budget& retry_budget_for(const std::string& service);
 
--- a/packages/serving/exchange_engines.cpp
+++ b/packages/serving/exchange_engines.cpp
@@ -15,6 +15,7 @@
     if (m_stages)
         result.inputs = m_stages->result_bytes_by_zone();
     result.max_output_tokens = max_output_tokens();
+    result.limits = m_context.engine_limits_of(m_service);
     return result;
 }
 
--- a/tests/decision/engines/generation_record_test.cpp
+++ b/tests/decision/engines/generation_record_test.cpp
@@ -72,6 +72,31 @@
     }
 }
 
+// Load: more generations than slots. Guards against generations that are
+// refused by an engine without a free slot, or wait there, while another has
+// one.
+TEST_CASE("an engine without a free slot or memory costs the wait for it")
+{
+    for (const engine_limits limits :
+         {engine_limits{1, 0}, engine_limits{0, 900}})
+    {
+        recorded_engines world;
+        world.work.prompt = {{"own", 100}};
+        world.work.max_output_tokens = 500;
+        world.work.limits = limits;
+        world.second.zone = std::string("b"); // A little more expensive.
+        world.record.add({"x", 1}, {"e1", 5}, world.work, start);
+        world.record.note_event({"x", 1}, generation_event::first_event, 60ms,
+                                start);
+        CHECK(world.choose(start) == &world.second);
+        world.work.limits = {2, 2000};
+        CHECK(world.choose(start) == &world.first);
+        world.work.limits = limits;
+        world.record.note_event({"x", 1}, generation_event::ended, 1s, start);
+        CHECK(world.choose(start) == &world.first);
+    }
+}
+
 // Guards against requests that all wait for a scheduler that has died.
 TEST_CASE(
     "a scheduler that does not answer three times is asked a second later")
