--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -4,7 +4,7 @@
 #include "decision/cold_targets.hpp"
 #include "decision/decaying_max.hpp"
 #include "decision/drain.hpp"
-#include "decision/engines/engine_selector.hpp"
+#include "decision/engines/generation_record.hpp"
 #include "decision/loop_lag.hpp"
 #include "decision/moving_mean.hpp"
 #include "decision/quarantine.hpp"
@@ -35,6 +35,8 @@
 /// Interval of the timer that measures how late the event loop runs.
 constexpr duration loop_probe_interval = std::chrono::milliseconds(100);
 
+class engine_scheduler;
+
 /// State shared by the components of one entry process. Used only on the thread
 /// of its event loop.
 struct entry_context
@@ -84,6 +86,15 @@
         return found == nullptr ? decision::warm_up() : found->warm_up;
     }
 
+    /// Returns what one engine of \a service can hold.
+    decision::engine_limits engine_limits_of(const std::string& service) const
+    {
+        const auto* found = catalog ? catalog->find_service(service) : nullptr;
+        if (found == nullptr || !found->engine)
+            return {};
+        return {found->engine->slots, found->engine->memory_tokens};
+    }
+
     /// Returns the retry budget of \a service.
     decision::retry_budget& retry_budget_for(const std::string& service);
 
@@ -118,6 +129,10 @@
     decision::target_health target_health;
     decision::engine_selector engines;
     decision::input_release input_release; ///< By the engines' statements.
+    decision::generation_record generations{engines};
+    /// Asks and answers for engines; set by the owner. Without it, this entry
+    /// chooses by its own records.
+    engine_scheduler* scheduler = nullptr;
     decision::quarantine quarantine;
     /// Returns the rank of this entry among all entries for a subject. The
     /// default ranks this entry as the only one.
