Admission: callers that return after a rejection are recognized

Change: a request counts as returning if its caller will wait for less than nine tenths of the longest time seen lately on the route (returning_callers). This needs no store, and works at an entry that rejected nothing. Times beyond the route's own are cut: otherwise one caller could make all others count as returning. Only routes with stages are watched.

--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catalog/catalog_index.hpp"
+#include "decision/admission/returning_callers.hpp"
 #include "decision/cold_targets.hpp"
 #include "decision/decaying_max.hpp"
 #include "decision/drain.hpp"
@@ -138,6 +139,8 @@
         decision::decaying_max answer_time;
     };
     std::map<std::string, route_times> times_by_route; ///< By name.
+    /// The callers of each route with stages, by its name.
+    std::map<std::string, decision::returning_callers> callers_by_route;
     /// Executes the stage jobs of pipeline requests; set by the owner.
     job_executor* stage_executor = nullptr;
     std::map<std::string, decision::retry_budget> retry_budgets;
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -83,6 +83,7 @@
     awaitable<void> wait_during_startup(std::function<bool()> is_available);
     awaitable<void> wait_poll_interval();
     bool admit();
+    void apply_budget();
     bool is_declined_while_draining();
     decision::drain::request_duration expected_request_time() const;
     duration longest_answer_time() const;
@@ -171,6 +172,8 @@
     instant m_process_end = instant::max();
     /// Whether the process ends before the request was sent.
     bool m_is_aborted_by_shutdown = false;
+    /// Whether the caller retries after a rejection.
+    bool m_is_returning = false;
     refusal m_refusal = refusal::none;
     std::optional<decision::sending_record> m_sends;
     std::set<decision::target_incarnation> m_tried_targets;
--- a/packages/serving/exchange_admission.cpp
+++ b/packages/serving/exchange_admission.cpp
@@ -85,11 +85,7 @@
             return false;
         }
     }
-    duration time_limit = m_route->timeout;
-    if (m_metadata.budget)
-        time_limit =
-            std::min(time_limit, *m_metadata.budget - answer_transit_time);
-    m_deadline = m_started_at + time_limit;
+    apply_budget();
     if (is_declined_while_draining())
     {
         m_refusal = refusal::stopping;
@@ -102,6 +98,22 @@
     return true;
 }
 
+// A time beyond the route's own would make all other callers of the route count
+// as returning.
+void exchange::apply_budget()
+{
+    duration time_limit = m_route->timeout;
+    if (m_metadata.budget)
+    {
+        time_limit =
+            std::min(time_limit, *m_metadata.budget - answer_transit_time);
+        if (!m_route->stages.empty())
+            m_is_returning = m_context.callers_by_route[m_route->name].note(
+                std::min(*m_metadata.budget, m_route->timeout));
+    }
+    m_deadline = m_started_at + time_limit;
+}
+
 // A request that the end of this process would cut off is refused before any
 // work is done for it, so that the caller sends it to another entry.
 bool exchange::is_declined_while_draining()
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -44,6 +44,7 @@
     stage_terms terms;
     terms.urgency = urgency();
     terms.account = m_account == nullptr ? std::string() : m_account->name;
+    terms.is_returning = m_is_returning;
     terms.due = m_started_at + m_route->latency_objective -
                 times.time_to_first_event.mean_plus(1);
     terms.expires =
--- /dev/null
+++ b/tests/decision/admission/returning_callers_test.cpp
@@ -0,0 +1,26 @@
+#include "decision/admission/returning_callers.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+TEST_CASE("callers with less than nine tenths of the largest time return")
+{
+    returning_callers callers;
+    CHECK_FALSE(callers.note(6s));
+    CHECK_FALSE(callers.note(5500ms));
+    CHECK(callers.note(5s));
+}
+
+// Guards against callers that all count as returning for good, because one
+// caller once allowed a much longer time.
+TEST_CASE("a longer time is forgotten")
+{
+    returning_callers callers;
+    callers.note(60s);
+    CHECK(callers.note(6s));
+    for (int request = 0; request < 300; ++request)
+        callers.note(6s);
+    CHECK_FALSE(callers.note(6s));
+}
--- a/tests/serving/overload_test.cpp
+++ b/tests/serving/overload_test.cpp
@@ -94,3 +94,30 @@
     CHECK_FALSE(entry.jobs[1].accepts_rejection);
     CHECK_FALSE(entry.jobs[2].accepts_rejection);
 }
+
+// Guards against callers that are rejected again and again: those that return
+// go before others, at whichever entry they arrive, and that entry has rejected
+// nothing.
+TEST_CASE("a caller who has less time left than others counts as returning")
+{
+    rejecting_fixture entry;
+    entry.add_target(
+        "events",
+        [](const std::string&, std::size_t)
+        {
+            return scripted_target::response{
+                "", scripted_target::response::connection_action::hang};
+        });
+    const auto ask = [&entry](const std::string& budget)
+    {
+        entry.send_and_receive(request_text(
+            "/staged/", "r1", "Pieces: 21\r\nBudget: " + budget + "\r\n"));
+    };
+    ask("3000");
+    ask("2900");
+    ask("2000");
+    REQUIRE(entry.jobs.size() == 3);
+    CHECK_FALSE(entry.jobs[0].is_returning);
+    CHECK_FALSE(entry.jobs[1].is_returning);
+    CHECK(entry.jobs[2].is_returning);
+}
