Admission: work for later stages of other requests counts as arriving, too

Cause: at a service that some requests reach with their first stage and others with a later one, late jobs were kept for capacity that the later stages take. The window of recent sums was also up to a tenth too short, since its newest step was not over: a service at its capacity seemed to have a twentieth left.

Change: jobs of started requests count as arrivals in time; the oldest step of the window counts with the part that is within it.

--- a/packages/decision/admission/recent_counts.hpp
+++ b/packages/decision/admission/recent_counts.hpp
@@ -22,7 +22,7 @@
     {
         history& known = m_histories[key];
         advance(known, step_of(now));
-        known.sums[static_cast<std::size_t>(known.newest % steps)] += amount;
+        known.sums[bucket_of(known.newest)] += amount;
     }
 
     /// Returns the sum of \a key within the window that ends at \a now.
@@ -48,11 +48,12 @@
 
 private:
     static constexpr std::int64_t steps = 10;
+    static constexpr std::int64_t buckets = steps + 1;
 
     struct history
     {
         std::int64_t newest = 0; ///< Number of the newest step.
-        std::array<double, static_cast<std::size_t>(steps)> sums{};
+        std::array<double, static_cast<std::size_t>(buckets)> sums{};
     };
 
     std::int64_t step_of(instant now) const
@@ -60,24 +61,32 @@
         return now.time_since_epoch() / m_step;
     }
 
+    static std::size_t bucket_of(std::int64_t step)
+    {
+        return static_cast<std::size_t>((step + buckets) % buckets);
+    }
+
     static void advance(history& known, std::int64_t step)
     {
         const std::int64_t passed =
-            std::min(std::max<std::int64_t>(0, step - known.newest), steps);
+            std::min(std::max<std::int64_t>(0, step - known.newest), buckets);
         known.newest = std::max(known.newest, step);
         for (std::int64_t back = 0; back < passed; ++back)
-            known
-                .sums[static_cast<std::size_t>((known.newest - back) % steps)] =
-                0;
+            known.sums[bucket_of(known.newest - back)] = 0;
     }
 
+    // The newest step is not over yet, so the oldest counts with a part of it.
     double sum_of(history& known, instant now) const
     {
         advance(known, step_of(now));
+        const double passed_part =
+            static_cast<double>((now.time_since_epoch() % m_step).count()) /
+            static_cast<double>(m_step.count());
         double sum = 0;
-        for (const double part : known.sums)
-            sum += part;
-        return sum;
+        for (std::int64_t back = 0; back < steps; ++back)
+            sum += known.sums[bucket_of(known.newest - back)];
+        return sum +
+               (1 - passed_part) * known.sums[bucket_of(known.newest - steps)];
     }
 
     duration m_step;
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -233,6 +233,8 @@
     service_outlook own_outlook(instant now);
     void note_arrival(job_state& state, admission_forecast& forecast,
                       instant now);
+    void note_started_arrival(job_state& state, admission_forecast& forecast,
+                              instant now);
     std::vector<admission_candidate>
     unstarted_jobs(admission_forecast& forecast,
                    std::vector<job_state*>& states, instant now);
--- a/packages/decision/stages/call_planner_admission.cpp
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -87,6 +87,19 @@
         note(stage.service, stage.pieces);
 }
 
+// At a service that some requests reach with their first stage and others with
+// a later one, the latter take capacity that late jobs can't have either.
+void call_planner::note_started_arrival(job_state& state,
+                                        admission_forecast& forecast,
+                                        instant now)
+{
+    if (std::exchange(state.has_been_forecast, true) || state.job.is_late)
+        return;
+    m_admission.note_work_on_time(
+        {}, state.job.urgency,
+        forecast.outlook({}).time_per_piece * state.job.pieces, now);
+}
+
 std::vector<admission_candidate>
 call_planner::unstarted_jobs(admission_forecast& forecast,
                              std::vector<job_state*>& states, instant now)
@@ -101,6 +114,7 @@
         if (!state.is_unstarted())
         {
             forecast.add_started(state.job, pieces);
+            note_started_arrival(state, forecast, now);
             continue;
         }
         const auto starts = account_starts.find(state.job.account);
--- a/tests/decision/admission/overload_test.cpp
+++ b/tests/decision/admission/overload_test.cpp
@@ -246,6 +246,26 @@
         CHECK((each.done || each.rejected || each.expired));
 }
 
+// Load: jobs of started requests at the capacity of the service, beside jobs of
+// unstarted requests that are late when they arrive.
+// Guards against late requests that are kept until they expire: what arrives
+// for later stages of other requests takes the capacity as well.
+TEST_CASE("late jobs can't have the capacity that started requests take")
+{
+    overload_simulation simulation;
+    stage_job started = job_of({0, 1});
+    started.is_started = true;
+    simulation.add(0s, 20s, 266, started, 3s, 20s);
+    simulation.add(3s, 10s, 50, job_of({0, 1}), 0s, 4s);
+    simulation.run(30s);
+    const auto late = simulation.select([](const request& each)
+                                        { return !each.job.is_started; });
+    const auto at_once = simulation.select(
+        [](const request& each)
+        { return each.rejected && *each.rejected - each.arrives <= 50ms; });
+    CHECK(share(at_once.size(), late.size()) > 0.8);
+}
+
 // Guards against a 503 "overloaded" for a request whose stages may have run:
 // its call is lost, and meanwhile more urgent requests have taken the capacity.
 TEST_CASE("a job that was in a call is not rejected")
