Admission: a momentary loss of targets rejects nothing

Cause: targets whose call failed get no calls for the time of a call. The forecast took what was left for the rate to come: if the calls of seven of eight targets failed at once, most waiting jobs were rejected.

Change: the time per piece that the forecast uses takes a second to double.

Tests: test_decision passes; the new case fails without the change. test_serving passes.

--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -230,6 +230,8 @@
     job_order order_of(const job_state& state,
                        const stage_target& target) const;
     bool has_usable_target(instant now) const;
+    /// Returns the time per piece; if it rises, it takes a second to double.
+    duration steady_time_per_piece(instant now);
     service_outlook own_outlook(instant now);
     void note_arrival(job_state& state, admission_forecast& forecast,
                       instant now);
@@ -263,6 +265,8 @@
     std::optional<instant> m_last_arrival_at;
     instant m_planning_since{};
     instant m_forecast_at{};
+    double m_steady_ns_per_piece = 0; ///< 0 before the first forecast.
+    instant m_steady_rate_at{};
     bool m_is_forecast_outdated = true;
     bool m_is_overloaded = false; ///< Some waiting job will be late.
     double m_average_call_ns = 0; ///< Moving average; 0 before the first call.
--- a/packages/decision/stages/call_planner_admission.cpp
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -46,6 +46,20 @@
                        { return entry.second.backoff_until <= now; });
 }
 
+// Targets whose call failed get no calls for a moment. Taken for the rate to
+// come, what is left for that moment would reject most of the waiting jobs.
+duration call_planner::steady_time_per_piece(instant now)
+{
+    const auto current = static_cast<double>(time_per_piece(now).count());
+    const double passed_s =
+        std::chrono::duration<double>(now - m_steady_rate_at).count();
+    const double longest = m_steady_ns_per_piece * (1 + passed_s);
+    const bool is_known = m_steady_ns_per_piece > 0;
+    m_steady_ns_per_piece = is_known ? std::min(current, longest) : current;
+    m_steady_rate_at = now;
+    return duration(static_cast<duration::rep>(m_steady_ns_per_piece));
+}
+
 service_outlook call_planner::own_outlook(instant now)
 {
     instant first_free = instant::max();
@@ -57,7 +71,7 @@
                                                 target.unavailable_until()));
     const duration wait =
         m_targets.empty() ? duration::zero() : std::max(first_free, now) - now;
-    return {wait, wait, time_per_piece(now), average_call_time(),
+    return {wait, wait, steady_time_per_piece(now), average_call_time(),
             m_admission.spare_share({}, now)};
 }
 
--- a/tests/decision/admission/overload_test.cpp
+++ b/tests/decision/admission/overload_test.cpp
@@ -266,6 +266,36 @@
     CHECK(share(at_once.size(), late.size()) > 0.8);
 }
 
+// Guards against the rejection of all waiting requests because of a fault of
+// moments: the calls of seven of eight targets fail, and the targets get none
+// for the time of a call.
+TEST_CASE("a loss of targets leads to rejections only if it lasts")
+{
+    call_planner planner(overload_simulation::profile());
+    std::map<target_incarnation, std::string> zones;
+    for (int target = 0; target < 8; ++target)
+        zones["t" + std::to_string(target)] = "a";
+    planner.set_targets(zones);
+    const instant start{1h};
+    for (std::uint64_t number = 1; number <= 400; ++number)
+    {
+        stage_job job = job_of({0, 0});
+        job.number = number;
+        job.due = start + 9s;
+        job.expires = start + 10s;
+        planner.add(job);
+    }
+    CHECK(planner.take_rejected(start).empty());
+    CHECK(planner.take_rejected(start + 2s).empty());
+    planner.set_targets({{"t0", "a"}});
+    CHECK(planner.take_rejected(start + 2100ms).empty());
+    CHECK(planner.take_rejected(start + 2400ms).empty());
+    std::size_t rejected = 0;
+    for (duration later = 2500ms; later < 5s; later += 20ms)
+        rejected += planner.take_rejected(start + later).size();
+    CHECK(rejected > 100);
+}
+
 // Guards against a 503 "overloaded" for a request whose stages may have run:
 // its call is lost, and meanwhile more urgent requests have taken the capacity.
 TEST_CASE("a job that was in a call is not rejected")
