--- a/tests/decision/admission/overload_test.cpp
+++ b/tests/decision/admission/overload_test.cpp
@@ -266,9 +266,9 @@
     CHECK(share(at_once.size(), late.size()) > 0.8);
 }
 
-// Guards against the rejection of all waiting requests because of a fault of
-// moments: the calls of seven of eight targets fail, and the targets get none
-// for the time of a call.
+// Guards against the rejection of all waiting requests because of a
+// momentary fault: the calls of seven of eight targets fail, and the targets
+// get none for the time of a call.
 TEST_CASE("a loss of targets leads to rejections only if it lasts")
 {
     call_planner planner(overload_simulation::profile());
