Serving: stage results are released once the engine has them

Cause: results of 1.5 MB fill a stage target's memory (18 MB). They were released at the first event of the answer, 0.2 to 2 s after the engine had fetched them.

Ruled out: an early release for every engine. One without free slots fetches the results when the request gets a slot.

Change: with an engine that stated at least two free slots and nothing waiting within the last second, results are released 40 ms plus four transfer times after the request was sent. An attempt that fails without its inputs runs the stages again, once early and from then on with results kept until the first event; after a 409 that engine gets no early releases any more. Test targets can answer late.

--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -258,6 +258,7 @@
     forwarded_request.target(m_request.target());
     forwarded_request.body() = m_request.body();
     record_attempt_start(id);
+    schedule_early_release(id);
     const instant sent_at = m_context.now();
     m_sent_at = sent_at;
     if (!is_retry)
@@ -290,6 +291,7 @@
                                                   m_call->head().result_int() >=
                                                       500);
     }
+    outcome = outcome_without_inputs(outcome, id);
     record_attempt_end(id);
     m_call->release_connection();
     m_call.reset();
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -95,6 +95,14 @@
     std::string expected_engine_zone();
     awaitable<bool> run_stages();
     void release_stages();
+    /// Releases the stage results once \a engine must have fetched them, if it
+    /// does so at once.
+    void schedule_early_release(const decision::target_incarnation& engine);
+    /// Returns what follows after \a outcome of an attempt at \a engine whose
+    /// inputs were perhaps released.
+    attempt_outcome
+    outcome_without_inputs(attempt_outcome outcome,
+                           const decision::target_incarnation& engine);
     /// Sends the request to one target and relays its answer.
     awaitable<attempt_outcome> attempt();
     awaitable<attempt_outcome> relay_answer(target_call& call);
@@ -181,7 +189,9 @@
     std::optional<instant> m_cold_retry_at;
     /// When the first of the targets that may get no request now may get one.
     std::optional<send_time> m_next_send;
-    std::unique_ptr<stage_runner> m_stages;
+    std::shared_ptr<stage_runner> m_stages;
+    /// Whether the stages ran again since their results were released early.
+    bool m_has_lost_inputs = false;
     std::shared_ptr<target_call> m_call;
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
     bool m_is_head_sent = false;
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -23,11 +23,6 @@
 constexpr int timeout_factor = 3;
 constexpr duration timeout_margin = std::chrono::milliseconds(300);
 
-/// The longest time that a target takes to fetch the inputs of a call: a fixed
-/// part, plus this multiple of the transfer time of the bytes.
-constexpr duration min_fetch_time = std::chrono::milliseconds(40);
-constexpr double fetch_margin = 4;
-
 constexpr duration summary_interval = std::chrono::seconds(1);
 
 } // namespace
@@ -127,14 +122,12 @@
 duration piece_batcher::fetch_time(const service_queue& queue,
                                    const decision::planned_call& plan) const
 {
-    double bytes = 0;
+    std::uint64_t bytes = 0;
     for (const decision::piece_ref& ref : plan.pieces)
         if (const auto* job = queue.planner.find(ref.job))
-            bytes += static_cast<double>(job->input_bytes);
-    const double bytes_per_ns =
-        std::max(queue.planner.profile().link_bytes_per_s, 1.0) / 1e9;
-    return min_fetch_time + duration(static_cast<duration::rep>(
-                                fetch_margin * bytes / bytes_per_ns));
+            bytes += job->input_bytes;
+    return decision::input_release::fetch_time(
+        bytes, queue.planner.profile().link_bytes_per_s);
 }
 
 // A call that waits behind another one fetches its inputs when it begins. A job
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -1,6 +1,7 @@
 #include "serving/stage_runner.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace mangofold::serving
 {
@@ -301,8 +302,30 @@
     return bytes;
 }
 
+std::optional<duration> stage_runner::result_fetch_time() const
+{
+    std::uint64_t bytes = 0;
+    double slowest = std::numeric_limits<double>::infinity();
+    for (std::size_t index = 0; index < m_states.size(); ++index)
+    {
+        const stage_state& state = m_states[index];
+        if (has_dependents(index) || state.handles.empty())
+            continue;
+        const catalog::stage& stage = m_route.stages[index];
+        const auto* service = m_context.catalog->find_service(stage.service);
+        if (service == nullptr || !service->calls)
+            return std::nullopt;
+        bytes += stage.result_bytes * state.handles.size();
+        slowest = std::min(slowest, service->calls->link_bytes_per_s);
+    }
+    if (bytes == 0)
+        return std::nullopt;
+    return decision::input_release::fetch_time(bytes, slowest);
+}
+
 void stage_runner::release()
 {
+    m_is_released = true;
     for (std::size_t index = 0; index < m_states.size(); ++index)
     {
         stage_state& state = m_states[index];
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,8 +49,13 @@
     /// them.
     std::map<std::string, std::uint64_t> result_bytes_by_zone() const;
 
+    /// Returns the time in which an engine fetches those results, or nothing
+    /// if there are none.
+    std::optional<duration> result_fetch_time() const;
+
     /// Releases all results that are still held.
     void release();
+    bool is_released() const { return m_is_released; }
 
 private:
     enum class stage_status : std::uint8_t
@@ -99,6 +105,7 @@
     std::shared_ptr<auto_reset_event> m_changed;
     std::vector<stage_state> m_states;
     bool m_is_aborted = false;
+    bool m_is_released = false;
     /// Whether a job was already late when it was started.
     bool m_is_late = false;
 };
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -1,5 +1,7 @@
 #include "support/scripted_target.hpp"
 
+#include "serving/loop_timer.hpp"
+
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <array>
@@ -26,6 +28,20 @@
     return bytes.size() < length ? 0 : length;
 }
 
+awaitable<void> send_response(asio::io_context& loop, tcp::socket& socket,
+                              const scripted_target::response& reply)
+{
+    error_code fault;
+    if (reply.delay > duration::zero())
+    {
+        loop_timer timer(loop, reply.delay);
+        co_await timer.async_wait(store_error_in(fault));
+    }
+    if (!reply.bytes.empty())
+        co_await asio::async_write(socket, asio::buffer(reply.bytes),
+                                   store_error_in(fault));
+}
+
 } // namespace
 
 scripted_target::scripted_target(asio::io_context& loop, script respond)
@@ -77,9 +93,7 @@
         bytes.erase(0, length);
         const response reply =
             m_script(m_requests.back(), m_requests.size() - 1);
-        if (!reply.bytes.empty())
-            co_await asio::async_write(socket, asio::buffer(reply.bytes),
-                                       store_error_in(fault));
+        co_await send_response(m_loop, socket, reply);
         if (reply.action == response::connection_action::reset)
             socket.set_option(asio::socket_base::linger(true, 0), fault);
         if (reply.action == response::connection_action::reset ||
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -27,6 +27,7 @@
             reset,
             hang ///< Like keep, for answers that never arrive or complete.
         } action = connection_action::keep;
+        serving::duration delay{}; ///< Before the bytes are sent.
     };
     /// Called with the bytes of each request, including its head, and its
     /// number from 0.
