--- a/packages/decision/admission/returning_callers.hpp
+++ b/packages/decision/admission/returning_callers.hpp
@@ -12,15 +12,18 @@
 class returning_callers
 {
 public:
-    /// Records that a request will be waited for \a budget, and returns whether
-    /// its caller probably retries.
-    bool note(duration budget)
+    /// Records that a request will be waited for \a budget. Returns how long
+    /// its caller has waited since a probable first try, or zero at a first
+    /// try.
+    duration note(duration budget)
     {
         m_largest.add(budget);
         // Callers follow delays of a call's time or more, which take up more
         // than a tenth of the time that they allow.
         constexpr int first_try_percent = 90;
-        return budget < m_largest.value() / 100 * first_try_percent;
+        const bool is_first_try =
+            budget >= m_largest.value() / 100 * first_try_percent;
+        return is_first_try ? duration::zero() : m_largest.value() - budget;
     }
 
 private:
--- a/packages/serving/exchange_admission.cpp
+++ b/packages/serving/exchange_admission.cpp
@@ -108,7 +108,7 @@
         time_limit =
             std::min(time_limit, *m_metadata.budget - answer_transit_time);
         if (!m_route->stages.empty())
-            m_is_returning = m_context.callers_by_route[m_route->name].note(
+            m_waited_before = m_context.callers_by_route[m_route->name].note(
                 std::min(*m_metadata.budget, m_route->timeout));
     }
     m_deadline = m_started_at + time_limit;
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -38,14 +38,17 @@
     return target == nullptr ? std::string() : target->zone;
 }
 
+// The caller of a request counts its latency from its first try. A returning
+// request that counted as new would take the place of one that can still be in
+// time.
 stage_terms
 exchange::stage_terms_for(const entry_context::route_times& times) const
 {
     stage_terms terms;
     terms.urgency = urgency();
     terms.account = m_account == nullptr ? std::string() : m_account->name;
-    terms.is_returning = m_is_returning;
-    terms.due = m_started_at + m_route->latency_objective -
+    terms.is_returning = m_waited_before > duration::zero();
+    terms.due = m_started_at - m_waited_before + m_route->latency_objective -
                 times.time_to_first_event.mean_plus(1);
     terms.expires =
         std::min(stages_deadline() - times.time_to_first_event.mean(),
--- a/tests/decision/admission/returning_callers_test.cpp
+++ b/tests/decision/admission/returning_callers_test.cpp
@@ -8,9 +8,11 @@
 TEST_CASE("callers with less than nine tenths of the largest time return")
 {
     returning_callers callers;
-    CHECK_FALSE(callers.note(6s));
-    CHECK_FALSE(callers.note(5500ms));
-    CHECK(callers.note(5s));
+    CHECK(callers.note(6s) == 0s);
+    CHECK(callers.note(5500ms) == 0s);
+    // The largest time has decayed a little.
+    CHECK(callers.note(5s) > 800ms);
+    CHECK(callers.note(4s) < 2s);
 }
 
 // Guards against callers that all count as returning for good, because one
@@ -19,8 +21,8 @@
 {
     returning_callers callers;
     callers.note(60s);
-    CHECK(callers.note(6s));
+    CHECK(callers.note(6s) > 50s);
     for (int request = 0; request < 300; ++request)
         callers.note(6s);
-    CHECK_FALSE(callers.note(6s));
+    CHECK(callers.note(6s) == 0s);
 }
--- a/tests/serving/overload_test.cpp
+++ b/tests/serving/overload_test.cpp
@@ -120,4 +120,6 @@
     CHECK_FALSE(entry.jobs[0].is_returning);
     CHECK_FALSE(entry.jobs[1].is_returning);
     CHECK(entry.jobs[2].is_returning);
+    // Its first try was about a second before.
+    CHECK(entry.jobs[2].due < entry.jobs[1].due - 800ms);
 }
