Tests: cached segments and connections in engine scheduling

Cause: no test said that shorter times to the first event don't come from reading shared segments at more engines, nor that questions on two connections with the same number are kept apart.

--- a/tests/decision/engines/engine_fleet_simulation.hpp
+++ b/tests/decision/engines/engine_fleet_simulation.hpp
@@ -62,6 +62,7 @@
     {
         m_first_event_times.clear();
         m_sent_to.assign(m_engines.size(), 0);
+        m_shared_reads = 0;
     }
 
     decision::duration first_event_time(double quantile)
@@ -71,6 +72,9 @@
             quantile * static_cast<double>(m_first_event_times.size() - 1)));
     }
 
+    /// Returns how often an engine read a shared segment.
+    std::size_t shared_reads() const { return m_shared_reads; }
+
     /// Returns the number of generations sent to each engine.
     const std::vector<std::size_t>& sent_to() const { return m_sent_to; }
 
@@ -141,13 +145,18 @@
 
     decision::duration read_time(engine& reader,
                                  const decision::generation_request& work,
-                                 double pace) const
+                                 double pace)
     {
         double tokens = 0;
         for (const auto& segment : work.prompt)
         {
-            if (!reader.last_used.contains(segment.id))
+            const auto cached = reader.last_used.find(segment.id);
+            if (cached == reader.last_used.end() ||
+                cached->second + cache_lifetime <= m_now)
+            {
                 tokens += segment.tokens;
+                m_shared_reads += segment.id != work.prompt.back().id;
+            }
             reader.last_used[segment.id] = m_now;
         }
         constexpr double ns_per_token = 25000;
@@ -173,6 +182,10 @@
             }
     }
 
+    /// How long engines keep a segment after its last use.
+    static constexpr decision::duration cache_lifetime =
+        std::chrono::seconds(30);
+
     options m_options;
     std::vector<engine> m_engines;
     std::vector<decision::listed_target> m_targets;
@@ -180,6 +193,7 @@
     std::vector<std::unique_ptr<decider>> m_deciders;
     std::vector<decision::duration> m_first_event_times;
     std::vector<std::size_t> m_sent_to;
+    std::size_t m_shared_reads = 0;
     decision::random_source m_random{5};
     decision::instant m_now{std::chrono::hours(1)};
     std::uint64_t m_started = 0;
--- a/tests/decision/engines/engine_scheduling_simulation_test.cpp
+++ b/tests/decision/engines/engine_scheduling_simulation_test.cpp
@@ -20,7 +20,8 @@
     return *std::max_element(sent.begin(), sent.end());
 }
 
-decision::duration slow_time(bool has_scheduler)
+/// Runs 31 entries and engines that are three to one in speed.
+test::engine_fleet_simulation run_uneven_fleet(bool has_scheduler)
 {
     test::engine_fleet_simulation::options options;
     options.entries = 31;
@@ -31,8 +32,8 @@
     test::engine_fleet_simulation fleet(options);
     fleet.advance(5s);
     fleet.reset_statistics();
-    fleet.advance(10s);
-    return fleet.first_event_time(0.9);
+    fleet.advance(20s);
+    return fleet;
 }
 
 } // namespace
@@ -50,9 +51,15 @@
 // generations to know the engines.
 TEST_CASE("a scheduler shortens the time to the first event")
 {
-    const decision::duration without = slow_time(false);
-    const decision::duration with = slow_time(true);
+    auto alone = run_uneven_fleet(false);
+    auto scheduled = run_uneven_fleet(true);
+    const decision::duration without = alone.first_event_time(0.9);
+    const decision::duration with = scheduled.first_event_time(0.9);
     CAPTURE(without.count() / 1000000);
     CAPTURE(with.count() / 1000000);
     CHECK(with < without * 2 / 3);
+    // Shared segments must not be read at more engines for that.
+    CAPTURE(alone.shared_reads());
+    CAPTURE(scheduled.shared_reads());
+    CHECK(scheduled.shared_reads() <= alone.shared_reads());
 }
--- a/tests/serving/peer_server_test.cpp
+++ b/tests/serving/peer_server_test.cpp
@@ -1,3 +1,4 @@
+#include "serving/engine_scheduler.hpp"
 #include "serving/peer_messages.hpp"
 #include "serving/peer_server.hpp"
 #include "support/serving_fixture.hpp"
@@ -127,6 +128,54 @@
     CHECK(entry.first_frame(same).pong().holding().limits_size() == 0);
 }
 
+namespace
+{
+
+struct unused_channel : placement_channel
+{
+    std::string scheduler_of(const std::string&) override { return {}; }
+    void send(const std::string&, const peer::Frame&) override {}
+};
+
+} // namespace
+
+// Guards against engines that count as busy after their entry died, and against
+// the generations of two connections that have the same number.
+TEST_CASE("questions for engines belong to the connection that they came on")
+{
+    copy_source entry;
+    unused_channel channel;
+    engine_scheduler scheduler(*entry.context, channel);
+    entry.context->scheduler = &scheduler;
+    entry.context->directory.note(
+        {"t1", "events", "127.0.0.1:9", "a", 4, false, 1});
+    peer::Frame question;
+    question.mutable_placement_request()->set_number(7);
+    question.mutable_placement_request()->set_service("events");
+    const auto first = entry.connect();
+    const auto second = entry.connect();
+    for (const auto& other : {first, second})
+    {
+        other->send(question);
+        const peer::Frame reply = entry.first_frame(other);
+        CHECK(reply.placement().number() == 7);
+        CHECK(reply.placement().target() == "t1");
+    }
+    CHECK(entry.context->generations.size() == 2);
+    first->close();
+    entry.settle();
+    entry.time.advance(std::chrono::seconds(2));
+    scheduler.maintain();
+    CHECK(entry.context->generations.size() == 1);
+    peer::Frame update;
+    update.mutable_generation_update()->set_number(7);
+    update.mutable_generation_update()->set_event(
+        peer::GenerationUpdate::ENDED);
+    second->send(update);
+    entry.run_until([&] { return entry.context->generations.size() == 0; });
+    entry.context->scheduler = nullptr;
+}
+
 // Guards against a limit that no entry can keep, from a faulty entry.
 TEST_CASE("invalid limits from another entry are ignored")
 {
