Decision: forget engines that get nothing any more

Cause: the selector kept each incarnation of an engine for good, with the hundreds of cached segments that a scheduler knows of it.

Ruled out: removing what the list of targets does not contain. Engines are removed and listed again while the source is away.

Change: an engine that runs nothing and has had nothing for the time that segments stay cached is removed. The fleet simulation gets slow periods.

--- a/packages/decision/engines/engine_selector.cpp
+++ b/packages/decision/engines/engine_selector.cpp
@@ -179,6 +179,7 @@
     engine.queued_tokens += tokens;
     engine.held_tokens += tokens + work.max_output_tokens;
     ++engine.running;
+    engine.last_sent_at = now;
     m_affinity.note_placed(work.prompt, tokens + running_cost, now);
     return tokens;
 }
@@ -247,6 +248,19 @@
     engine.backoff_until = {};
 }
 
+void engine_selector::expire(instant now)
+{
+    std::erase_if(m_engines,
+                  [now](const auto& known)
+                  {
+                      const engine_state& engine = known.second;
+                      return engine.running == 0 &&
+                             engine.last_sent_at + cache_lifetime <= now &&
+                             engine.backoff_until <= now;
+                  });
+    m_pace.expire(now);
+}
+
 bool engine_selector::is_backed_off(const target_incarnation& target,
                                     instant now) const
 {
--- a/packages/decision/engines/engine_selector.hpp
+++ b/packages/decision/engines/engine_selector.hpp
@@ -98,6 +98,13 @@
     /// Whether \a target gets nothing for a while after a failure.
     bool is_backed_off(const target_incarnation& target, instant now) const;
 
+    /// Removes the engines that run nothing and have had nothing for so long
+    /// that nothing is cached there, such as those that have ended.
+    void expire(instant now);
+
+    /// Returns the number of engines that are recorded.
+    std::size_t size() const { return m_engines.size(); }
+
     engine_pace& pace() { return m_pace; }
     const engine_pace& pace() const { return m_pace; }
 
@@ -114,6 +121,7 @@
         std::uint32_t running = 0; ///< Generations.
         std::uint32_t consecutive_failures = 0;
         instant backoff_until{};
+        instant last_sent_at{};
         std::unordered_map<std::string, instant> last_used; ///< By segment id.
     };
 
--- a/packages/decision/engines/generation_record.cpp
+++ b/packages/decision/engines/generation_record.cpp
@@ -102,7 +102,7 @@
     }
     std::erase_if(m_lost_senders, [now](const auto& lost)
                   { return now >= lost.second + lost_sender_time; });
-    m_engines.pace().expire(now);
+    m_engines.expire(now);
 }
 
 } // namespace mangofold::decision
--- a/tests/decision/engines/engine_fleet_simulation.hpp
+++ b/tests/decision/engines/engine_fleet_simulation.hpp
@@ -24,6 +24,7 @@
         std::vector<double> paces; ///< Of the engines; 2 is half the speed.
         double per_second = 100;   ///< Generations of the fleet.
         bool has_scheduler = false;
+        double slow_share = 0; ///< Of the time, in periods of 600 ms.
         bool reports_first_events = true; ///< Or only ends.
     };
 
@@ -134,18 +135,18 @@
         ++m_sent_to[number];
         engine& chosen = m_engines[number];
         chosen.free_at = std::max(chosen.free_at, m_now) +
-                         read_time(chosen, work, m_options.paces[number]);
+                         read_time(chosen, work, pace(number));
         const auto first_event_at =
             chosen.free_at +
-            decision::duration(static_cast<decision::duration::rep>(
-                50e6 * m_options.paces[number]));
+            decision::duration(
+                static_cast<decision::duration::rep>(50e6 * pace(number)));
         m_first_event_times.push_back(first_event_at - m_now);
         chosen.unread.push_back({key, index, m_now, first_event_at});
     }
 
     decision::duration read_time(engine& reader,
                                  const decision::generation_request& work,
-                                 double pace)
+                                 double current_pace)
     {
         double tokens = 0;
         for (const auto& segment : work.prompt)
@@ -160,8 +161,20 @@
             reader.last_used[segment.id] = m_now;
         }
         constexpr double ns_per_token = 25000;
-        return decision::duration(
-            static_cast<decision::duration::rep>(tokens * ns_per_token * pace));
+        return decision::duration(static_cast<decision::duration::rep>(
+            tokens * ns_per_token * current_pace));
+    }
+
+    /// Returns the pace of an engine now: slow periods take 2.5 times as long.
+    double pace(std::size_t engine_number) const
+    {
+        constexpr decision::duration period = std::chrono::milliseconds(600);
+        const auto number =
+            static_cast<std::uint64_t>(m_now.time_since_epoch() / period);
+        decision::random_source random(number * m_engines.size() +
+                                       engine_number);
+        const bool is_slow = random.fraction() < m_options.slow_share;
+        return m_options.paces[engine_number] * (is_slow ? 2.5 : 1);
     }
 
     void deliver_events()
--- a/tests/decision/engines/engine_scheduling_simulation_test.cpp
+++ b/tests/decision/engines/engine_scheduling_simulation_test.cpp
@@ -63,3 +63,28 @@
     CAPTURE(scheduled.shared_reads());
     CHECK(scheduled.shared_reads() <= alone.shared_reads());
 }
+
+// Load: each engine is slow for 600 ms now and then, 15 % of the time. Guards
+// against requests that wait at a slow engine while others are free.
+TEST_CASE("slow periods of engines delay few generations")
+{
+    const auto late_time = [](bool has_scheduler)
+    {
+        test::engine_fleet_simulation::options options;
+        options.entries = 31;
+        options.per_second = 160;
+        options.has_scheduler = has_scheduler;
+        options.slow_share = 0.15;
+        options.paces.assign(24, 1.0);
+        test::engine_fleet_simulation fleet(options);
+        fleet.advance(5s);
+        fleet.reset_statistics();
+        fleet.advance(20s);
+        return fleet.first_event_time(0.99);
+    };
+    const decision::duration without = late_time(false);
+    const decision::duration with = late_time(true);
+    CAPTURE(without.count() / 1000000);
+    CAPTURE(with.count() / 1000000);
+    CHECK(with < without * 2 / 3);
+}
--- a/tests/decision/engines/generation_record_test.cpp
+++ b/tests/decision/engines/generation_record_test.cpp
@@ -55,6 +55,19 @@
     CHECK(world.choose(start) == &world.first);
 }
 
+// Guards against records that grow with each restart of an engine: a scheduler
+// holds hundreds of cached segments by engine.
+TEST_CASE("an engine that gets nothing any more is forgotten")
+{
+    recorded_engines world;
+    world.record.add({"", 1}, {"e1", 5}, world.work, start);
+    world.record.expire(start + 1min);
+    CHECK(world.engines.size() == 1); // It still runs the generation.
+    world.record.note_event({"", 1}, generation_event::ended, 1s, start + 1min);
+    world.record.expire(start + 1min);
+    CHECK(world.engines.size() == 0);
+}
+
 // Guards against prompts that are read again after another entry, which may be
 // partitioned from an engine, reports that the engine does not answer.
 TEST_CASE("a failure reported by another entry leaves the cached segments")
