--- a/tests/decision/engines/engine_fleet_simulation.hpp
+++ b/tests/decision/engines/engine_fleet_simulation.hpp
@@ -24,6 +24,7 @@
         std::vector<double> paces; ///< Of the engines; 2 is half the speed.
         double per_second = 100;   ///< Generations of the fleet.
         bool has_scheduler = false;
+        double slow_share = 0; ///< Of the time, in periods of 600 ms.
         bool reports_first_events = true; ///< Or only ends.
     };
 
@@ -62,6 +63,7 @@
     {
         m_first_event_times.clear();
         m_sent_to.assign(m_engines.size(), 0);
+        m_shared_reads = 0;
     }
 
     decision::duration first_event_time(double quantile)
@@ -71,6 +73,9 @@
             quantile * static_cast<double>(m_first_event_times.size() - 1)));
     }
 
+    /// Returns how often an engine read a shared segment.
+    std::size_t shared_reads() const { return m_shared_reads; }
+
     /// Returns the number of generations sent to each engine.
     const std::vector<std::size_t>& sent_to() const { return m_sent_to; }
 
@@ -130,29 +135,46 @@
         ++m_sent_to[number];
         engine& chosen = m_engines[number];
         chosen.free_at = std::max(chosen.free_at, m_now) +
-                         read_time(chosen, work, m_options.paces[number]);
+                         read_time(chosen, work, pace(number));
         const auto first_event_at =
             chosen.free_at +
-            decision::duration(static_cast<decision::duration::rep>(
-                50e6 * m_options.paces[number]));
+            decision::duration(
+                static_cast<decision::duration::rep>(50e6 * pace(number)));
         m_first_event_times.push_back(first_event_at - m_now);
         chosen.unread.push_back({key, index, m_now, first_event_at});
     }
 
     decision::duration read_time(engine& reader,
                                  const decision::generation_request& work,
-                                 double pace) const
+                                 double current_pace)
     {
         double tokens = 0;
         for (const auto& segment : work.prompt)
         {
-            if (!reader.last_used.contains(segment.id))
+            const auto cached = reader.last_used.find(segment.id);
+            if (cached == reader.last_used.end() ||
+                cached->second + cache_lifetime <= m_now)
+            {
                 tokens += segment.tokens;
+                m_shared_reads += segment.id != work.prompt.back().id;
+            }
             reader.last_used[segment.id] = m_now;
         }
         constexpr double ns_per_token = 25000;
-        return decision::duration(
-            static_cast<decision::duration::rep>(tokens * ns_per_token * pace));
+        return decision::duration(static_cast<decision::duration::rep>(
+            tokens * ns_per_token * current_pace));
+    }
+
+    /// Returns the pace of an engine now: slow periods take 2.5 times as long.
+    double pace(std::size_t engine_number) const
+    {
+        constexpr decision::duration period = std::chrono::milliseconds(600);
+        const auto number =
+            static_cast<std::uint64_t>(m_now.time_since_epoch() / period);
+        decision::random_source random(number * m_engines.size() +
+                                       engine_number);
+        const bool is_slow = random.fraction() < m_options.slow_share;
+        return m_options.paces[engine_number] * (is_slow ? 2.5 : 1);
     }
 
     void deliver_events()
@@ -173,6 +195,10 @@
             }
     }
 
+    /// How long engines keep a segment after its last use.
+    static constexpr decision::duration cache_lifetime =
+        std::chrono::seconds(30);
+
     options m_options;
     std::vector<engine> m_engines;
     std::vector<decision::listed_target> m_targets;
@@ -180,6 +206,7 @@
     std::vector<std::unique_ptr<decider>> m_deciders;
     std::vector<decision::duration> m_first_event_times;
     std::vector<std::size_t> m_sent_to;
+    std::size_t m_shared_reads = 0;
     decision::random_source m_random{5};
     decision::instant m_now{std::chrono::hours(1)};
     std::uint64_t m_started = 0;
