Stages: pace and occupation of targets; unwanted pieces join no call

Cause: targets state their load and the pace of their machine, and calls were ordered by the latest duration only. Pieces whose caller had left, or whose job had failed, were dropped at the next tick of 20 ms and could join a call before.

Ruled out: trusting a statement further. A target that states nonsense would get no calls, or calls that are given up too soon.

Change: target_pace learns what a target usually takes and applies a stated pace for 100 ms, both within bounds. Targets occupied by calls of another entry come after others; a statement that calls don't confirm is not believed again. The expected duration of a call is never below the measured one.

--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -112,10 +112,12 @@
         target.drop_expired(now);
         found.push_back(&target);
     }
-    const auto rank = [this](const stage_target* target)
+    const auto rank = [this, now](const stage_target* target)
     {
         return std::tuple(target->calls_in_progress >= m_profile.slots,
-                          target->slowdown, target->stored_bytes);
+                          target->pace.occupied_until() > now, target->slowdown,
+                          target->pace.expected(m_profile.time_per_call, now),
+                          target->stored_bytes);
     };
     std::sort(found.begin(), found.end(),
               [&rank](const stage_target* left, const stage_target* right)
@@ -211,7 +213,8 @@
 bool call_planner::may_run(const stage_job& job,
                            const downstream_estimates& downstream) const
 {
-    return job.is_started || downstream.may_start(job, average_call_time());
+    return downstream.is_wanted(job) &&
+           (job.is_started || downstream.may_start(job, average_call_time()));
 }
 
 // Requests that may have crashed a target share no call with most others, so
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -42,6 +42,9 @@
     /// Whether a request of which no stage was started yet may start now.
     std::function<bool(const stage_job&, duration call)> may_start =
         [](const stage_job&, duration) { return true; };
+    /// Whether a request still waits for a job.
+    std::function<bool(const stage_job&)> is_wanted = [](const stage_job&)
+    { return true; };
 };
 
 /// Batches the pieces of all requests into calls to one stage service.
@@ -86,6 +89,10 @@
     /// Records that \a call was answered after \a took.
     void note_call_answered(const planned_call& call, duration took,
                             instant now);
+    /// Records the load that \a target stated in a response at \a now. Must be
+    /// called before the call of the response is recorded as ended.
+    void note_load(const target_incarnation& target,
+                   const target_load_report& report, instant now);
     /// Records that \a call failed without running, or that the target refused
     /// it because its queue \a is_full.
     void note_call_failed(const planned_call& call, bool is_full, instant now);
--- a/packages/decision/stages/call_planner_calls.cpp
+++ b/packages/decision/stages/call_planner_calls.cpp
@@ -60,7 +60,12 @@
     if (is_filled)
         m_throughput.note_call(call.pieces.size());
     call.number = ++m_planned_calls;
-    call.expected_time = expected_time(target, call.pieces.size());
+    // Never below the measured time: calls are given up by this one.
+    const duration nominal = m_profile.time_per_call +
+                             m_profile.time_per_piece *
+                                 static_cast<duration::rep>(call.pieces.size());
+    call.expected_time = std::max(expected_time(target, call.pieces.size()),
+                                  target.pace.expected(nominal, now));
     ++target.calls_in_progress;
     if (!call.is_ahead)
     {
--- a/packages/decision/stages/call_planner_outcomes.cpp
+++ b/packages/decision/stages/call_planner_outcomes.cpp
@@ -48,6 +48,7 @@
             ? ns
             : m_average_call_ns + average_weight * (ns - m_average_call_ns);
     const double measured = static_cast<double>(took.count()) / nominal;
+    target.pace.note_call(duration(static_cast<duration::rep>(nominal)), took);
     // One fast call shows that a slow period is over; one slow call may have
     // had other causes.
     target.slowdown = measured < slow_threshold
@@ -56,6 +57,15 @@
                                 latest_call_weight * measured;
 }
 
+void call_planner::note_load(const target_incarnation& target,
+                             const target_load_report& report, instant now)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.pace.note_load(report, found->second.calls_in_progress,
+                                     average_call_time(), now);
+}
+
 void call_planner::note_call_failed(const planned_call& call, bool is_full,
                                     instant now)
 {
--- a/packages/decision/stages/stage_target.hpp
+++ b/packages/decision/stages/stage_target.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/stages/target_pace.hpp"
 #include "decision/target_incarnation.hpp"
 #include "decision/time.hpp"
 
@@ -30,6 +31,7 @@
     std::uint64_t unstarted_call = 0;
     instant no_calls_ahead_until{};
     double slowdown = 1; ///< Measured call duration over the nominal one.
+    target_pace pace;    ///< As stated by the target, and learned.
     instant last_call_ended_at{};
     std::uint32_t consecutive_failures = 0;
     instant backoff_until{};          ///< Gets no calls before this time.
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -35,6 +35,16 @@
     m_estimates.may_start =
         [this](const decision::stage_job& job, duration call_time)
     { return forecast_for(job, call_time, job.is_late).may_start; };
+    m_estimates.is_wanted = [this](const decision::stage_job& job)
+    {
+        // Numbers are unique over all services.
+        for (const auto& [service, queue] : m_queues)
+            if (const auto accepted = queue->jobs.find(job.number);
+                accepted != queue->jobs.end())
+                return !accepted->second.failure &&
+                       accepted->second.is_wanted();
+        return true;
+    };
 }
 
 piece_batcher::service_queue*
@@ -192,6 +202,9 @@
     // no need of the rest that it asks for.
     if (state == target_call::outcome::ok && !(is_full && plan.is_ahead))
         record_target_statements(m_context, *sent_call, started_at);
+    if (state == target_call::outcome::ok && sent_call->metadata().load)
+        queue.planner.note_load(plan.target, *sent_call->metadata().load,
+                                m_context.now());
     while (state == target_call::outcome::ok && !sent_call->is_complete())
         state = co_await sent_call->read_more(timeout);
     const instant now = m_context.now();
