Serving: cancelled jobs are dropped at the batching entry at once

Cause: the entry that batches a service learnt with the next ping that a caller had left or a sibling stage had failed. Until then the pieces joined calls.

Change: cancelling a job sends JobDropped at once; the ping still sends what was missed. No call is planned with a job that nobody wants.

--- a/packages/serving/job_executor.hpp
+++ b/packages/serving/job_executor.hpp
@@ -3,6 +3,7 @@
 #include "decision/stages/stage_job.hpp"
 #include "serving/auto_reset_event.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,14 +51,26 @@
     bool has_fetched_inputs() const { return m_has_fetched_inputs; }
 
     /// Notes that the request no longer waits for the job.
-    void cancel() { m_is_cancelled = true; }
+    void cancel()
+    {
+        m_is_cancelled = true;
+        if (m_on_cancel && !m_outcome)
+            m_on_cancel();
+    }
     bool is_cancelled() const { return m_is_cancelled; }
 
+    /// Sets what is called when the job is cancelled before its outcome.
+    void set_on_cancel(std::function<void()> on_cancel)
+    {
+        m_on_cancel = std::move(on_cancel);
+    }
+
 private:
     std::shared_ptr<auto_reset_event> m_changed;
     std::optional<job_outcome> m_outcome;
     bool m_has_fetched_inputs = false;
     bool m_is_cancelled = false;
+    std::function<void()> m_on_cancel;
 };
 
 using pending_job_ptr = std::shared_ptr<pending_job>;
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -263,6 +263,13 @@
     if (m_submitted.empty())
         m_ping_now.set();
     job.number = m_next_number++;
+    // At the next ping, pieces that nobody wants would be in a call already.
+    pending->set_on_cancel(
+        [link = weak_from_this()]
+        {
+            if (const auto self = link.lock())
+                self->cancel_unwanted_jobs();
+        });
     m_socket->send(job_frame(service, job, m_context.now()));
     m_submitted[job.number] = {service, std::move(job), std::move(pending)};
 }
--- a/tests/serving/peer_link_test.cpp
+++ b/tests/serving/peer_link_test.cpp
@@ -85,6 +85,18 @@
     CHECK(fixture.link->is_alive());
 }
 
+// Guards against calls with pieces that nobody waits for: the batching entry
+// learnt of a caller that had left with the next ping only.
+TEST_CASE("a cancelled job is dropped at once")
+{
+    link_fixture fixture;
+    fixture.pending->cancel();
+    fixture.run_until([&] { return fixture.other.dropped_jobs == 1; });
+    fixture.pending->cancel();
+    fixture.settle();
+    CHECK(fixture.other.dropped_jobs == 1);
+}
+
 namespace
 {
 
--- a/tests/support/fake_entry.hpp
+++ b/tests/support/fake_entry.hpp
@@ -47,6 +47,8 @@
         {
             if (frame->content_case() == peer::Frame::kJob)
                 requested_jobs.push_back(frame->job().request());
+            if (frame->content_case() == peer::Frame::kJobDropped)
+                ++dropped_jobs;
             if (frame->content_case() == peer::Frame::kWant &&
                 frame->want().catalog())
                 ++catalog_requests;
@@ -68,6 +70,7 @@
     frame_socket_ptr connection;
     std::size_t connections = 0;
     std::vector<std::string> requested_jobs;
+    std::size_t dropped_jobs = 0;
     std::size_t catalog_requests = 0;
     peer::Holding holding;
 };
