--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -168,9 +168,19 @@
 
 // Requests that may have crashed a target share no call with most others, so
 // their calls are filled in order.
+// A job that prefers another zone must not take the place of one that prefers
+// the target's, or most results would cross zones while there is a backlog.
+std::uint32_t call_planner::filling_group(const job_state& state,
+                                          const stage_target& target)
+{
+    const stage_job& job = state.job;
+    const bool is_remote = !job.zone.empty() && job.zone != target.zone;
+    return (job.is_late ? 2U : 0U) + (is_remote ? 1U : 0U);
+}
+
 void call_planner::prefer_full_call(
-    std::vector<job_state*>& order, std::size_t space,
-    const downstream_estimates& downstream) const
+    std::vector<job_state*>& order, const stage_target& target,
+    std::size_t space, const downstream_estimates& downstream) const
 {
     std::vector<job_state*> considered;
     std::vector<fillable_job> jobs;
@@ -184,7 +194,7 @@
             return;
         considered.push_back(state);
         jobs.push_back({static_cast<std::uint32_t>(state->waiting.size()),
-                        state->was_passed_over, state->job.is_late ? 1U : 0U});
+                        state->was_passed_over, filling_group(*state, target)});
     }
     const call_filling filling = fill_call(jobs, space);
     for (const std::size_t position : filling.passed_over)
@@ -224,7 +234,7 @@
     if (is_probe)
         std::reverse(order.begin(), order.end());
     else if (m_waiting_pieces > space)
-        prefer_full_call(order, space, downstream);
+        prefer_full_call(order, target, space, downstream);
     for (job_state* state : order)
     {
         if (space == 0 || (is_probe && !call.pieces.empty()))
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -277,7 +277,10 @@
                  const downstream_estimates& downstream) const;
     /// Moves the jobs that together fill a call with \a space best to the front
     /// of \a order.
-    void prefer_full_call(std::vector<job_state*>& order, std::size_t space,
+    static std::uint32_t filling_group(const job_state& state,
+                                       const stage_target& target);
+    void prefer_full_call(std::vector<job_state*>& order,
+                          const stage_target& target, std::size_t space,
                           const downstream_estimates& downstream) const;
     void add_pieces(planned_call& call, stage_target& target, job_state& state,
                     std::size_t count);
