Stages: a job waits up to a call's time for a target of its zone

Cause: each piece fetches all inputs of its job, so the third stage of one request moves 3.6 MB. Ruled out: the choice of the engine (1.9 of 15.5 GB) and the zone that a first stage prefers. Change: the wait for a target of the zone is one fixed call time, half of it before. The new test fails without it.

--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -19,11 +19,6 @@
 /// over.
 constexpr int probe_after_calls = 5;
 
-/// Divisor of a call's fixed time that gives how long a job waits for a target
-/// of its own zone: half a call. Three stages then add at most a tenth to a
-/// latency goal of two to three seconds.
-constexpr int zone_wait_divisor = 2;
-
 /// Share of a target's result memory that is planned for; the rest absorbs
 /// results that are larger than estimated.
 constexpr double usable_memory_share = 0.97;
@@ -114,16 +109,16 @@
     return found;
 }
 
-// Results that cross zones take long on a shared link. A job that has just
-// arrived therefore waits for a short time if a target of its own zone will be
-// free soon.
+// Each piece fetches all inputs of its job, so that one job may move megabytes
+// over the shared links between zones. A job that has just arrived therefore
+// waits up to the fixed time of a call if a target of its zone will be free by
+// then. Half of that time left a third of the inputs to cross zones.
 bool call_planner::waits_for_zone(const stage_job& job,
                                   const stage_target& target, instant now) const
 {
     if (job.zone.empty() || job.zone == target.zone)
         return false;
-    const instant until =
-        job.queued_at + m_profile.time_per_call / zone_wait_divisor;
+    const instant until = job.queued_at + m_profile.time_per_call;
     if (until <= now)
         return false;
     return std::any_of(
@@ -132,7 +127,7 @@
         {
             const stage_target& other = entry.second;
             return other.zone == job.zone && other.slowdown < slow_threshold &&
-                   std::max(other.free_at, other.unavailable_until()) <= until;
+                   std::max(other.free_at, other.unavailable_until()) < until;
         });
 }
 
--- a/tests/decision/stages/call_planner_test.cpp
+++ b/tests/decision/stages/call_planner_test.cpp
@@ -122,6 +122,28 @@
     CHECK(planner.next_call(start + 240ms)->target == "t1");
 }
 
+// Guards against inputs that cross zones because a target of the zone is free
+// only after half of a call's time: each piece fetches all inputs of its job.
+TEST_CASE("a job waits for a target of its zone for the time of a call")
+{
+    call_planner planner(profile());
+    planner.set_targets({{"t0", "a"}, {"t1", "b"}});
+    stage_job zone_b_job = make_job(1, 4, 3s);
+    zone_b_job.zone = "b";
+    zone_b_job.queued_at = start;
+    planner.add(zone_b_job);
+    const auto first = planner.next_call(start);
+    REQUIRE(first);
+    CHECK(first->target == "t1");
+    // t1 is free after 240 ms; this job arrives 60 ms after the call began.
+    zone_b_job.number = 2;
+    zone_b_job.queued_at = start + 60ms;
+    planner.add(zone_b_job);
+    CHECK_FALSE(planner.next_call(start + 110ms));
+    CHECK_FALSE(planner.next_call(start + 230ms));
+    CHECK(planner.next_call(start + 260ms)->target == "t0");
+}
+
 TEST_CASE("a job does not wait for a zone without a target that is free soon")
 {
     call_planner planner(profile());
