Admission: less urgent requests leave shorter queues at later services

Ruled out: the order of those that wait (urgent ones first) and the accounts. Change: a request starts with at most one call's wait at a later service at which work of a more urgent rank arrived within the last second.

--- a/packages/decision/admission/admission_record.cpp
+++ b/packages/decision/admission/admission_record.cpp
@@ -54,6 +54,15 @@
     return spare_of(busy_ns);
 }
 
+std::map<std::string, urgency> admission_record::most_urgent(instant now)
+{
+    std::map<std::string, urgency> found;
+    // The keys are ordered by service, then by urgency.
+    for (const auto& [key, work] : m_work_on_time.sums(now))
+        found.emplace(key.first, key.second);
+    return found;
+}
+
 std::map<urgency, std::uint32_t> admission_record::starved_ranks(instant now)
 {
     const auto arrivals = m_arrivals.sums(now);
--- a/packages/decision/admission/admission_record.hpp
+++ b/packages/decision/admission/admission_record.hpp
@@ -35,6 +35,10 @@
     double spare_share(const std::string& service, const urgency& rank,
                        instant now);
 
+    /// Returns the most urgent rank of the work in time, as it arrived over the
+    /// last second, for each service.
+    std::map<std::string, urgency> most_urgent(instant now);
+
     /// Returns the ranks of whose jobs less than a quarter of the overall share
     /// were started over the last ten seconds, with the number of jobs that are
     /// missing, rounded up.
--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -158,11 +158,11 @@
                            const downstream_estimates& downstream) const
 {
     return downstream.is_wanted(job) &&
-           (job.is_started || downstream.may_start(job, average_call_time()));
+           (job.is_started ||
+            downstream.may_start(job, average_call_time(),
+                                 job.is_late || yields_to_urgent(job)));
 }
 
-// Requests that may have crashed a target share no call with most others, so
-// their calls are filled in order.
 // A job that prefers another zone must not take the place of one that prefers
 // the target's, or most results would cross zones while there is a backlog.
 std::uint32_t call_planner::filling_group(const job_state& state,
@@ -173,6 +173,8 @@
     return (job.is_late ? 2U : 0U) + (is_remote ? 1U : 0U);
 }
 
+// Requests that may have crashed a target share no call with most others, so
+// their calls are filled in order.
 void call_planner::prefer_full_call(
     std::vector<job_state*>& order, const stage_target& target,
     std::size_t space, const downstream_estimates& downstream) const
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -45,8 +45,9 @@
     std::function<service_outlook(const std::string& service)> outlook =
         [](const std::string&) { return service_outlook(); };
     /// Whether a request of which no stage was started yet may start now.
-    std::function<bool(const stage_job&, duration call)> may_start =
-        [](const stage_job&, duration) { return true; };
+    /// Requests that yield to more urgent ones leave these shorter queues.
+    std::function<bool(const stage_job&, duration call, bool yields)>
+        may_start = [](const stage_job&, duration, bool) { return true; };
     /// Whether a request still waits for a job.
     std::function<bool(const stage_job&)> is_wanted = [](const stage_job&)
     { return true; };
@@ -273,6 +274,7 @@
     bool fill(planned_call& call, stage_target& target, instant now,
               const downstream_estimates& downstream);
     /// Whether a piece of \a job may be executed now.
+    bool yields_to_urgent(const stage_job& job) const;
     bool may_run(const stage_job& job,
                  const downstream_estimates& downstream) const;
     /// Moves the jobs that together fill a call with \a space best to the front
@@ -303,6 +305,8 @@
     std::size_t m_waiting_pieces = 0;
     std::uint64_t m_planned_calls = 0;
     std::uint64_t m_unanswered_calls = 0;
+    /// Of recent work in time, by service; as of the last forecast.
+    std::map<std::string, urgency> m_most_urgent;
     admission_record m_admission;
     std::map<urgency, admission_counts> m_admission_counts;
     std::optional<instant> m_last_arrival_at;
--- a/packages/decision/stages/call_planner_admission.cpp
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -172,6 +172,21 @@
     }
 }
 
+// Started requests are served by due time. A queue of less urgent ones with a
+// long objective would make urgent ones with a short objective late at a later
+// service, and these would be rejected first.
+bool call_planner::yields_to_urgent(const stage_job& job) const
+{
+    return std::any_of(job.downstream.begin(), job.downstream.end(),
+                       [&](const downstream_pieces& stage)
+                       {
+                           const auto most_urgent =
+                               m_most_urgent.find(stage.service);
+                           return most_urgent != m_most_urgent.end() &&
+                                  most_urgent->second < job.urgency;
+                       });
+}
+
 void call_planner::update_forecast(instant now,
                                    const downstream_estimates& downstream)
 {
@@ -191,6 +206,7 @@
             return outlook;
         },
         m_profile.max_pieces);
+    m_most_urgent = m_admission.most_urgent(now);
     std::vector<job_state*> states;
     std::vector<admission_candidate> candidates =
         unstarted_jobs(forecast, states, now);
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -33,8 +33,11 @@
         [this](const decision::stage_job& job, duration call_time, bool is_late)
     { return forecast_for(job, call_time, is_late).remaining_time; };
     m_estimates.may_start =
-        [this](const decision::stage_job& job, duration call_time)
-    { return forecast_for(job, call_time, job.is_late).may_start; };
+        [this](const decision::stage_job& job, duration call_time, bool yields)
+    {
+        const auto& forecast = forecast_for(job, call_time, job.is_late);
+        return yields ? forecast.may_start_yielding : forecast.may_start;
+    };
     m_estimates.outlook = [this](const std::string& service)
     { return outlook_of(service); };
     m_estimates.is_wanted = [this](const decision::stage_job& job)
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -112,6 +112,7 @@
         bool is_late = false;
         duration remaining_time{};
         bool may_start = true;
+        bool may_start_yielding = true;
     };
 
     const downstream_forecast& forecast_for(const decision::stage_job& job,
--- a/packages/serving/piece_batcher_forecast.cpp
+++ b/packages/serving/piece_batcher_forecast.cpp
@@ -13,8 +13,9 @@
 /// their calls, a higher one fills the memory for results.
 constexpr int max_wait_factor = 2;
 
-/// The same bound for a request that will miss its deadline.
-constexpr int max_late_wait_factor = 1;
+/// The same bound for a request that will be late, or that yields to more
+/// urgent ones.
+constexpr int max_yielding_wait_factor = 1;
 
 /// How long a forecast is valid while no new work is started: a hundredth of a
 /// call's time. It is needed for each waiting request at each new piece;
@@ -45,10 +46,11 @@
             continue;
         const duration wait =
             m_backlog.expected_wait(stage.service, now, arrives_in, is_late);
-        const duration max_wait =
-            profile->time_per_call *
-            (is_late ? max_late_wait_factor : max_wait_factor);
-        forecast.may_start = forecast.may_start && wait <= max_wait;
+        forecast.may_start = forecast.may_start &&
+                             wait <= profile->time_per_call * max_wait_factor;
+        forecast.may_start_yielding =
+            forecast.may_start_yielding &&
+            wait <= profile->time_per_call * max_yielding_wait_factor;
         arrives_in +=
             wait + m_backlog.call_time(stage.service, profile->time_per_call);
     }
--- a/tests/decision/admission/overload_simulation.hpp
+++ b/tests/decision/admission/overload_simulation.hpp
@@ -61,12 +61,12 @@
                                                              start + m_time,
                                                              call, is_late);
         };
-        estimates.may_start =
-            [this](const decision::stage_job& job, decision::duration call)
+        estimates.may_start = [this](const decision::stage_job& job,
+                                     decision::duration call, bool yields)
         {
             const decision::duration wait = m_backlog.expected_wait(
                 "later", start + m_time, call, job.is_late);
-            return wait <= profile().time_per_call * (job.is_late ? 1 : 2);
+            return wait <= profile().time_per_call * (yields ? 1 : 2);
         };
     }
 
--- a/tests/decision/admission/overload_test.cpp
+++ b/tests/decision/admission/overload_test.cpp
@@ -155,6 +155,32 @@
               .size() > 0.95 * 160 * 6);
 }
 
+// Load: a burst of a less urgent kind with a long objective at 1.6 times the
+// capacity of the second service, over a small load of a more urgent kind whose
+// objective leaves time to wait for one call, but not two. Guards against a
+// queue at the second service that suits the burst and makes the urgent kind
+// late or rejected.
+TEST_CASE("a burst of a less urgent kind leaves an urgent one its objective")
+{
+    overload_simulation simulation;
+    simulation.add_later_service(160);
+    stage_job urgent = job_of({0, 1});
+    urgent.downstream = {{"later", 1}};
+    stage_job burst = job_of({0, 2});
+    burst.downstream = {{"later", 1}};
+    simulation.add(0s, 14s, 40, urgent, 1300ms, 6s);
+    simulation.add(3s, 9s, 220, burst, 4s, 6s);
+    simulation.run(30s);
+    const auto is_urgent = [](const request& each) {
+        return each.job.urgency == urgency{0, 1};
+    };
+    const auto in_time =
+        simulation.select([&](const request& each)
+                          { return is_urgent(each) && is_on_time(each); });
+    CAPTURE(in_time.size());
+    CHECK(share(in_time.size(), simulation.select(is_urgent).size()) > 0.9);
+}
+
 // Load: bursts of the two most urgent kinds at the same time, each at the
 // capacity of the service, beside few requests of a less urgent account.
 // Guards against a less urgent kind of which a larger share is served, and
--- a/tests/decision/stages/call_planner_test.cpp
+++ b/tests/decision/stages/call_planner_test.cpp
@@ -331,7 +331,7 @@
     planner.add(blocked);
     planner.add(make_job(2, 4, 900ms));
     downstream_estimates downstream;
-    downstream.may_start = [](const stage_job& candidate, duration)
+    downstream.may_start = [](const stage_job& candidate, duration, bool)
     { return candidate.downstream.empty(); };
     const auto call = planner.next_call(start, downstream);
     REQUIRE(call);
--- a/tests/decision/stages/call_throughput_test.cpp
+++ b/tests/decision/stages/call_throughput_test.cpp
@@ -105,7 +105,7 @@
 {
     call_planner planner = make_planner(1);
     downstream_estimates downstream;
-    downstream.may_start = [](const stage_job& job, duration)
+    downstream.may_start = [](const stage_job& job, duration, bool)
     { return job.pieces < 3; };
     planner.add(make_job(1, 6, 600s));
     instant now = start;
--- a/tests/decision/stages/calls_ahead_test.cpp
+++ b/tests/decision/stages/calls_ahead_test.cpp
@@ -73,7 +73,7 @@
 {
     busy_planner busy(3);
     downstream_estimates downstream;
-    downstream.may_start = [](const stage_job& job, duration)
+    downstream.may_start = [](const stage_job& job, duration, bool)
     { return job.pieces < 10; };
     busy.planner.add(make_job(9, 4, 600s));
     CHECK_FALSE(busy.planner.next_call(start + 280ms, downstream));
