--- a/packages/decision/engines/engine_pace.cpp
+++ b/packages/decision/engines/engine_pace.cpp
@@ -149,6 +149,13 @@
                : learned;
 }
 
+double engine_pace::learned_pace(const target_incarnation& target,
+                                 instant now) const
+{
+    const auto found = m_engines.find(target);
+    return found == m_engines.end() ? 1 : learned_pace(found->second, now);
+}
+
 duration engine_pace::time_per_token(const std::string& service) const
 {
     const auto found = m_services.find(service);
--- a/packages/decision/engines/engine_pace.hpp
+++ b/packages/decision/engines/engine_pace.hpp
@@ -37,6 +37,10 @@
     /// is overdue, the engine counts as slow.
     double pace(const target_incarnation& target, instant now) const;
 
+    /// Returns the pace of \a target without regard to overdue first events:
+    /// what other entries are told, who hear nothing of the event that ends it.
+    double learned_pace(const target_incarnation& target, instant now) const;
+
     /// Returns the average time of \a service to read one prompt token.
     duration time_per_token(const std::string& service) const;
 
--- a/packages/serving/engine_scheduler.cpp
+++ b/packages/serving/engine_scheduler.cpp
@@ -151,7 +151,7 @@
     const decision::target_incarnation& id = target->incarnation;
     placement.set_target(id.id);
     placement.set_born(id.started_ms);
-    placement.set_pace(m_context.engines.pace().pace(id, now));
+    placement.set_pace(m_context.engines.pace().learned_pace(id, now));
     m_context.generations.add(key, id, request.work, now);
     return reply;
 }
