Scheduling: an engine without an input is not backed off

Cause: an engine that answers 409 (an input is gone with the target that made it) was reported as one that refuses, so that the restart of a stage target backed off sound engines for the fleet (found in review by reading). Change: such a generation counts as ended. Tested: test_serving.

--- a/packages/serving/exchange_failures.cpp
+++ b/packages/serving/exchange_failures.cpp
@@ -50,17 +50,19 @@
 {
     const instant now = m_context.now();
     const decision::target_incarnation& target = call.target().incarnation;
+    // 409: the target could not fetch an input because the target that produced
+    // it is gone. The stages must run again, and this target is sound.
+    constexpr unsigned conflict = 409;
     m_sends->note_not_run();
     const unsigned status = call.head().result_int();
     m_context.count("attempts_refused", "status", std::to_string(status));
     if (is_engine_service())
-        report_generation(decision::generation_event::refused);
+        report_generation(status == conflict
+                              ? decision::generation_event::ended
+                              : decision::generation_event::refused);
     else
         m_context.target_health.note_refused(target, now);
     m_refusal = refusal::targets_full;
-    // 409: the target could not fetch an input because the target that produced
-    // it is gone. The stages must run again.
-    constexpr unsigned conflict = 409;
     return status == conflict ? attempt_outcome::redo_stages
                               : attempt_outcome::retry;
 }
