--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -218,11 +218,7 @@
     for (const std::string& entry : peer_state.entries())
         add(entry);
     for (const peer::Backlog& backlog : peer_state.backlogs())
-        m_batcher.note_wait_times(backlog.service(),
-                                  {duration(backlog.in_time_ns()),
-                                   duration(backlog.wait_ns()),
-                                   duration(backlog.call_ns()),
-                                   duration(backlog.time_per_piece_ns())});
+        m_batcher.note_wait_times(backlog.service(), read_wait_times(backlog));
     peer::Want want;
     want.set_catalog(should_request_catalog(address, peer_state));
     // One copy at a time: two would share the bandwidth.
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -11,6 +11,16 @@
 namespace
 {
 
+/// Bounds of what another entry may send, far above all values of a sound one:
+/// sums with larger times overflow, and each piece of a job takes memory.
+constexpr std::int64_t max_time_ns = 3'600'000'000'000;
+constexpr std::uint32_t max_pieces = 10'000;
+
+duration bounded_time(std::int64_t ns)
+{
+    return duration(std::clamp(ns, -max_time_ns, max_time_ns));
+}
+
 /// The delay for each rank in the message of an entry that orders jobs by due
 /// time plus delay. Entries that know the ranks ignore it.
 constexpr duration delay_per_route_rank = std::chrono::milliseconds(400);
@@ -78,13 +88,22 @@
     return frame;
 }
 
+decision::service_wait_times read_wait_times(const peer::Backlog& message)
+{
+    const auto read_time = [](std::int64_t ns)
+    { return std::max(bounded_time(ns), duration::zero()); };
+    return {read_time(message.in_time_ns()), read_time(message.wait_ns()),
+            read_time(message.call_ns()),
+            read_time(message.time_per_piece_ns())};
+}
+
 decision::stage_job read_job(const peer::Job& message, instant now)
 {
     decision::stage_job job;
     job.request = message.request();
     job.content = {message.content_high(), message.content_low()};
     job.stage = message.stage();
-    job.pieces = message.pieces();
+    job.pieces = std::min(message.pieces(), max_pieces);
     job.key = message.key();
     job.inputs.assign(message.inputs().begin(), message.inputs().end());
     job.result_bytes = message.result_bytes();
@@ -96,10 +115,11 @@
     job.account = message.account();
     job.is_returning = message.is_returning();
     job.accepts_rejection = message.accepts_rejection();
-    job.due = now + duration(message.due_in_ns());
-    job.expires = now + duration(message.expires_in_ns());
+    job.due = now + bounded_time(message.due_in_ns());
+    job.expires = now + bounded_time(message.expires_in_ns());
     for (const peer::LaterPieces& later : message.later())
-        job.downstream.push_back({later.service(), later.pieces()});
+        job.downstream.push_back(
+            {later.service(), std::min(later.pieces(), max_pieces)});
     return job;
 }
 
--- a/packages/serving/peer_messages.hpp
+++ b/packages/serving/peer_messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/request_limits.hpp"
+#include "decision/stages/downstream_backlog.hpp"
 #include "decision/stages/stage_job.hpp"
 #include "decision/target_crash.hpp"
 #include "decision/target_directory.hpp"
@@ -20,7 +21,10 @@
 /// now, since the clocks of instances differ.
 peer::Frame job_frame(const std::string& service,
                       const decision::stage_job& job, instant now);
-/// Returns the job of a message received at \a now.
+/// Returns the wait times of \a message. Absurd values are bounded.
+decision::service_wait_times read_wait_times(const peer::Backlog& message);
+
+/// Returns the job of a message received at \a now. Absurd values are bounded.
 decision::stage_job read_job(const peer::Job& message, instant now);
 
 /// Writes \a crash into \a message, with times relative to \a now.
--- a/tests/serving/peer_messages_test.cpp
+++ b/tests/serving/peer_messages_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace mangofold;
 using namespace mangofold::serving;
 using namespace std::chrono_literals;
@@ -67,3 +69,30 @@
     CHECK(read_outcome(message) ==
           job_outcome{decision::job_status::failed, {}, false, 0ms});
 }
+
+// Guards against overflowing sums and memory for billions of pieces, because
+// another entry sends absurd values.
+TEST_CASE("absurd values of other entries are bounded")
+{
+    constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
+    constexpr std::int64_t least = std::numeric_limits<std::int64_t>::min();
+    peer::Frame frame = job_frame("rerank", make_job(), start);
+    frame.mutable_job()->set_pieces(~0U);
+    frame.mutable_job()->set_due_in_ns(least);
+    frame.mutable_job()->set_expires_in_ns(most);
+    peer::LaterPieces& later = *frame.mutable_job()->add_later();
+    later.set_pieces(~0U);
+    const decision::stage_job job = read_job(frame.job(), start);
+    CHECK(job.pieces == 10'000);
+    CHECK(job.due == start - 1h);
+    CHECK(job.expires == start + 1h);
+    CHECK(job.downstream.at(0).pieces == 10'000);
+    peer::Backlog backlog;
+    backlog.set_wait_ns(most);
+    backlog.set_in_time_ns(least);
+    backlog.set_time_per_piece_ns(-5);
+    const decision::service_wait_times times = read_wait_times(backlog);
+    CHECK(times.late == 1h);
+    CHECK(times.on_time == 0s);
+    CHECK(times.time_per_piece == 0s);
+}
