Admission: the minimum share does not yield, unknown waits admit

And the wait for targets to which an entry may not send at all overflowed. Change: such a job does not yield; a wait without end counts as unknown. Tested: test_decision.

--- a/bench/ablation/mechanisms.py
+++ b/bench/ablation/mechanisms.py
@@ -93,7 +93,7 @@
      "    return m_profile.queue > 0 && m_profile.slots == 1 &&",
      "    return m_profile.slots == 0 &&"),
     ("shorter queues for less urgent requests", PLANNER,
-     "job.is_late || yields_to_urgent(job)", "job.is_late"),
+     "(!state.goes_first && yields_to_urgent(job))", "false"),
     ("due times from the caller's first try",
      "packages/serving/exchange_stages.cpp",
      "    terms.due = m_started_at - m_waited_before +",
--- a/packages/decision/stages/call_planner.cpp
+++ b/packages/decision/stages/call_planner.cpp
@@ -154,13 +154,15 @@
     return suspects <= m_profile.max_pieces / 2;
 }
 
-bool call_planner::may_run(const stage_job& job,
+bool call_planner::may_run(const job_state& state,
                            const downstream_estimates& downstream) const
 {
+    const stage_job& job = state.job;
+    const bool yields =
+        job.is_late || (!state.goes_first && yields_to_urgent(job));
     return downstream.is_wanted(job) &&
            (job.is_started ||
-            downstream.may_start(job, average_call_time(),
-                                 job.is_late || yields_to_urgent(job)));
+            downstream.may_start(job, average_call_time(), yields));
 }
 
 // A job that prefers another zone must not take the place of one that prefers
@@ -185,7 +187,7 @@
     {
         if (jobs.size() > max_filling_jobs)
             break;
-        if (!may_run(state->job, downstream))
+        if (!may_run(*state, downstream))
             continue;
         if (state->crashes > 0)
             return;
@@ -236,7 +238,7 @@
     {
         if (space == 0 || (is_probe && !call.pieces.empty()))
             break;
-        if (!may_join(*state, call) || !may_run(state->job, downstream))
+        if (!may_join(*state, call) || !may_run(*state, downstream))
             continue;
         const std::uint64_t used = target.stored_bytes + target.reserved_bytes;
         const std::uint64_t bytes = state->job.result_bytes;
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -275,7 +275,7 @@
               const downstream_estimates& downstream);
     /// Whether a piece of \a job may be executed now.
     bool yields_to_urgent(const stage_job& job) const;
-    bool may_run(const stage_job& job,
+    bool may_run(const job_state& state,
                  const downstream_estimates& downstream) const;
     /// Moves the jobs that together fill a call with \a space best to the front
     /// of \a order.
--- a/packages/decision/stages/call_planner_admission.cpp
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -69,8 +69,11 @@
                                      ? target.unavailable_until()
                                      : std::max(target.free_at,
                                                 target.unavailable_until()));
-    const duration wait =
-        m_targets.empty() ? duration::zero() : std::max(first_free, now) - now;
+    // An unknown wait admits: the times of targets to which this entry may not
+    // send at all would overflow.
+    const duration wait = first_free == instant::max()
+                              ? duration::zero()
+                              : std::max(first_free, now) - now;
     return {wait, wait, steady_time_per_piece(now), average_call_time(),
             m_admission.spare_share({}, now)};
 }
--- a/packages/decision/stages/call_planner_estimates.cpp
+++ b/packages/decision/stages/call_planner_estimates.cpp
@@ -57,7 +57,8 @@
     instant earliest = instant::max();
     for (const auto& [id, target] : m_targets)
         earliest = std::min(earliest, std::max(now, target.next_call_at));
-    return earliest;
+    // Unknown as long as this entry may not send at all.
+    return earliest == instant::max() ? now : earliest;
 }
 
 duration call_planner::expected_wait(instant now, bool is_late) const
