--- a/packages/serving/piece_batcher_results.cpp
+++ b/packages/serving/piece_batcher_results.cpp
@@ -264,6 +264,8 @@
         .with("wait_ms",
               static_cast<std::uint64_t>(
                   queue.planner.expected_wait(now).count() / 1000000))
+        .with("wait_on_time_ms",
+              whole_milliseconds(queue.planner.expected_wait(now, false)))
         .with("room_used", queue.planner.stored_bytes())
         .with("no_room", queue.memory_refusals)
         .with("late", queue.expired_jobs)
