--- a/bench/ablation/mechanisms.py
+++ b/bench/ablation/mechanisms.py
@@ -100,7 +100,8 @@
      "    terms.due = m_started_at +"),
     ("turns of accounts", FORECAST,
      "    if (are_on_time || has_one_account(begin, end))",
-     "    if (are_on_time || !m_stations.empty())"),
+     "    if (are_on_time || has_one_account(begin, end) ||\n"
+     "        !m_stations.empty())"),
     ("minimum share of ranks", ADMISSION,
      "    if (!m_is_overloaded)\n        return;",
      "    if (!candidates.empty())\n        return;"),
