--- a/packages/decision/admission/admission_forecast.cpp
+++ b/packages/decision/admission/admission_forecast.cpp
@@ -11,9 +11,9 @@
 {
 
 /// Safety factor on the expected time of a request's stages. A request that
-/// starts without any slack mostly ends late, and takes the place of one that
-/// would have been on time. With a large factor whole bursts count as late, and
-/// their requests can no longer be told apart.
+/// starts without any slack mostly ends late, and takes capacity from one that
+/// would have been on time. With a large factor all requests of a burst count
+/// as late, and none of them is preferred any more.
 constexpr double time_margin = 1.2;
 
 /// The same for a request that was found to be on time before. With equal
--- a/packages/decision/engines/engine_pace.cpp
+++ b/packages/decision/engines/engine_pace.cpp
@@ -49,8 +49,8 @@
 constexpr double overdue_factor = 1.5;
 constexpr duration min_overdue = std::chrono::milliseconds(150);
 
-/// Factor on the pace of an engine with an overdue first event, as measured in
-/// the slow periods of engines.
+/// Factor on the pace of an engine with an overdue first event: engines take
+/// 2.5 times as long in their slow periods.
 constexpr double overdue_pace = 2.5;
 
 double milliseconds(duration value)
--- a/packages/decision/stages/call_planner_admission.cpp
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -16,8 +16,9 @@
 constexpr duration forecast_validity = std::chrono::milliseconds(20);
 
 /// While requests are late, a forecast is used for this time even if jobs have
-/// arrived since; these start after the next one. With 700 waiting jobs it
-/// takes a tenth of a millisecond, and jobs arrive hundreds of times a second.
+/// arrived since; these start after the next one. A forecast of 700 waiting
+/// jobs takes a tenth of a millisecond, and jobs arrive hundreds of times a
+/// second.
 constexpr duration overload_validity = std::chrono::milliseconds(10);
 
 /// A planner rejects nothing in its first second: the jobs that other entries
@@ -29,7 +30,7 @@
 /// the minimum share.
 constexpr std::uint32_t max_first_divisor = 4;
 
-/// A planner without jobs for this time starts anew.
+/// After this time without jobs, the first second of a planner counts again.
 constexpr duration idle_period = std::chrono::seconds(10);
 
 } // namespace
@@ -46,8 +47,8 @@
                        { return entry.second.backoff_until <= now; });
 }
 
-// Targets whose call failed get no calls for a moment. Taken for the rate to
-// come, what is left for that moment would reject most of the waiting jobs.
+// Targets whose call failed get no calls for a short time. If the rate without
+// them counted at once, most of the waiting jobs would be rejected.
 duration call_planner::steady_time_per_piece(instant now)
 {
     const auto current = static_cast<double>(time_per_piece(now).count());
@@ -105,7 +106,7 @@
 }
 
 // At a service that some requests reach with their first stage and others with
-// a later one, the latter take capacity that late jobs can't have either.
+// a later one, requests in their later stages leave less capacity to late jobs.
 void call_planner::note_started_arrival(job_state& state,
                                         admission_forecast& forecast,
                                         instant now)
@@ -177,7 +178,7 @@
 
 // Started requests are served by due time. A queue of less urgent ones with a
 // long objective would make urgent ones with a short objective late at a later
-// service, and these would be rejected first.
+// service, so that the urgent ones would be rejected first.
 bool call_planner::yields_to_urgent(const stage_job& job) const
 {
     return std::any_of(job.downstream.begin(), job.downstream.end(),
--- a/packages/decision/stages/call_planner_calls.cpp
+++ b/packages/decision/stages/call_planner_calls.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// How long before the expected end of a target's call its next one is sent: a
-/// network round trip, about 28 ms between zones.
+/// How long before the expected end of a target's call its next one is sent.
+/// Targets were idle for about 28 ms between two calls.
 constexpr duration ahead_time = std::chrono::milliseconds(30);
 
 /// A call ahead holds at least this share of the pieces that a call can hold.
@@ -60,7 +60,7 @@
     if (is_filled)
         m_throughput.note_call(call.pieces.size());
     call.number = ++m_planned_calls;
-    // Never below the measured time: calls are given up by this one.
+    // Never below the measured time: the timeout of a call depends on it.
     const duration nominal = m_profile.time_per_call +
                              m_profile.time_per_piece *
                                  static_cast<duration::rep>(call.pieces.size());
@@ -124,8 +124,9 @@
             found->second.unstarted_call != call.number);
 }
 
-// Sent at the wrong moment, or while another entry calls the target, too. The
-// target still has its current call, so the refusal says nothing about it.
+// The call ahead was sent at the wrong moment, or another entry calls the
+// target, too. The target still has its current call, so the refusal says
+// nothing about it.
 bool call_planner::note_call_ahead_failed(const planned_call& call,
                                           stage_target& target, bool is_full,
                                           instant now)
--- a/packages/decision/stages/target_pace.cpp
+++ b/packages/decision/stages/target_pace.cpp
@@ -25,7 +25,7 @@
 constexpr duration pace_validity = std::chrono::milliseconds(100);
 
 /// A call takes longer than one pace lasts, so half of the stated deviation
-/// counts, within bounds: calls time out by their expected duration.
+/// counts, within bounds: the timeout of a call depends on its duration.
 constexpr double pace_share = 0.5;
 constexpr double min_factor = 0.75;
 constexpr double max_factor = 2;
--- a/packages/serving/engine_scheduler.cpp
+++ b/packages/serving/engine_scheduler.cpp
@@ -124,8 +124,8 @@
                                     m_context.now());
 }
 
-// A choice that another entry has made itself replaces the engine that this
-// entry answered too late, or that the other one could not use.
+// A choice that another entry has made itself replaces this entry's answer, if
+// that came too late or could not be used.
 std::optional<peer::Frame>
 engine_scheduler::handle_request(const std::string& sender,
                                  const peer::PlacementRequest& message)
--- a/packages/serving/engine_scheduler.hpp
+++ b/packages/serving/engine_scheduler.hpp
@@ -20,7 +20,7 @@
     virtual ~placement_channel() = default;
 
     /// Returns the address of the other entry that schedules \a group of
-    /// engines; empty if this entry does or none is known that can.
+    /// engines; empty if this entry schedules it, or if no entry is known to.
     virtual std::string scheduler_of(const std::string& group) = 0;
 
     /// Sends \a frame to the entry at \a address if it is connected.
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -203,8 +203,8 @@
     auto state = co_await sent_call->send_request(request, {}, timeout);
     const bool is_full =
         state == target_call::outcome::ok && sent_call->metadata().has_not_run;
-    // A target that refuses a call ahead is busy with the current one. It has
-    // no need of the rest that it asks for.
+    // A target that refuses a call ahead is busy with the current one. The
+    // rest that it asks for is not needed.
     if (state == target_call::outcome::ok && !(is_full && plan.is_ahead))
         record_target_statements(m_context, *sent_call, started_at);
     if (state == target_call::outcome::ok && sent_call->metadata().load)
