--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -25,6 +25,7 @@
     bool is_leaving = false;
     std::uint64_t revision = 0; ///< Of the list when the entry was written.
     duration warm_up_left{};    ///< As the target reported it at that time.
+    std::string version{};      ///< Of its software; empty if unknown.
 
     friend bool operator==(const listed_target&,
                            const listed_target&) = default;
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -231,6 +231,7 @@
         co_return attempt_outcome::given_up;
     }
     m_refusal = refusal::none;
+    m_target_version = target->version;
     const decision::target_incarnation id = target->incarnation;
     m_call = std::make_shared<target_call>(
         m_context.connection_pool, m_context.protocol,
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -162,6 +162,9 @@
     /// Records that the request is sent to the engine \a target now.
     void start_generation(const decision::target_incarnation& target);
     void report_generation(decision::generation_event event);
+    /// Records the software version that the relayed events come from, at the
+    /// first event of an attempt.
+    void record_stream_version();
     awaitable<void> send_refusal();
     unsigned refusal_status() const;
     std::string retry_after() const;
@@ -212,6 +215,9 @@
     std::shared_ptr<target_call> m_call;
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
     bool m_is_head_sent = false;
+    std::string m_target_version; ///< Of the target of the newest attempt.
+    /// Version of the target of the last attempt that had events.
+    std::optional<std::string> m_stream_version;
     /// Milliseconds from the start of the request to the end of each stage.
     std::string m_stage_times;
     /// When there will be capacity, if the stages were rejected.
--- a/packages/serving/message_metadata.hpp
+++ b/packages/serving/message_metadata.hpp
@@ -46,6 +46,8 @@
     std::vector<std::uint32_t> pieces; ///< Number of pieces of each stage.
     std::string piece_key; ///< Input of the stages that have no predecessor.
     std::string last_event_id; ///< Of a stream that the caller resumes.
+    /// Id of the request that brought the first event of that stream.
+    std::string resumed_request;
 
     friend bool operator==(const request_metadata&,
                            const request_metadata&) = default;
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -1,5 +1,6 @@
 #include "serving/peer_messages.hpp"
 
+#include "decision/streams/software_version.hpp"
 #include "runtime/address.hpp"
 
 #include <algorithm>
@@ -270,6 +271,7 @@
     target.set_is_removed(listed.address.empty());
     target.set_cold_for_ns(listed.warm_up_left.count());
     target.set_revision(listed.revision);
+    target.set_version(listed.version);
 }
 
 } // namespace
@@ -306,14 +308,16 @@
                                              received.revision());
             continue;
         }
-        decision::listed_target target{{received.id(), received.born()},
-                                       received.service(),
-                                       received.address(),
-                                       received.zone(),
-                                       received.slots(),
-                                       received.is_leaving(),
-                                       received.revision(),
-                                       duration(received.cold_for_ns())};
+        decision::listed_target target{
+            {received.id(), received.born()},
+            received.service(),
+            received.address(),
+            received.zone(),
+            received.slots(),
+            received.is_leaving(),
+            received.revision(),
+            duration(received.cold_for_ns()),
+            decision::bounded_version(received.version())};
         if (directory.note(target))
             new_targets.push_back(std::move(target));
     }
--- a/packages/serving/source_reader_changes.cpp
+++ b/packages/serving/source_reader_changes.cpp
@@ -25,6 +25,7 @@
                 runtime::event("target_listed")
                     .with("target", change.target.incarnation.id)
                     .with("born", change.target.incarnation.started_ms)
+                    .with("version", change.target.version)
                     .with("state",
                           change.target.is_leaving ? "leaving" : "serving")
                     .with("revision", change.target.revision)
