--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -30,6 +30,8 @@
         for (const char digit : text(request, "Pieces"))
             metadata.pieces.push_back(static_cast<std::uint32_t>(digit - '0'));
         metadata.piece_key = "k";
+        metadata.last_event_id = text(request, "After");
+        metadata.resumed_request = text(request, "Resumes");
         return metadata;
     }
 
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -107,14 +107,21 @@
 
 scripted_target& serving_fixture::add_target(const std::string& service,
                                              scripted_target::script script,
-                                             const std::string& zone)
+                                             const std::string& zone,
+                                             const std::string& version)
 {
     m_targets.push_back(
         std::make_unique<scripted_target>(loop, std::move(script)));
     const std::uint64_t number = m_targets.size();
-    context->directory.note({"t" + std::to_string(number), service,
-                             m_targets.back()->address(), zone, 4, false,
-                             number});
+    context->directory.note({"t" + std::to_string(number),
+                             service,
+                             m_targets.back()->address(),
+                             zone,
+                             4,
+                             false,
+                             number,
+                             {},
+                             version});
     return *m_targets.back();
 }
 
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -25,7 +25,8 @@
     /// to requests with \a script.
     scripted_target& add_target(const std::string& service,
                                 scripted_target::script script,
-                                const std::string& zone = "a");
+                                const std::string& zone = "a",
+                                const std::string& version = "v1");
 
     /// A caller's connection to the entry, with all that was received on it.
     struct caller
