Decision, streams: records of where each stream began

Callers got streams with events of two software versions: nothing kept at which version a stream began, so that whoever continued it chose among all targets of the service.

A record of a stream holds the service and the version of its first event, under a key made of client account, host, path and request id. It never changes, so that a copy may be missing but is never wrong. Three entries, chosen by rendezvous hashing, keep copies; each entry that has a record sends it again when they change, and so a record outlives the entry where the stream began and a restart of all entries one after the other. Where a service has had a single version since before a stream can have begun, that is the version without a record. A version belongs to an incarnation; one that the list shows with two versions has none.

--- a/packages/decision/entry_roster.cpp
+++ b/packages/decision/entry_roster.cpp
@@ -245,6 +245,15 @@
                        { return batching_entry(service) == address; });
 }
 
+std::vector<std::string> entry_roster::remaining_entries() const
+{
+    std::vector<std::string> remaining;
+    for (const auto& [address, status] : m_others)
+        if (!status.is_stopping)
+            remaining.push_back(address);
+    return remaining;
+}
+
 std::vector<std::string> entry_roster::sample(std::size_t known_entries,
                                               random_source& random) const
 {
--- a/packages/decision/entry_roster.hpp
+++ b/packages/decision/entry_roster.hpp
@@ -79,6 +79,9 @@
     /// Returns the number of live entries, this one included.
     std::size_t size() const { return m_others.size() + 1; }
 
+    /// Returns the addresses of the other live entries that are not stopping.
+    std::vector<std::string> remaining_entries() const;
+
     /// Returns the addresses of some live entries to send to another entry,
     /// this one first unless it is stopping: a few, or many if the other entry
     /// knows less than half of the fleet (\a known_entries).
--- /dev/null
+++ b/packages/decision/streams/origin_records.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "decision/streams/copy_placement.hpp"
+#include "decision/streams/stream_origin.hpp"
+#include "decision/time.hpp"
+
+#include <cstddef>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace mangofold::decision
+{
+
+/// The streams whose origin one entry knows: those that began there, and copies
+/// of the records of other entries.
+///
+/// A record says where a stream began and never changes. So a copy may be
+/// missing, but it is never wrong. Each entry that has a record sends it to the
+/// entries that are to keep it, again whenever those change; the record thus
+/// outlives the entry where the stream began, and a restart of all entries one
+/// after the other.
+class origin_records
+{
+public:
+    /// On how many other entries an entry places a copy.
+    static constexpr std::size_t copies = 3;
+
+    struct record
+    {
+        stream_origin origin;
+        instant began_at{};
+        instant expires_at{};
+        /// Two streams were recorded under one key: the caller used a request
+        /// id twice. Neither can be continued.
+        bool is_ambiguous = false;
+
+        friend bool operator==(const record&, const record&) = default;
+    };
+
+    /// At most \a capacity streams are recorded: the ones that expire last.
+    explicit origin_records(std::size_t capacity = 20'000)
+        : m_capacity(capacity)
+    {
+    }
+
+    /// Records a stream, or prolongs its record.
+    void note(const stream_key& key, const record& known);
+
+    /// Returns the record of a stream, or null.
+    const record* find(const stream_key& key, instant now) const;
+
+    /// Sets the other entries, which may keep copies. Returns whether they have
+    /// changed.
+    bool set_entries(std::vector<std::string> addresses);
+
+    /// Notes that the entry at \a address was lost: it may come back without
+    /// its copies.
+    void note_lost(const std::string& address);
+
+    /// Has the record of \a key sent to its holders once more.
+    void resend(const stream_key& key);
+
+    /// Returns the entries that are to keep the record of \a key and were not
+    /// sent it yet, and notes that they are.
+    std::vector<std::string> take_new_holders(const stream_key& key);
+
+    /// Returns the entries to ask for a record that is not known here: those
+    /// that keep it by this entry's view, which may differ from another one's.
+    std::vector<std::string> likely_holders(const stream_key& key) const;
+
+    std::vector<stream_key> keys() const;
+    void expire(instant now);
+    std::size_t size() const { return m_records.size(); }
+
+private:
+    struct stored_record
+    {
+        record known;
+        std::set<std::string> sent_to;
+    };
+
+    using by_expiry = std::pair<instant, stream_key>;
+
+    std::size_t m_capacity;
+    copy_placement m_placement;
+    std::unordered_map<stream_key, stored_record, digest_hash> m_records;
+    std::set<by_expiry> m_by_expiry;
+};
+
+} // namespace mangofold::decision
--- a/packages/decision/target_directory.cpp
+++ b/packages/decision/target_directory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace mangofold::decision
 {
@@ -31,7 +32,7 @@
         note_confirmed_removal(update.incarnation.id, m_full_list_revision);
         return false;
     }
-    known.value = update;
+    assign(known, update);
     known.is_removed = false;
     known.has_expired = true;
     note_revision(known, m_full_list_revision);
@@ -42,13 +43,18 @@
 {
     record& known = m_records[update.incarnation.id];
     if (update.revision <= known.newest_revision)
-        return update.is_leaving && apply_leaving(known, update);
+    {
+        const bool is_completed = complete_version(known, update);
+        const bool is_leaving =
+            update.is_leaving && apply_leaving(known, update);
+        return is_completed || is_leaving;
+    }
     // An incarnation that was seen leaving never serves again, even if a stale
     // source lists it as serving with a newer revision; a new incarnation under
     // the same id does.
     if (update.is_leaving)
         known.last_left = update.incarnation;
-    known.value = update;
+    assign(known, update);
     known.value.is_leaving = known.last_left == update.incarnation;
     known.is_removed = false;
     known.has_expired = false;
@@ -56,6 +62,41 @@
     return true;
 }
 
+// A version belongs to an incarnation, whose software does not change. If the
+// list shows two versions for one, a target has restarted under its id without
+// stating its start, or the entry comes from another writer.
+void target_directory::assign(record& known, const listed_target& update)
+{
+    const bool is_same = !known.is_removed && !known.value.address.empty() &&
+                         known.value.incarnation == update.incarnation;
+    const std::string before = is_same ? known.value.version : std::string();
+    const bool is_changed =
+        !before.empty() && !update.version.empty() && before != update.version;
+    known.has_ambiguous_version =
+        is_changed || (is_same && known.has_ambiguous_version);
+    known.value = update;
+    if (known.has_ambiguous_version)
+        known.value.version.clear();
+    else if (update.version.empty())
+        known.value.version = before;
+    m_seen_versions.insert({update.service, known.value.version});
+}
+
+// An entry that does not know versions may have passed on the target before the
+// list was read here.
+bool target_directory::complete_version(record& known,
+                                        const listed_target& update)
+{
+    if (!known.value.version.empty() || update.version.empty() ||
+        known.has_ambiguous_version ||
+        known.value.incarnation != update.incarnation)
+        return false;
+    known.value.version = update.version;
+    m_seen_versions.insert({update.service, update.version});
+    ++m_change_count;
+    return true;
+}
+
 // Leaving is final, so an older update that says so still counts if the newer
 // one says otherwise: that one comes from a late writer or an expired list
 // entry.
@@ -264,6 +305,25 @@
             found->second.announced_leaving == incarnation);
 }
 
+std::string
+target_directory::version_of(const target_incarnation& incarnation) const
+{
+    const auto found = m_records.find(incarnation.id);
+    return found == m_records.end() ||
+                   found->second.value.incarnation != incarnation
+               ? std::string()
+               : found->second.value.version;
+}
+
+std::set<stream_origin> target_directory::take_seen_versions()
+{
+    std::set<stream_origin> seen = std::exchange(m_seen_versions, {});
+    for (const auto& [id, known] : m_records)
+        if (!known.is_removed)
+            seen.insert({known.value.service, known.value.version});
+    return seen;
+}
+
 std::vector<listed_target> target_directory::all() const
 {
     std::vector<listed_target> targets;
--- a/packages/decision/target_directory.hpp
+++ b/packages/decision/target_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/streams/stream_origin.hpp"
 #include "decision/target_incarnation.hpp"
 #include "decision/time.hpp"
 
@@ -111,6 +112,14 @@
     /// it.
     bool is_leaving(const target_incarnation& incarnation) const;
 
+    /// Returns the software version of \a incarnation; empty if it is unknown,
+    /// or if another incarnation runs under that id now.
+    std::string version_of(const target_incarnation& incarnation) const;
+
+    /// Returns the services with the versions of their targets: of all that are
+    /// listed, and of those that were since the last call.
+    std::set<stream_origin> take_seen_versions();
+
     /// Returns all known targets; removed ones have no address and the revision
     /// of their removal.
     std::vector<listed_target> all() const;
@@ -134,6 +143,8 @@
         /// Last one that announced to this process that it is leaving. Not part
         /// of the digest, which must agree among entries that read one list.
         std::optional<target_incarnation> announced_leaving;
+        /// The list has shown two versions for one incarnation.
+        bool has_ambiguous_version = false;
     };
 
     bool is_in_service(const record& known) const
@@ -149,10 +160,13 @@
     bool apply(const listed_target& update);
     bool apply_unlisted(const listed_target& update);
     bool apply_leaving(record& known, const listed_target& update);
+    bool complete_version(record& known, const listed_target& update);
+    void assign(record& known, const listed_target& update);
     void note_revision(record& known, std::uint64_t revision);
 
     std::map<std::string, record> m_records;
     std::set<std::string> m_evacuated; ///< Zones.
+    std::set<stream_origin> m_seen_versions;
     bool m_is_source_available = false;
     /// Whether targets that the list does not contain are gone for good.
     bool m_is_list_settled = false;
--- /dev/null
+++ b/tests/decision/streams/origin_records_test.cpp
@@ -0,0 +1,190 @@
+#include "decision/streams/origin_records.hpp"
+#include "decision/streams/software_version.hpp"
+#include "decision/streams/version_history.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr instant start{1h};
+const stream_origin first_version{"chat", "v1"};
+const stream_origin second_version{"chat", "v2"};
+
+origin_records::record record_of(const stream_origin& origin,
+                                 duration lifetime = 10s)
+{
+    return {origin, start, start + lifetime, false};
+}
+
+stream_key key_of(const std::string& request)
+{
+    return make_stream_key("club", "h", "/chat/", request);
+}
+
+std::vector<std::string> addresses(int count)
+{
+    std::vector<std::string> result;
+    for (int number = 0; number < count; ++number)
+        result.push_back("10.0.0." + std::to_string(number) + ":80");
+    return result;
+}
+
+} // namespace
+
+// Guards against streams of one caller that another one continues or learns of.
+TEST_CASE("streams of other accounts, paths and requests have other keys")
+{
+    const auto key = make_stream_key("club", "h", "/chat/", "r1");
+    CHECK(key != make_stream_key("other", "h", "/chat/", "r1"));
+    CHECK(key != make_stream_key("club", "i", "/chat/", "r1"));
+    CHECK(key != make_stream_key("club", "h", "/note/", "r1"));
+    CHECK(key != make_stream_key("club", "h", "/chat/", "r2"));
+    CHECK(key != make_stream_key("clubh", "", "/chat/", "r1"));
+}
+
+// Guards against memory that grows with the number of streams.
+TEST_CASE("records end with their lifetime, and their number is bounded")
+{
+    origin_records records(2);
+    records.note(key_of("r1"), record_of(first_version, 10s));
+    records.note(key_of("r2"), record_of(first_version, 20s));
+    CHECK(records.find(key_of("r1"), start + 9s) != nullptr);
+    CHECK(records.find(key_of("r1"), start + 10s) == nullptr);
+    records.note(key_of("r3"), record_of(first_version, 30s));
+    CHECK(records.size() == 2);
+    CHECK(records.find(key_of("r1"), start) == nullptr);
+    records.expire(start + 20s);
+    CHECK(records.size() == 1);
+}
+
+// Guards against a stream that can't go on because its caller came back several
+// times.
+TEST_CASE("a record that is noted again lives longer and is sent again")
+{
+    origin_records records;
+    records.set_entries(addresses(5));
+    records.note(key_of("r1"), record_of(first_version, 10s));
+    const auto holders = records.take_new_holders(key_of("r1"));
+    CHECK(holders.size() == origin_records::copies);
+    CHECK(records.take_new_holders(key_of("r1")).empty());
+    records.note(key_of("r1"), record_of(first_version, 25s));
+    records.resend(key_of("r1"));
+    CHECK(records.take_new_holders(key_of("r1")) == holders);
+    records.expire(start + 20s);
+    CHECK(records.find(key_of("r1"), start + 20s) != nullptr);
+    // An older copy that arrives later does not shorten it.
+    records.note(key_of("r1"), record_of(first_version, 15s));
+    CHECK(records.find(key_of("r1"), start + 20s) != nullptr);
+}
+
+// Guards against a guess where a caller used a request id for two streams.
+TEST_CASE("a record with two origins is marked, also by copies")
+{
+    origin_records records;
+    records.note(key_of("r1"), record_of(first_version));
+    records.note(key_of("r1"), record_of(second_version));
+    REQUIRE(records.find(key_of("r1"), start) != nullptr);
+    CHECK(records.find(key_of("r1"), start)->is_ambiguous);
+    records.note(key_of("r2"), record_of(first_version));
+    auto ambiguous = record_of(first_version);
+    ambiguous.is_ambiguous = true;
+    records.note(key_of("r2"), ambiguous);
+    CHECK(records.find(key_of("r2"), start)->is_ambiguous);
+}
+
+// Guards against entries that keep the records of the whole fleet.
+TEST_CASE("records are spread evenly, and few move when an entry leaves")
+{
+    constexpr int entries = 40;
+    constexpr int streams = 4000;
+    copy_placement placement;
+    CHECK(placement.set_entries(addresses(entries)));
+    CHECK_FALSE(placement.set_entries(addresses(entries)));
+    std::map<std::string, int> kept;
+    std::vector<std::vector<std::string>> before;
+    for (int number = 0; number < streams; ++number)
+    {
+        before.push_back(placement.holders(key_of(std::to_string(number)), 3));
+        for (const std::string& holder : before.back())
+            ++kept[holder];
+    }
+    for (const auto& [holder, count] : kept)
+    {
+        CHECK(count > 200);
+        CHECK(count < 400);
+    }
+    auto remaining = addresses(entries);
+    const std::string left = remaining.back();
+    remaining.pop_back();
+    placement.set_entries(remaining);
+    for (int number = 0; number < streams; ++number)
+    {
+        auto expected = before[static_cast<std::size_t>(number)];
+        std::erase(expected, left);
+        const auto holders =
+            placement.holders(key_of(std::to_string(number)), 3);
+        CHECK(holders.size() == 3);
+        CHECK(std::equal(expected.begin(), expected.end(), holders.begin()));
+    }
+}
+
+TEST_CASE("fewer entries than copies keep all records")
+{
+    copy_placement placement;
+    CHECK(placement.holders(key_of("r1"), 3).empty());
+    placement.set_entries(addresses(2));
+    CHECK(placement.holders(key_of("r1"), 3).size() == 2);
+}
+
+// Guards against memory that a target fills with the name of its version.
+TEST_CASE("long versions are shortened and stay different")
+{
+    CHECK(bounded_version("v1.2") == "v1.2");
+    CHECK(bounded_version(std::string(100000, 'a')).size() <= 64);
+    CHECK(bounded_version(std::string(100000, 'a')) !=
+          bounded_version(std::string(100001, 'a')));
+}
+
+// Guards against a guess: a version is certain only if no other one can have
+// begun a stream that still lives.
+TEST_CASE("a single version is certain after the lifetime of a stream")
+{
+    version_history history;
+    const auto only = [&](duration at)
+    { return history.only_version("chat", 10s, start + at); };
+    CHECK_FALSE(only(0s));
+    history.note_gap(start);
+    for (duration at{}; at <= 20s; at += 1s)
+    {
+        std::set<stream_origin> seen{first_version, {"other", "v7"}};
+        if (at == 3s)
+            seen.insert(second_version);
+        history.note_versions(seen, start + at);
+        CHECK(only(at).has_value() == (at > 14s));
+    }
+    CHECK(only(20s) == "v1");
+    CHECK_FALSE(history.only_version("unknown", 10s, start + 20s));
+    CHECK_FALSE(history.only_version("chat", 30min, start + 20s));
+    history.note_versions({{"chat", ""}}, start + 20s);
+    CHECK_FALSE(only(20s));
+}
+
+// Guards against the same where targets may have come and gone unseen.
+TEST_CASE("a version is not certain for a while after a gap in the list")
+{
+    version_history history;
+    history.note_gap(start);
+    history.note_versions({first_version}, start + 20s);
+    CHECK(history.only_version("chat", 10s, start + 20s));
+    history.note_gap(start + 20s);
+    history.note_versions({first_version}, start + 30s);
+    CHECK_FALSE(history.only_version("chat", 10s, start + 30s));
+    CHECK(history.only_version("chat", 10s, start + 31s));
+}
--- a/tests/decision/target_directory_test.cpp
+++ b/tests/decision/target_directory_test.cpp
@@ -298,3 +298,52 @@
     CHECK(targets.serving("s").size() == 1);
     CHECK_FALSE(targets.note_announced_leaving("unknown"));
 }
+
+// Guards against a stream that goes on at another version because a version is
+// taken to belong to an id: the target restarted under its id.
+TEST_CASE("a version belongs to an incarnation")
+{
+    target_directory targets;
+    targets.note({{"t", 1}, "s", "a:1", "z", 1, false, 1, {}, "v1"});
+    CHECK(targets.version_of({"t", 1}) == "v1");
+    targets.note({{"t", 1}, "s", "a:1", "z", 1, true, 2, {}, "v1"});
+    CHECK(targets.version_of({"t", 1}) == "v1");
+    targets.note({{"t", 2}, "s", "a:1", "z", 1, false, 3, {}, "v2"});
+    CHECK(targets.version_of({"t", 1}).empty());
+    CHECK(targets.version_of({"t", 2}) == "v2");
+    // Its last streams outlive its entry.
+    targets.note_confirmed_removal("t", 4);
+    CHECK(targets.version_of({"t", 2}) == "v2");
+    CHECK(targets.take_seen_versions() ==
+          std::set<stream_origin>{{"s", "v1"}, {"s", "v2"}});
+    CHECK(targets.take_seen_versions().empty());
+}
+
+// Guards against a guess where the list shows two versions for one incarnation:
+// a target that does not state its start has restarted, or another writer
+// changed the entry.
+TEST_CASE("an incarnation listed with two versions has none")
+{
+    target_directory targets;
+    targets.note({{"t", 0}, "s", "a:1", "z", 1, false, 1, {}, "v1"});
+    targets.note({{"t", 0}, "s", "a:1", "z", 1, false, 2, {}, "v2"});
+    CHECK(targets.version_of("t").empty());
+    targets.note({{"t", 0}, "s", "a:1", "z", 1, false, 3, {}, "v2"});
+    CHECK(targets.version_of("t").empty());
+    targets.note({{"t", 8}, "s", "a:1", "z", 1, false, 4, {}, "v2"});
+    CHECK(targets.version_of({"t", 8}) == "v2");
+}
+
+// Guards against streams that can't go on since an entry of an older program,
+// which passes on targets without versions, was faster than the list.
+TEST_CASE("a version that another entry left out is completed from the list")
+{
+    target_directory targets;
+    targets.note({{"t", 1}, "s", "a:1", "z", 1, false, 5});
+    CHECK(targets.note({{"t", 1}, "s", "a:1", "z", 1, false, 5, {}, "v1"}));
+    CHECK(targets.version_of({"t", 1}) == "v1");
+    CHECK_FALSE(
+        targets.note({{"t", 1}, "s", "a:1", "z", 1, false, 5, {}, "v1"}));
+    targets.note({{"t", 1}, "s", "a:1", "z", 1, false, 6});
+    CHECK(targets.version_of({"t", 1}) == "v1");
+}
--- /dev/null
+++ b/tests/mutants/streams.py
@@ -0,0 +1,43 @@
+"""Safeguards of the records of streams: their tests must fail without each of
+them.
+"""
+
+PARTS = ["tests/support/main.cpp",
+         "tests/decision/streams/origin_records_test.cpp",
+         "tests/decision/streams/origin_records_simulation_test.cpp",
+         "tests/decision/target_directory_test.cpp"]
+ARGUMENTS = []
+
+RECORDS = "packages/decision/streams/origin_records.cpp"
+HISTORY = "packages/decision/streams/version_history.cpp"
+ORIGIN = "packages/decision/streams/stream_origin.cpp"
+DIRECTORY = "packages/decision/target_directory.cpp"
+
+# Name, file, removed text, replacement.
+MUTANTS = [
+    ("an entry that was lost counts as one that has its copies", RECORDS,
+     "stored.sent_to.erase(address);", "(void)stored;"),
+    ("new holders are sent nothing", RECORDS,
+     "return !sent_to.insert(holder).second;",
+     "sent_to.insert(holder); return sent_to.size() > copies;"),
+    ("only as many entries are asked as keep copies", RECORDS,
+     "copies + 1", "copies"),
+    ("expired records are used", RECORDS,
+     "found->second.known.expires_at > now", "true"),
+    ("one of two origins is used", RECORDS,
+     "present.is_ambiguous = true;", "present.is_ambiguous = false;"),
+    ("a stream that goes on is forgotten as early", RECORDS,
+     "present.expires_at = known.expires_at;", "(void)known;"),
+    ("streams belong to no account", ORIGIN, "{account, {}, host",
+     "{{}, {}, host"),
+    ("a gap in the list is ignored", HISTORY,
+     "*m_followed_since > since", "false"),
+    ("a version that is gone is forgotten at once", HISTORY,
+     "last_seen < since", "last_seen < now"),
+    ("an incarnation keeps the newest of its versions", DIRECTORY,
+     "is_changed || (is_same && known.has_ambiguous_version);", "false;"),
+    ("a version belongs to an id", DIRECTORY,
+     "found->second.value.incarnation != incarnation\n"
+     "               ? std::string()",
+     "false\n               ? std::string()"),
+]
