Streams: go on only at the software version that began them

Cause: a target's version was read and dropped, and all targets of a service counted as interchangeable for the rest of a stream.

Whoever continues the stream looks for the record, asks the entries that keep it, for a tenth of a second at most, and sends only to targets of that service and version. Before the first event of another target is relayed, its version is compared with the list once more. An unknown origin is refused at once (stream_unknown), and so is a stream whose version has no target left (version_gone), before any stage is started. So an entry that lost everything may refuse a stream, but never mixes one.

--- a/packages/serving/engine_scheduler.cpp
+++ b/packages/serving/engine_scheduler.cpp
@@ -118,6 +118,7 @@
     std::vector<const decision::listed_target*> candidates;
     for (const decision::listed_target* target : all)
         if (!request.excluded.contains(target->incarnation.id) &&
+            (request.version.empty() || request.version == target->version) &&
             decision::group_of_engine(target->incarnation.id, groups) == group)
             candidates.push_back(target);
     return m_context.engines.choose(candidates, {}, request.work, request.zone,
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -14,6 +14,7 @@
 #include "decision/resting_targets.hpp"
 #include "decision/retry_budget.hpp"
 #include "decision/stages/input_release.hpp"
+#include "decision/streams/version_history.hpp"
 #include "decision/target_directory.hpp"
 #include "decision/target_health.hpp"
 #include "decision/zone_evacuations.hpp"
@@ -37,6 +38,7 @@
 constexpr duration loop_probe_interval = std::chrono::milliseconds(100);
 
 class engine_scheduler;
+class stream_registry;
 
 /// State shared by the components of one entry process. Used only on the thread
 /// of its event loop.
@@ -134,6 +136,10 @@
     /// Asks and answers for engines; set by the owner. Without it, this entry
     /// chooses by its own records.
     engine_scheduler* scheduler = nullptr;
+    /// Records where streams began; set by the owner. Without it, no stream can
+    /// be taken up.
+    stream_registry* streams = nullptr;
+    decision::version_history versions;
     decision::quarantine quarantine;
     /// Returns the rank of this entry among all entries for a subject. The
     /// default ranks this entry as the only one.
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -44,7 +44,7 @@
     : m_context(loop, time, protocol, settings(), seed),
       m_settings(m_context, std::move(settings)), m_batcher(m_context),
       m_source(m_context, source), m_mesh(m_context, m_source, m_batcher),
-      m_scheduler(m_context, m_mesh),
+      m_scheduler(m_context, m_mesh), m_streams(m_context, m_mesh),
       m_peers(
           m_context, m_batcher,
           [this](const std::string& address) { m_mesh.add(address); },
@@ -57,6 +57,7 @@
 {
     m_context.stage_executor = &m_router;
     m_context.scheduler = &m_scheduler;
+    m_context.streams = &m_streams;
     m_context.ordinal_for = [this](const std::string& subject)
     { return m_mesh.ordinal_for(subject); };
     m_context.is_fleet_size_known = [this] { return m_mesh.is_settled(); };
@@ -131,6 +132,8 @@
         // watch can take seconds, and a removed target must expire sooner.
         m_context.directory.expire(m_context.now());
         m_scheduler.maintain();
+        m_context.versions.note_versions(
+            m_context.directory.take_seen_versions(), m_context.now());
         m_context.cold_targets.expire(m_context.now());
         m_context.metrics.set_gauge(
             {"targets_cold", {}},
@@ -196,6 +199,7 @@
     spawn(m_context.loop, m_settings.run());
     spawn(m_context.loop, m_source.run());
     spawn(m_context.loop, m_mesh.run());
+    spawn(m_context.loop, m_streams.run());
     spawn(m_context.loop, m_peers.run());
     spawn(m_context.loop, m_batcher.run());
     spawn(m_context.loop, m_router.run());
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -44,6 +44,7 @@
     source_reader m_source;
     peer_mesh m_mesh;
     engine_scheduler m_scheduler;
+    stream_registry m_streams;
     peer_server m_peers;
     job_router m_router;
     request_server m_requests;
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -121,6 +121,9 @@
         std::any_of(m_metadata.pieces.begin(), m_metadata.pieces.end(),
                     [](std::uint32_t count) { return count > 0; }) &&
         !m_route->stages.empty();
+    const bool can_go_on = co_await find_stream_origin();
+    if (!can_go_on)
+        co_return;
     m_context.retry_budget_for(m_service).note_first_attempt();
     constexpr int max_rounds = 6;
     for (int round = 0; round < max_rounds; ++round)
@@ -135,6 +138,11 @@
             m_refusal = refusal::evacuated;
             co_return;
         }
+        if (is_version_gone())
+        {
+            m_refusal = refusal::version_gone;
+            co_return;
+        }
         if (are_targets_unavailable())
         {
             note_no_target();
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -3,6 +3,7 @@
 #include "catalog/catalog_index.hpp"
 #include "decision/digest.hpp"
 #include "decision/sending_record.hpp"
+#include "decision/streams/stream_origin.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/placement_messages.hpp"
@@ -46,7 +47,9 @@
     targets_cold,
     targets_limited,
     targets_resting,
-    overloaded
+    overloaded,
+    stream_unknown,
+    version_gone
 };
 
 /// Returns the name of \a value that answers, metrics and logs show.
@@ -162,9 +165,27 @@
     /// Records that the request is sent to the engine \a target now.
     void start_generation(const decision::target_incarnation& target);
     void report_generation(decision::generation_event event);
-    /// Records the software version that the relayed events come from, at the
-    /// first event of an attempt.
-    void record_stream_version();
+    /// Whether the caller takes up a stream that an earlier request of it
+    /// began.
+    bool is_taking_up_stream() const;
+    /// Finds out where the stream began that the caller takes up. Returns
+    /// whether it can go on.
+    awaitable<bool> find_stream_origin();
+    /// Whether no target of the version that began the stream serves.
+    bool is_version_gone() const;
+    /// Whether \a target may send events of the stream.
+    bool fits_stream(const decision::listed_target& target) const;
+    std::vector<const decision::listed_target*> serving_targets() const;
+    /// Decides at the first event of an attempt whether the target's events
+    /// belong to the stream, and records where a new stream begins.
+    bool accept_first_event();
+    /// Returns the version of the target of the newest attempt; empty if the
+    /// target may have been replaced since the request was sent.
+    std::string confirmed_version() const;
+    /// Returns the key of the stream that \a request_id of this caller began.
+    decision::stream_key stream_key_of(const std::string& request_id) const;
+    duration stream_time_limit() const;
+    void log_stream(std::string_view how, const std::string& version) const;
     awaitable<void> send_refusal();
     unsigned refusal_status() const;
     std::string retry_after() const;
@@ -216,8 +237,10 @@
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
     bool m_is_head_sent = false;
     std::string m_target_version; ///< Of the target of the newest attempt.
-    /// Version of the target of the last attempt that had events.
-    std::optional<std::string> m_stream_version;
+    /// Where the stream began; unset before its first event.
+    std::optional<decision::stream_origin> m_origin;
+    /// Key of the stream that the caller takes up, if it is recorded.
+    std::optional<decision::stream_key> m_taken_up_key;
     /// Milliseconds from the start of the request to the end of each stage.
     std::string m_stage_times;
     /// When there will be capacity, if the stages were rejected.
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -144,7 +144,12 @@
                 if (m_first_byte_at == instant{})
                     m_first_byte_at = m_context.now();
                 report_generation(decision::generation_event::first_event);
-                record_stream_version();
+                if (!accept_first_event())
+                {
+                    call.abort();
+                    m_refusal = refusal::answer_spoiled;
+                    co_return attempt_outcome::retry;
+                }
                 m_context.times_by_route[m_route->name].time_to_first_event.add(
                     m_context.now() - m_sent_at);
                 if (m_stages)
--- a/packages/serving/exchange_engines.cpp
+++ b/packages/serving/exchange_engines.cpp
@@ -28,7 +28,9 @@
     request.work = make_generation_request();
     request.zone = m_context.settings.zone;
     request.urgency = urgency();
-    for (const auto* target : m_context.directory.serving(m_service))
+    if (m_origin)
+        request.version = m_origin->version;
+    for (const auto* target : serving_targets())
         if (find_usable(target->incarnation) == nullptr ||
             m_context.engines.is_backed_off(target->incarnation,
                                             m_context.now()))
@@ -41,11 +43,11 @@
 {
     const auto* listed = m_context.directory.find(target);
     const instant now = m_context.now();
-    const bool may_be_sent = listed != nullptr &&
-                             listed->service == m_service &&
-                             !m_tried_targets.contains(target) &&
-                             (!m_context.has_restricted_targets() ||
-                              next_send(*listed, now).at <= now);
+    const bool may_be_sent =
+        listed != nullptr && listed->service == m_service &&
+        fits_stream(*listed) && !m_tried_targets.contains(target) &&
+        (!m_context.has_restricted_targets() ||
+         next_send(*listed, now).at <= now);
     return may_be_sent ? listed : nullptr;
 }
 
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -15,13 +15,13 @@
 /// Callers follow a delay of at most a third of it.
 constexpr double retry_after_share = 0.3;
 
-constexpr std::array<std::string_view, 21> refusal_names{
+constexpr std::array<std::string_view, 23> refusal_names{
     "none",          "malformed",      "no_catalog",      "no_route",
     "unknown_key",   "no_target",      "targets_full",    "too_late",
     "stages_late",   "stages_failed",  "retries_spent",   "target_lost",
     "target_silent", "answer_spoiled", "stopping",        "quarantined",
     "evacuated",     "targets_cold",   "targets_limited", "targets_resting",
-    "overloaded"};
+    "overloaded",    "stream_unknown", "version_gone"};
 
 } // namespace
 
@@ -64,7 +64,10 @@
         return std::to_string(static_cast<std::uint64_t>(
             std::ceil(seconds(m_verdict.retry_after).count())));
     constexpr double min_delay_s = 0.05;
-    if (m_refusal == refusal::stopping && m_context.has_remaining_peers())
+    // Another entry may know what this one does not; if none does, the caller
+    // had better begin anew soon.
+    if (m_refusal == refusal::stream_unknown ||
+        (m_refusal == refusal::stopping && m_context.has_remaining_peers()))
         return std::to_string(min_delay_s).substr(0, 5);
     const double remaining_s =
         seconds(m_metadata.budget
@@ -85,8 +88,9 @@
                                        std::min(remaining_s * retry_after_share,
                                                 seconds(m_retry_in).count())))
             .substr(0, 5);
-    // How long operators keep a zone evacuated is unknown.
-    if (m_refusal == refusal::evacuated)
+    // How long operators keep a zone evacuated is unknown, and so is when
+    // targets of a version are back.
+    if (m_refusal == refusal::evacuated || m_refusal == refusal::version_gone)
         return std::to_string(
                    std::max(min_delay_s, remaining_s * retry_after_share))
             .substr(0, 5);
@@ -177,6 +181,10 @@
         .with("left_ms", static_cast<std::uint64_t>(std::max<std::int64_t>(
                              0, remaining_time().count() / 1000000)))
         .with("catalog", m_catalog ? m_catalog->version() : 0);
+    if (!m_metadata.resumed_request.empty())
+        line.with("resumes", m_metadata.resumed_request);
+    if (m_origin)
+        line.with("version", m_origin->version);
     if (m_refusal == refusal::quarantined)
         line.with("content", to_text(content_digest()))
             .with("ends", m_verdict.incidents);
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -1,29 +1,142 @@
 #include "runtime/event.hpp"
 #include "serving/exchange.hpp"
+#include "serving/stream_registry.hpp"
+
+#include <algorithm>
 
 namespace mangofold::serving
 {
 
-void exchange::record_stream_version()
+bool exchange::is_taking_up_stream() const
+{
+    return m_route->is_stream && !m_metadata.last_event_id.empty();
+}
+
+decision::stream_key
+exchange::stream_key_of(const std::string& request_id) const
+{
+    return decision::make_stream_key(
+        m_account == nullptr ? std::string_view() : m_account->name,
+        m_metadata.host, m_metadata.path, request_id);
+}
+
+duration exchange::stream_time_limit() const
+{
+    return std::max(m_route->timeout,
+                    m_metadata.budget.value_or(duration::zero()));
+}
+
+// A caller that does not name the request that began its stream takes up one
+// that no entry recorded under that name.
+awaitable<bool> exchange::find_stream_origin()
+{
+    if (!is_taking_up_stream())
+        co_return true;
+    const auto& services = m_route->services;
+    const decision::stream_key key = stream_key_of(m_metadata.resumed_request);
+    // A variable: g++ 12 destroys temporaries in such a call twice.
+    const std::string only_service =
+        services.size() == 1 ? services.front().service : std::string();
+    const stream_registry::caller_time time{
+        stream_time_limit(), m_metadata.budget.value_or(duration::zero())};
+    stream_registry::finding found;
+    if (m_context.streams != nullptr)
+        found = co_await m_context.streams->find(key, only_service, time);
+    m_context.count("streams_taken_up", "known_from", to_string(found.from));
+    runtime::event("stream_taken_up")
+        .with("request", m_metadata.id)
+        .with("resumes", m_metadata.resumed_request)
+        .with("after", m_metadata.last_event_id)
+        .with("known_from", to_string(found.from))
+        .with("age_ms", whole_milliseconds(found.age))
+        .with("version", found.origin.version)
+        .info();
+    if (m_session->check_disconnected())
+        co_return false;
+    const bool is_of_route =
+        std::any_of(services.begin(), services.end(),
+                    [&found](const catalog::weighted_service& choice)
+                    { return choice.service == found.origin.service; });
+    if (!is_of_route)
+    {
+        m_refusal = refusal::stream_unknown;
+        co_return false;
+    }
+    m_service = found.origin.service;
+    m_origin = std::move(found.origin);
+    m_taken_up_key = key;
+    co_return true;
+}
+
+bool exchange::fits_stream(const decision::listed_target& target) const
 {
-    const bool is_continued = m_stream_version.has_value();
-    const bool is_taken_up = !m_metadata.last_event_id.empty();
-    const std::string_view how = is_continued  ? "continued"
-                                 : is_taken_up ? "taken_up"
-                                               : "begun";
+    return !m_origin ||
+           (!m_origin->version.empty() && target.version == m_origin->version);
+}
+
+std::vector<const decision::listed_target*> exchange::serving_targets() const
+{
+    std::vector<const decision::listed_target*> targets =
+        m_context.directory.serving(m_service);
+    if (m_origin)
+        std::erase_if(targets, [this](const decision::listed_target* target)
+                      { return !fits_stream(*target); });
+    return targets;
+}
+
+bool exchange::is_version_gone() const
+{
+    return m_origin && serving_targets().empty();
+}
+
+// A target may have restarted under its id since the request was sent, so that
+// another process, of another version, has answered.
+std::string exchange::confirmed_version() const
+{
+    const std::string listed = m_context.directory.version_of(m_last_target);
+    return listed == m_target_version ? listed : std::string();
+}
+
+// The record goes out before the first event does: a caller that has an event
+// may take up the stream at another entry at once.
+bool exchange::accept_first_event()
+{
+    const std::string version = confirmed_version();
+    const bool is_continued = m_origin.has_value();
+    if (is_continued && (version.empty() || version != m_origin->version))
+    {
+        m_context.count("streams", "how", "stopped");
+        log_stream("stopped", version);
+        return false;
+    }
+    const bool is_taken_up = m_taken_up_key && !m_is_head_sent;
+    const std::string_view how = is_taken_up    ? "resumed"
+                                 : is_continued ? "continued"
+                                                : "begun";
     m_context.count("streams", "how", how);
-    if (is_continued && *m_stream_version != m_target_version)
-        m_context.count("streams_mixed", "how", how);
+    log_stream(how, version);
+    if (!is_continued)
+        m_origin = {m_service, version};
+    const bool is_recorded = m_route->is_resumable && !version.empty() &&
+                             (!is_continued || is_taken_up);
+    if (is_recorded && m_context.streams != nullptr)
+        m_context.streams->record(
+            m_taken_up_key.value_or(stream_key_of(m_metadata.id)), *m_origin,
+            stream_time_limit());
+    return true;
+}
+
+void exchange::log_stream(std::string_view how,
+                          const std::string& version) const
+{
     runtime::event("stream_" + std::string(how))
         .with("request", m_metadata.id)
         .with("resumes", m_metadata.resumed_request)
-        .with("after", m_metadata.last_event_id)
         .with("target", m_last_target.id)
         .with("born", m_last_target.started_ms)
-        .with("version", m_target_version)
-        .with("before", m_stream_version.value_or(""))
+        .with("version", version)
+        .with("before", m_origin ? m_origin->version : std::string())
         .info();
-    m_stream_version = m_target_version;
 }
 
 } // namespace mangofold::serving
--- a/packages/serving/exchange_targets.cpp
+++ b/packages/serving/exchange_targets.cpp
@@ -49,7 +49,7 @@
 
 std::vector<const decision::listed_target*> exchange::available_targets()
 {
-    const auto& all = m_context.directory.serving(m_service);
+    auto all = serving_targets();
     m_cold_retry_at.reset();
     m_next_send.reset();
     if (!m_context.has_restricted_targets())
--- a/packages/serving/peer_link.cpp
+++ b/packages/serving/peer_link.cpp
@@ -3,6 +3,7 @@
 #include "runtime/event.hpp"
 #include "serving/engine_scheduler.hpp"
 #include "serving/peer_messages.hpp"
+#include "serving/stream_registry.hpp"
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -194,6 +195,10 @@
         if (m_context.scheduler != nullptr)
             m_context.scheduler->handle_placement(m_address, frame.placement());
         return;
+    case peer::Frame::kStreamAnswer:
+        if (m_context.streams != nullptr)
+            m_context.streams->handle_answer(m_address, frame.stream_answer());
+        return;
     case peer::Frame::kJobEnd:
     {
         const auto submitted = m_submitted.find(frame.job_end().number());
--- a/packages/serving/peer_mesh.cpp
+++ b/packages/serving/peer_mesh.cpp
@@ -93,6 +93,9 @@
 {
     m_roster.note_lost(address);
     m_schedulers.erase(address);
+    m_stream_keepers.erase(address);
+    if (m_context.streams != nullptr)
+        m_context.streams->note_lost(address);
     m_catalog_catch_up.note_unavailable(address);
     m_target_catch_up.note_unavailable(address);
 }
@@ -117,6 +120,7 @@
     state.set_ends_summary(m_context.quarantine.crashes().summary());
     state.set_limits_digest(m_context.request_limits.digest());
     state.set_schedules_engines(m_context.scheduler != nullptr);
+    state.set_keeps_streams(m_context.streams != nullptr);
     write_zones(m_context.evacuations.snapshot(), state);
     for (const auto& [service, times] : m_batcher.wait_times())
     {
@@ -210,6 +214,10 @@
         m_schedulers.insert(address);
     else
         m_schedulers.erase(address);
+    if (peer_state.keeps_streams())
+        m_stream_keepers.insert(address);
+    else
+        m_stream_keepers.erase(address);
     m_context.peak_entries = std::max(m_context.peak_entries, m_roster.size());
     apply_zone_evacuations(m_context, read_zones(peer_state), address);
     for (const decision::limit_statement& statement :
--- a/packages/serving/peer_mesh.hpp
+++ b/packages/serving/peer_mesh.hpp
@@ -5,6 +5,7 @@
 #include "serving/peer_link.hpp"
 #include "serving/piece_batcher.hpp"
 #include "serving/source_reader.hpp"
+#include "serving/stream_registry.hpp"
 
 #include <map>
 #include <memory>
@@ -18,7 +19,9 @@
 /// The links to all other entries: discovers entries from a few seeds, tracks
 /// which of them answer, and exchanges the catalog and the list of targets with
 /// them.
-class peer_mesh : public peer_listener, public placement_channel
+class peer_mesh : public peer_listener,
+                  public placement_channel,
+                  public stream_channel
 {
 public:
     peer_mesh(entry_context& context, source_reader& source,
@@ -35,6 +38,8 @@
     peer_link* batching_peer(const std::string& service);
 
     std::string scheduler_of(const std::string& group) override;
+    std::vector<std::string> stream_keepers() const override;
+    bool is_fleet_known() const override { return is_settled(); }
     void send(const std::string& address, const peer::Frame& frame) override;
 
     /// Notes that this entry starts now and knows its seeds only.
@@ -107,6 +112,7 @@
     std::map<std::string, std::shared_ptr<peer_link>> m_links;
     std::map<std::string, instant> m_added_at;
     std::set<std::string> m_schedulers; ///< Entries that can schedule engines.
+    std::set<std::string> m_stream_keepers; ///< That keep records of streams.
     job_sink m_job_sink;
 };
 
--- a/packages/serving/peer_mesh_scheduling.cpp
+++ b/packages/serving/peer_mesh_scheduling.cpp
@@ -14,6 +14,14 @@
     return m_schedulers.contains(elected) ? elected : std::string();
 }
 
+std::vector<std::string> peer_mesh::stream_keepers() const
+{
+    std::vector<std::string> keepers = m_roster.remaining_entries();
+    std::erase_if(keepers, [this](const std::string& address)
+                  { return !m_stream_keepers.contains(address); });
+    return keepers;
+}
+
 void peer_mesh::send(const std::string& address, const peer::Frame& frame)
 {
     const auto found = m_links.find(address);
--- a/packages/serving/peer_server.cpp
+++ b/packages/serving/peer_server.cpp
@@ -4,6 +4,7 @@
 #include "serving/engine_scheduler.hpp"
 #include "serving/peer_messages.hpp"
 #include "serving/request_server.hpp"
+#include "serving/stream_registry.hpp"
 
 namespace mangofold::serving
 {
@@ -106,6 +107,15 @@
             m_context.scheduler->handle_update(client->connection,
                                                frame.generation_update());
         return;
+    case peer::Frame::kStreamOrigins:
+        if (m_context.streams != nullptr)
+            m_context.streams->handle_origins(frame.stream_origins());
+        return;
+    case peer::Frame::kStreamQuestion:
+        if (m_context.streams != nullptr)
+            socket->send(
+                m_context.streams->handle_question(frame.stream_question()));
+        return;
     default:
         return;
     }
--- a/packages/serving/placement_messages.cpp
+++ b/packages/serving/placement_messages.cpp
@@ -39,6 +39,7 @@
     message.set_zone(request.zone);
     for (const std::string& target : request.excluded)
         message.add_excluded(target);
+    message.set_version(request.version);
     message.set_account_rank(request.urgency.account_rank);
     message.set_route_rank(request.urgency.route_rank);
     message.set_max_output_tokens(request.work.max_output_tokens);
@@ -67,6 +68,7 @@
     request.zone = message.zone();
     request.excluded.insert(message.excluded().begin(),
                             message.excluded().end());
+    request.version = message.version();
     request.urgency = {message.account_rank(), message.route_rank()};
     if (!message.chosen().empty())
         request.chosen.emplace(message.chosen(), message.chosen_born());
--- a/packages/serving/placement_messages.hpp
+++ b/packages/serving/placement_messages.hpp
@@ -19,6 +19,7 @@
     decision::generation_request work;
     std::string zone;               ///< Of the entry.
     std::set<std::string> excluded; ///< Ids of targets.
+    std::string version; ///< The only one to choose from; empty for all.
     decision::urgency urgency;
     /// Set if the entry has chosen an engine itself.
     std::optional<decision::target_incarnation> chosen;
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -229,6 +229,7 @@
     m_context.directory.note_full_list(m_list.targets, m_list.revision,
                                        m_context.now());
     m_context.has_all_targets = true;
+    m_context.versions.note_gap(m_context.now());
     m_revision = m_list.revision;
     runtime::event("targets_read")
         .with("targets", m_list.targets.size())
--- /dev/null
+++ b/packages/serving/stream_registry.cpp
@@ -0,0 +1,276 @@
+#include "serving/stream_registry.hpp"
+
+#include "serving/stream_messages.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace mangofold::serving
+{
+
+namespace
+{
+
+constexpr duration maintenance_interval = std::chrono::milliseconds(100);
+
+/// How long a caller that takes up a stream waits for the answers of other
+/// entries: many round trips between zones, and little beside the pause that
+/// the break has caused.
+constexpr duration answer_timeout = std::chrono::milliseconds(100);
+
+/// The same at an entry that does not know most of the others yet.
+constexpr duration discovery_timeout = std::chrono::milliseconds(500);
+
+/// How long after its time limit a stream is still recorded: clocks differ in
+/// rate, and requests take a while to arrive.
+constexpr duration lifetime_margin = std::chrono::seconds(1);
+
+duration lifetime_for(duration time_limit)
+{
+    return std::min(time_limit + lifetime_margin, max_stream_lifetime);
+}
+
+constexpr duration discovery_step = std::chrono::milliseconds(20);
+
+/// Records per frame, some 10 KB: urgent frames wait behind one at most.
+constexpr int origins_per_frame = 100;
+
+} // namespace
+
+std::string_view to_string(stream_registry::source value)
+{
+    constexpr std::array<std::string_view, 4> names{"none", "own", "entry",
+                                                    "history"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+stream_registry::stream_registry(entry_context& context,
+                                 stream_channel& channel)
+    : m_context(context), m_channel(channel)
+{
+}
+
+// Nothing waits for the copies: if they are lost together with this entry, the
+// stream is not continued, and never at another version.
+void stream_registry::record(const decision::stream_key& key,
+                             const decision::stream_origin& origin,
+                             duration time_limit)
+{
+    const instant now = m_context.now();
+    const duration lifetime = lifetime_for(time_limit);
+    m_longest_lifetime = std::max(m_longest_lifetime, lifetime);
+    m_records.note(key, {origin, now, now + lifetime, false});
+    m_records.set_entries(m_channel.stream_keepers());
+    m_records.resend(key);
+    send_copies({key});
+}
+
+void stream_registry::send_copies(const std::vector<decision::stream_key>& keys)
+{
+    const instant now = m_context.now();
+    std::map<std::string, peer::Frame> frames; // By receiver.
+    for (const decision::stream_key& key : keys)
+    {
+        const auto* known = m_records.find(key, now);
+        if (known == nullptr)
+            continue;
+        for (const std::string& holder : m_records.take_new_holders(key))
+        {
+            peer::StreamOrigins& message =
+                *frames[holder].mutable_stream_origins();
+            write_stream_origin(key, *known, now, *message.add_origins());
+            if (message.origins_size() < origins_per_frame)
+                continue;
+            m_channel.send(holder, frames[holder]);
+            frames.erase(holder);
+        }
+    }
+    for (const auto& [holder, frame] : frames)
+        m_channel.send(holder, frame);
+}
+
+std::optional<stream_registry::finding>
+stream_registry::find_own(const decision::stream_key& key) const
+{
+    const instant now = m_context.now();
+    const auto* known = m_records.find(key, now);
+    if (known == nullptr)
+        return std::nullopt;
+    if (known->is_ambiguous)
+        return finding{};
+    return finding{source::own, known->origin, now - known->began_at};
+}
+
+// Streams that began before this entry started may live as long as the longest
+// of today.
+duration stream_registry::longest_lifetime() const
+{
+    duration longest = m_longest_lifetime;
+    if (m_context.catalog)
+        for (const catalog::route& route : m_context.catalog->content().routes)
+            if (route.is_stream)
+                longest = std::max(longest, lifetime_for(route.timeout));
+    return longest;
+}
+
+// The stream began no earlier than the first request of its caller, who says
+// how much of the time since is left. Only while the list of targets is read: a
+// version that it does not show yet may serve at another entry already.
+std::optional<stream_registry::finding>
+stream_registry::find_in_history(const std::string& service,
+                                 const caller_time& time) const
+{
+    if (service.empty() || !m_context.directory.is_source_available())
+        return std::nullopt;
+    const duration lifetime =
+        std::max(lifetime_for(time.limit), longest_lifetime());
+    const duration age = lifetime - std::clamp(time.left, duration::zero(),
+                                               lifetime - lifetime_margin);
+    const auto version =
+        m_context.versions.only_version(service, age, m_context.now());
+    if (!version)
+        return std::nullopt;
+    return finding{source::history, {service, *version}, duration::zero()};
+}
+
+awaitable<stream_registry::finding>
+stream_registry::find(decision::stream_key key, std::string service,
+                      caller_time time)
+{
+    if (const auto own = find_own(key))
+        co_return *own;
+    const std::uint64_t number = ++m_last_question;
+    const auto asked = std::make_shared<question>(m_context.loop);
+    m_questions[number] = asked;
+    peer::Frame frame;
+    peer::StreamQuestion& message = *frame.mutable_stream_question();
+    message.set_number(number);
+    message.set_key_high(key.high);
+    message.set_key_low(key.low);
+    message.set_service(service);
+    message.set_limit_ns(time.limit.count());
+    message.set_left_ns(time.left.count());
+    const instant started_at = m_context.now();
+    std::set<std::string> sent_to;
+    std::optional<finding> found;
+    for (;;)
+    {
+        m_records.set_entries(m_channel.stream_keepers());
+        for (const std::string& holder : m_records.likely_holders(key))
+        {
+            if (!sent_to.insert(holder).second)
+                continue;
+            asked->unanswered.insert(holder);
+            m_channel.send(holder, frame);
+        }
+        const bool is_fleet_known = m_channel.is_fleet_known();
+        const duration timeout =
+            is_fleet_known ? answer_timeout : discovery_timeout;
+        const duration left = started_at + timeout - m_context.now();
+        const bool is_done = is_fleet_known && asked->unanswered.empty();
+        if (is_done || left <= duration::zero())
+            break;
+        co_await asked->is_changed.wait(
+            is_fleet_known ? left : std::min(left, discovery_step));
+        found = asked->answer && asked->answer->from == source::entry
+                    ? asked->answer
+                    : find_own(key);
+        if (found)
+            break;
+    }
+    m_questions.erase(number);
+    if (!found)
+        found = find_own(key);
+    if (!found)
+        found = find_in_history(service, time);
+    if (!found)
+        found = asked->answer;
+    co_return found.value_or(finding{});
+}
+
+void stream_registry::handle_origins(const peer::StreamOrigins& message)
+{
+    for (const peer::StreamOrigin& received : message.origins())
+        if (const auto known = read_stream_origin(received, m_context.now()))
+            m_records.note(read_stream_key(received), *known);
+}
+
+peer::Frame
+stream_registry::handle_question(const peer::StreamQuestion& message)
+{
+    const instant now = m_context.now();
+    const decision::stream_key key{message.key_high(), message.key_low()};
+    peer::Frame frame;
+    peer::StreamAnswer& answer = *frame.mutable_stream_answer();
+    answer.set_number(message.number());
+    if (const auto* known = m_records.find(key, now))
+    {
+        answer.set_source(peer::StreamAnswer::RECORD);
+        write_stream_origin(key, *known, now, *answer.mutable_origin());
+        return frame;
+    }
+    const auto bounded = [](std::int64_t ns)
+    { return std::clamp(duration(ns), duration::zero(), max_stream_lifetime); };
+    const caller_time time{bounded(message.limit_ns()),
+                           bounded(message.left_ns())};
+    if (const auto found = find_in_history(message.service(), time))
+    {
+        answer.set_source(peer::StreamAnswer::HISTORY);
+        write_stream_origin(key, {found->origin, now, now, false}, now,
+                            *answer.mutable_origin());
+    }
+    return frame;
+}
+
+void stream_registry::handle_answer(const std::string& address,
+                                    const peer::StreamAnswer& message)
+{
+    const auto found = m_questions.find(message.number());
+    if (found == m_questions.end())
+        return;
+    question& asked = *found->second;
+    if (asked.unanswered.erase(address) == 0)
+        return;
+    asked.is_changed.set();
+    const instant now = m_context.now();
+    const auto known = read_stream_origin(message.origin(), now);
+    if (!known || known->is_ambiguous)
+        return;
+    if (message.source() == peer::StreamAnswer::RECORD)
+        asked.answer = {source::entry, known->origin, now - known->began_at};
+    else if (message.source() == peer::StreamAnswer::HISTORY && !asked.answer)
+        asked.answer = {source::history, known->origin, duration::zero()};
+}
+
+void stream_registry::note_lost(const std::string& address)
+{
+    m_records.note_lost(address);
+    m_has_lost_entry = true;
+    for (const auto& [number, asked] : m_questions)
+        if (asked->unanswered.erase(address) > 0)
+            asked->is_changed.set();
+}
+
+void stream_registry::maintain()
+{
+    m_records.expire(m_context.now());
+    const bool is_changed = m_records.set_entries(m_channel.stream_keepers());
+    if (is_changed || std::exchange(m_has_lost_entry, false))
+        send_copies(m_records.keys());
+    m_context.metrics.set_gauge({"stream_origins_known", {}},
+                                static_cast<double>(m_records.size()));
+}
+
+awaitable<void> stream_registry::run()
+{
+    loop_timer timer(m_context.loop);
+    for (;;)
+    {
+        error_code ignored; // The timer is never cancelled.
+        timer.expires_after(maintenance_interval);
+        co_await timer.async_wait(store_error_in(ignored));
+        maintain();
+    }
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/stream_registry.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "decision/streams/origin_records.hpp"
+#include "peer.pb.h"
+#include "serving/auto_reset_event.hpp"
+#include "serving/entry_context.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mangofold::serving
+{
+
+/// For how long a stream is recorded at most, whatever time its caller states.
+constexpr duration max_stream_lifetime = std::chrono::minutes(10);
+
+/// How an entry reaches the entries that keep records of streams.
+class stream_channel
+{
+public:
+    virtual ~stream_channel() = default;
+
+    /// Returns the addresses of the other entries that keep records and are not
+    /// stopping.
+    virtual std::vector<std::string> stream_keepers() const = 0;
+
+    /// Whether this entry knows most of the others.
+    virtual bool is_fleet_known() const = 0;
+
+    /// Sends \a frame to the entry at \a address if it is connected.
+    virtual void send(const std::string& address, const peer::Frame& frame) = 0;
+};
+
+/// Records at which software version each stream began, at this entry and at
+/// some others, and finds out where a stream began that a caller takes up.
+class stream_registry
+{
+public:
+    stream_registry(entry_context& context, stream_channel& channel);
+
+    /// Where the knowledge of a stream's origin came from.
+    enum class source : std::uint8_t
+    {
+        none,   ///< The origin is not known.
+        own,    ///< A record of this entry.
+        entry,  ///< Another entry.
+        history ///< The service has had targets of one version only.
+    };
+
+    struct finding
+    {
+        source from = source::none;
+        decision::stream_origin origin{};
+        duration age{}; ///< Of the record.
+
+        friend bool operator==(const finding&, const finding&) = default;
+    };
+
+    /// Records that the stream \a key has events of a target of \a origin. Its
+    /// caller waits for \a time_limit at most.
+    void record(const decision::stream_key& key,
+                const decision::stream_origin& origin, duration time_limit);
+
+    /// How long the caller of a stream waits.
+    struct caller_time
+    {
+        duration limit{}; ///< In all, from its first request on.
+        duration left{};  ///< Of that; zero if it is not known.
+
+        friend bool operator==(const caller_time&,
+                               const caller_time&) = default;
+    };
+
+    /// Finds the origin of the stream \a key. \a service is the only one of its
+    /// route; empty if it has several. Asks other entries if need be: for a
+    /// tenth of a second at most, or half a second at an entry that has just
+    /// started.
+    awaitable<finding> find(decision::stream_key key, std::string service,
+                            caller_time time);
+
+    /// Keeps the records that another entry has sent.
+    void handle_origins(const peer::StreamOrigins& message);
+    peer::Frame handle_question(const peer::StreamQuestion& message);
+    /// Handles an answer of the entry at \a address.
+    void handle_answer(const std::string& address,
+                       const peer::StreamAnswer& message);
+
+    /// Notes that the entry at \a address no longer answers.
+    void note_lost(const std::string& address);
+
+    /// Sends records to the entries that are to keep them now, and forgets old
+    /// ones; called several times a second.
+    void maintain();
+
+    /// Calls maintain() periodically. Never returns.
+    awaitable<void> run();
+
+private:
+    struct question
+    {
+        explicit question(asio::io_context& loop) : is_changed(loop) {}
+
+        std::set<std::string> unanswered; ///< Entries.
+        std::optional<finding> answer;
+        auto_reset_event is_changed;
+    };
+
+    std::optional<finding> find_own(const decision::stream_key& key) const;
+    std::optional<finding> find_in_history(const std::string& service,
+                                           const caller_time& time) const;
+    duration longest_lifetime() const;
+    void send_copies(const std::vector<decision::stream_key>& keys);
+
+    entry_context& m_context;
+    stream_channel& m_channel;
+    decision::origin_records m_records;
+    std::map<std::uint64_t, std::shared_ptr<question>> m_questions;
+    std::uint64_t m_last_question = 0;
+    /// Of the streams recorded here; others may have begun that live as long.
+    duration m_longest_lifetime{};
+    bool m_has_lost_entry = false; ///< Since the last maintenance.
+};
+
+std::string_view to_string(stream_registry::source value);
+
+} // namespace mangofold::serving
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -103,6 +103,17 @@
     CHECK(metadata.prompt[1] == serving::prompt_segment{"91", 410});
     CHECK(metadata.max_output_tokens == 80);
     CHECK(metadata.pieces == std::vector<std::uint32_t>{2, 0, 6});
+    auto taking_up = caller_request();
+    CHECK(platform::request_dialect()
+              .parse_request(taking_up)
+              .resumed_request.empty());
+    taking_up.set("Last-Event-Id", "12");
+    taking_up.set("Resumes", "8b30");
+    CHECK(platform::request_dialect().parse_request(taking_up).last_event_id ==
+          "12");
+    CHECK(
+        platform::request_dialect().parse_request(taking_up).resumed_request ==
+        "8b30");
     auto unreadable = caller_request();
     unreadable.set("X-Mangofold-Time-Budget-Ms", "soon");
     CHECK_THROWS_AS(platform::request_dialect().parse_request(unreadable),
@@ -222,6 +233,7 @@
     CHECK(page.revision == 30);
     CHECK(page.changes[0].target.incarnation ==
           decision::target_incarnation("i-1", 1774835228000));
+    CHECK(page.changes[0].target.version == "v1");
     CHECK(page.changes[0].target.slots == 6);
     CHECK(page.changes[0].target.is_leaving);
     CHECK(page.changes[0].target.revision == 12);
--- a/tests/platform/untrusted_input_test.cpp
+++ b/tests/platform/untrusted_input_test.cpp
@@ -54,7 +54,8 @@
                                        "X-Mangofold-Prompt-Prefix",
                                        "X-Mangofold-Time-Budget-Ms",
                                        "Authorization",
-                                       "Last-Event-Id"};
+                                       "Last-Event-Id",
+                                       "Resumes"};
 
 /// Whether \a parse either returns or throws invalid_message.
 template<typename Parse>
--- a/tests/serving/peer_messages_test.cpp
+++ b/tests/serving/peer_messages_test.cpp
@@ -1,4 +1,5 @@
 #include "serving/peer_messages.hpp"
+#include "serving/stream_messages.hpp"
 
 #include <doctest/doctest.h>
 
@@ -96,3 +97,31 @@
     CHECK(times.on_time == 0s);
     CHECK(times.time_per_piece == 0s);
 }
+
+TEST_CASE("the record of a stream keeps its origin on the way")
+{
+    const decision::stream_key key{3, 4};
+    const decision::origin_records::record known{
+        {"chat", "v1"}, start - 2s, start + 9s, true};
+    peer::StreamOrigin message;
+    write_stream_origin(key, known, start, message);
+    CHECK(read_stream_key(message) == key);
+    CHECK(read_stream_origin(message, start) == known);
+}
+
+// Guards against memory that another entry fills, and records that never end.
+TEST_CASE("unusable records of streams are dropped or bounded")
+{
+    peer::StreamOrigin message;
+    message.set_service("chat");
+    CHECK_FALSE(read_stream_origin(message, start));
+    message.set_version("v1");
+    message.set_expires_in_ns(std::numeric_limits<std::int64_t>::max());
+    message.set_began_ago_ns(std::numeric_limits<std::int64_t>::min());
+    const auto known = read_stream_origin(message, start);
+    REQUIRE(known);
+    CHECK(known->expires_at == start + 10min);
+    CHECK(known->began_at == start);
+    message.set_version(std::string(1000, 'v'));
+    CHECK_FALSE(read_stream_origin(message, start));
+}
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -1,8 +1,11 @@
+#include "serving/stream_registry.hpp"
 #include "support/complete_responses.hpp"
 #include "support/serving_fixture.hpp"
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 using namespace mangofold;
 using namespace mangofold::test;
 using namespace std::chrono_literals;
@@ -40,9 +43,59 @@
     return at == std::string::npos ? 0 : std::stoul(request.substr(at + 7));
 }
 
+class versioned_entry;
+
+/// The entries of a fleet, which reach each other without a network.
+using fleet = std::map<std::string, versioned_entry*>;
+
 /// An entry whose engines stream events that name the engine's version.
-struct versioned_entry : serving_fixture
+class versioned_entry : public serving_fixture, public serving::stream_channel
 {
+public:
+    explicit versioned_entry(fleet* others = nullptr, std::string address = "a")
+        : m_fleet(others), m_address(std::move(address))
+    {
+        context->streams = &streams;
+        if (m_fleet != nullptr)
+            (*m_fleet)[m_address] = this;
+    }
+
+    ~versioned_entry()
+    {
+        if (m_fleet != nullptr)
+            m_fleet->erase(m_address);
+    }
+
+    versioned_entry(const versioned_entry&) = delete;
+    versioned_entry& operator=(const versioned_entry&) = delete;
+
+    std::vector<std::string> stream_keepers() const override
+    {
+        std::vector<std::string> keepers;
+        if (m_fleet != nullptr)
+            for (const auto& [address, entry] : *m_fleet)
+                if (address != m_address)
+                    keepers.push_back(address);
+        return keepers;
+    }
+
+    bool is_fleet_known() const override { return true; }
+
+    void send(const std::string& address, const peer::Frame& frame) override
+    {
+        versioned_entry& to = *m_fleet->at(address);
+        if (to.is_silent)
+            return;
+        if (frame.has_stream_origins())
+            to.streams.handle_origins(frame.stream_origins());
+        if (frame.has_stream_question())
+            streams.handle_answer(
+                address, to.streams.handle_question(frame.stream_question())
+                             .stream_answer());
+    }
+
+    using serving_fixture::send;
+
     /// Adds an engine that completes resumed streams. In new ones it does
     /// \a after_two after two events.
     scripted_target& add_engine(const std::string& version,
@@ -77,12 +130,13 @@
         settle();
     }
 
-    /// Sends the request \a id for a stream and returns the response, which may
-    /// be a refusal. Paths differ, or crashes would quarantine the request.
-    std::string stream(const std::string& id, const std::string& headers = {})
+    /// Sends a request for a stream and returns the response, which may be a
+    /// refusal.
+    std::string stream(const std::string& id, const std::string& headers = {},
+                       const std::string& path = "/events/r1")
     {
         const auto connection = connect();
-        send(*connection, request_text("/events/" + id, id, headers));
+        send(*connection, request_text(path, id, headers));
         run_until(
             [&]
             {
@@ -94,6 +148,13 @@
         settle();
         return connection->received;
     }
+
+    serving::stream_registry streams{*context, *this};
+    bool is_silent = false; ///< It gets nothing from other entries.
+
+private:
+    fleet* m_fleet;
+    std::string m_address;
 };
 
 /// Headers of a request that takes up the stream of the request "r1".
@@ -199,7 +260,9 @@
         entry.add_engine(version);
     for (int number = 1; number <= 8; ++number)
     {
-        const std::string got = entry.stream("r" + std::to_string(number));
+        const std::string id = "r" + std::to_string(number);
+        // Paths differ, or the crashes would quarantine the request.
+        const std::string got = entry.stream(id, {}, "/events/" + id);
         CHECK(contains(got, last_chunk));
         CHECK(contains(got, "data: v1") != contains(got, "data: v2"));
     }
@@ -221,3 +284,151 @@
         CHECK(contains(got, last_chunk));
     }
 }
+
+// Guards against streams that end with the entry where they began: another
+// entry knows nothing of them, although it reaches entries that do.
+TEST_CASE("other entries take up the streams of an entry that was killed")
+{
+    fleet entries;
+    versioned_entry second(&entries, "b");
+    versioned_entry third(&entries, "c");
+    {
+        versioned_entry first(&entries, "d");
+        first.add_engine("v1", action::hang);
+        first.begin_stream();
+    }
+    versioned_entry restarted(&entries, "d");
+    for (versioned_entry* entry : {&second, &third, &restarted})
+    {
+        for (const char* version : {"v2", "v1", "v2"})
+            entry->add_engine(version);
+        const std::string got = entry->stream("r2", resumes_r1);
+        CHECK(contains(got, "data: v1"));
+        CHECK_FALSE(contains(got, "data: v2"));
+        CHECK(contains(got, last_chunk));
+    }
+}
+
+// Guards against streams that are lost when all entries restart one after the
+// other: each knew a stream, and none was told of it again.
+TEST_CASE("a stream survives a restart of all entries one after the other")
+{
+    fleet entries;
+    std::map<std::string, std::unique_ptr<versioned_entry>> running;
+    const std::vector<std::string> addresses{"a", "b", "c", "d", "e"};
+    for (const std::string& address : addresses)
+        running[address] = std::make_unique<versioned_entry>(&entries, address);
+    running["a"]->add_engine("v1", action::hang);
+    running["a"]->begin_stream();
+    for (const std::string& address : addresses)
+    {
+        running.erase(address);
+        for (const auto& [other, entry] : running)
+        {
+            entry->streams.note_lost(address);
+            entry->streams.maintain();
+        }
+        running[address] = std::make_unique<versioned_entry>(&entries, address);
+        for (const auto& [other, entry] : running)
+            entry->streams.maintain();
+    }
+    versioned_entry& last = *running["e"];
+    last.add_engine("v2");
+    last.add_engine("v1");
+    CHECK(contains(last.stream("r2", resumes_r1), "data: v1"));
+}
+
+// Guards against a caller that waits for an entry that does not respond.
+TEST_CASE("an entry that does not answer delays no stream for long")
+{
+    fleet entries;
+    versioned_entry second(&entries, "b");
+    versioned_entry first(&entries, "a"); // The last one's clock counts.
+    second.is_silent = true;
+    first.add_engine("v1");
+    const auto before = first.time.now();
+    CHECK(contains(first.stream("r2", resumes_r1), "stream_unknown"));
+    CHECK(first.time.now() - before < 150ms);
+}
+
+// Guards against work for a stream that can't go on: no target of its version
+// is left, and the stages would run in vain.
+TEST_CASE("a stream whose version is gone is refused before its stages")
+{
+    versioned_entry entry;
+    entry.add_engine("v2");
+    entry.streams.record(
+        decision::make_stream_key("club", "h", "/staged/r1", "r1"),
+        {"events", "v1"}, 5s);
+    const std::string got =
+        entry.stream("r2", resumes_r1 + "Pieces: 11\r\n", "/staged/r1");
+    CHECK(contains(got, " 503 "));
+    CHECK(contains(got, "version_gone"));
+    CHECK(contains(got, "Retry-After"));
+    CHECK(entry.jobs.empty());
+}
+
+// Guards against new work for a leaving target: a stream of its version would
+// be the exception.
+TEST_CASE("a stream does not go on at a leaving target of its version")
+{
+    versioned_entry entry;
+    auto& engine = entry.add_engine("v1", action::hang);
+    entry.begin_stream();
+    entry.add_engine("v2");
+    entry.context->directory.note_announced_leaving({"t1"});
+    CHECK(contains(entry.stream("r2", resumes_r1), "version_gone"));
+    CHECK(engine.requests().size() == 1);
+}
+
+// Guards against a caller that learns of the streams of others, or continues
+// them: the record belongs to the path and the account.
+TEST_CASE("a stream is known for its own path and request only")
+{
+    versioned_entry entry;
+    entry.add_engine("v1", action::hang);
+    entry.begin_stream();
+    CHECK(contains(entry.stream("r2", resumes_r1, "/events/other"),
+                   "stream_unknown"));
+    CHECK(contains(entry.stream("r3", "After: 2\r\nResumes: r9\r\n"),
+                   "stream_unknown"));
+    CHECK(contains(entry.stream("r4", "After: 2\r\n"), "stream_unknown"));
+    CHECK(contains(entry.stream("r5", "After: 2\r\nResumes: " +
+                                          std::string(9000, 'x') + "\r\n"),
+                   "stream_unknown"));
+}
+
+// Guards against streams that are refused for lack of a record where nothing is
+// in doubt: the service has had one version all the time.
+TEST_CASE("an unrecorded stream goes on where only one version has served")
+{
+    versioned_entry entry;
+    entry.add_engine("v1");
+    auto& versions = entry.context->versions;
+    versions.note_gap(entry.time.now());
+    for (int second = 0; second < 7; ++second)
+    {
+        CHECK(contains(entry.stream("r2", resumes_r1), "stream_unknown"));
+        versions.note_versions(entry.context->directory.take_seen_versions(),
+                               entry.time.now());
+        entry.time.advance(1s);
+    }
+    CHECK(contains(entry.stream("r2", resumes_r1), "data: v1"));
+    entry.add_engine("v2");
+    versions.note_versions(entry.context->directory.take_seen_versions(),
+                           entry.time.now());
+    CHECK(contains(entry.stream("r3", "After: 2\r\nResumes: r9\r\n"),
+                   "stream_unknown"));
+    // Callers who say that they sent their first request after that.
+    entry.time.advance(1s);
+    entry.context->directory.note_removed("t2", 10, entry.time.now());
+    entry.time.advance(3s);
+    versions.note_versions(entry.context->directory.take_seen_versions(),
+                           entry.time.now());
+    CHECK(contains(
+        entry.stream("r4", "After: 2\r\nResumes: r9\r\nBudget: 1000\r\n"),
+        "stream_unknown"));
+    CHECK(contains(
+        entry.stream("r5", "After: 2\r\nResumes: r9\r\nBudget: 4500\r\n"),
+        "data: v1"));
+}
