Soak: engines of two versions, and callers who take streams up elsewhere

The soak's engines all had one version and no caller ever took up a stream, so that it could not show streams that mix versions. Its engines now name their version in each event, callers break off some streams and take up broken ones at other entries, and the oracle reads every event of a stream over all tries: in order, of one version, complete only after the last. It also checks that streams go on where two engines of their version serve.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,10 +6,13 @@
 
 import wire
 from oracle import SentRequest
+from targets import EVENT_COUNT
 
 TIME_BUDGET_S = 3.0
 LONG_TIME_BUDGET_S = 6.0  # Of notes, which are the least urgent.
 ABANDONED_SHARE = 0.1  # The share of requests that are abandoned early.
+TAKE_UP_SHARE = 0.5  # The share of broken streams that are taken up.
+MAX_TAKE_UPS = 3  # Of one stream.
 REQUEST_KINDS = {
     "find": ("GET", "/find/x", {}),
     "book": ("POST", "/book/x", {}),
@@ -124,13 +127,35 @@
             kind = self.random.choice(list(REQUEST_KINDS))
             sent = self.new_request(kind, connection.entry)
             method, path, fields = REQUEST_KINDS[kind]
-            abandon_after_s = self.random.uniform(0.005, 0.15) \
+            longest_s = 0.35 if kind == "chat" else 0.15
+            abandon_after_s = self.random.uniform(0.005, longest_s) \
                 if self.random.random() < self.abandoned_share else None
             await connection.send(sent, method, path, {
                 **fields, "Authorization": "Bearer always"}, abandon_after_s)
             self.oracle.check_outcome(sent)
             if connection.writer is None:
                 connection = None
+            if kind == "chat" and self.random.random() < TAKE_UP_SHARE:
+                await self.take_up(sent)
+
+    async def take_up(self, first):
+        """Takes up a stream that broke off at random entries."""
+        stream = first.stream
+        for _ in range(MAX_TAKE_UPS):
+            if stream.last_event in (0, EVENT_COUNT):
+                return
+            sent = self.new_request("chat", self.pick_entry())
+            sent.stream = stream
+            self.oracle.note_take_up(sent)
+            method, path, fields = REQUEST_KINDS["chat"]
+            connection = Connection(sent.entry, self.oracle)
+            await connection.send(sent, method, path, {
+                **fields, "Authorization": "Bearer always",
+                "Last-Event-Id": str(stream.last_event),
+                "Resumes": first.request_id})
+            connection.close()
+            self.oracle.check_outcome(sent)
+            await asyncio.sleep(self.random.uniform(0, 0.3))
 
     async def send_once(self, kind, entry, poison=""):
         """Sends a request on a connection of its own.
--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -11,7 +11,8 @@
 
 MAX_ACTIVE_POISONS = 2  # So that each still finds targets to crash.
 # Not drawn by default, so that existing seeds replay unchanged.
-OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven")
+OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven",
+                "kill_all")
 GROW_INTERVAL_S = 3  # So that a narrow link can carry all versions.
 
 
@@ -78,6 +79,16 @@
             self.log(f"kill {entry.name}")
             await entry.kill(self.random_duration(1))
 
+    async def do_kill_all(self):
+        """Kills all entries at the same moment."""
+        fleet = self.oracle.fleet
+        if any(entry.is_stopping or entry.disturbance_count
+               for entry in fleet):
+            return
+        self.log("kill all")
+        down_s = self.random_duration(1)
+        await asyncio.gather(*(entry.kill(down_s) for entry in fleet))
+
     async def do_pause(self):
         if entry := self.pick_entry():
             self.log(f"pause {entry.name}")
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -1,6 +1,7 @@
 """Checks the promises against what callers and targets observed."""
 
 import asyncio
+import re
 
 from fleet import CONFIG_S, DRAIN_S, RECOVERY_S
 from targets import EVENT_COUNT
@@ -17,6 +18,36 @@
 STALL_S = 0.25  # Half of SLACK_S: the slack may not cover a longer stall.
 
 
+MIN_TAKE_UPS = 12  # Of streams that must go on, to judge their share.
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\w+)\.(\d+)\.(\w+)\n\n")
+
+
+class Stream:
+    """The events that a caller got of one stream, over all its tries."""
+
+    def __init__(self):
+        self.last_event = 0
+        self.versions = set()  # Of the targets that they came from.
+        self.is_complete = False
+
+    def add(self, sent):
+        """Adds the events in a response. Returns what is wrong with them."""
+        events = EVENT_PATTERN.findall(sent.body)
+        sent.event_count = len(events)
+        for number, request_id, inner_number, version in events:
+            if int(number) != self.last_event + 1 or number != inner_number \
+                    or request_id.decode() != sent.request_id:
+                return f"event {number} after {self.last_event}"
+            self.last_event = int(number)
+            self.versions.add(version.decode())
+        self.is_complete = sent.is_complete and sent.status == 200
+        if self.is_complete and self.last_event != EVENT_COUNT:
+            return f"complete after event {self.last_event}"
+        if len(self.versions) > 1:
+            return f"holds events of {sorted(self.versions)}"
+        return ""
+
+
 class SentRequest:
     """A request that a caller sent, and its outcome."""
 
@@ -30,6 +61,8 @@
         self.status = 0  # 0: no complete response head.
         self.is_complete = False
         self.body = b""
+        self.stream = Stream()  # That it began, or took up.
+        self.event_count = 0
         self.ended_at = 0.0
         self.disconnected_at = None  # When its caller disconnected.
 
@@ -66,6 +99,8 @@
         self.targets_undisturbed_since = 0.0
         self.stalled_at = 0.0  # When the machine last stalled this process.
         self.outcome_counts = {}
+        self.take_ups = []  # Requests whose streams must go on.
+        self.count_serving_engines = None  # By version; set by the owner.
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -90,6 +125,10 @@
     def check_outcome(self, sent):
         """Checks the outcome of a request as its caller sees it."""
         sent.ended_at = self.now()
+        if sent.kind in ("chat", "note") and sent.status == 200:
+            fault = sent.stream.add(sent)
+            if fault:
+                self.faults.append(f"{sent.request_id}: stream {fault}")
         if sent.disconnected_at:
             key = (sent.kind, "disconnected")
             self.outcome_counts[key] = self.outcome_counts.get(key, 0) + 1
@@ -104,23 +143,41 @@
         if b'"quarantined"' in sent.body and not sent.poison:
             self.faults.append(f"{sent.request_id}: a harmless {sent.kind} "
                                "was refused as quarantined")
-        if sent.status == 200 and sent.is_complete:
+        if sent.status == 200 and sent.is_complete and \
+                sent.kind not in ("chat", "note"):
             self._check_body(sent)
         if not sent.is_complete:
             self._check_response_loss(sent)
 
     def _check_body(self, sent):
-        if sent.kind in ("chat", "note"):
-            expected = "".join(
-                f"id: {number}\ndata: {sent.request_id}.{number}\n\n"
-                for number in range(1, EVENT_COUNT + 1)).encode()
-        else:
-            expected = f"answer {sent.request_id} ".encode()
-        if sent.kind in ("chat", "note") and sent.body != expected or \
-                not sent.body.startswith(expected):
+        if not sent.body.startswith(f"answer {sent.request_id} ".encode()):
             self.faults.append(
                 f"{sent.request_id}: {sent.kind} got {sent.body!r}")
 
+    def note_take_up(self, sent):
+        """Notes that a stream is about to be taken up."""
+        version, = sent.stream.versions
+        if self.is_undisturbed(sent.entry, sent.sent_at) and \
+                self.count_serving_engines(version) >= 2:
+            self.take_ups.append(sent)
+
+    def count_continued(self):
+        return sum(sent.event_count > 0 for sent in self.take_ups)
+
+    def _check_take_ups(self):
+        """Checks that streams go on while targets of their version serve."""
+        first = [sent for sent in self.requests.values()
+                 if sent.kind == "chat" and not sent.disconnected_at
+                 and sent not in self.take_ups]
+        if len(self.take_ups) < MIN_TAKE_UPS or not first:
+            return
+        gone_on = self.count_continued()
+        begun = sum(sent.event_count > 0 for sent in first)
+        if gone_on / len(self.take_ups) < 0.5 * begun / len(first):
+            self.faults.append(
+                f"only {gone_on} of {len(self.take_ups)} streams went on, "
+                f"while {begun} of {len(first)} new ones began")
+
     def _check_response_loss(self, sent):
         """Checks that no undisturbed request loses its response."""
         if sent.kind == "note" or sent.status == 200:
@@ -185,6 +242,7 @@
                     f"{request_id}: {sent.entry.name} sent it to {target.id} "
                     f"{at - draining_since:.1f} s after it began to drain")
         self._check_ranks()
+        self._check_take_ups()
         self._check_invalid_records()
         self._check_evacuations()
         for need in self.needs:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -71,6 +71,7 @@
         entry.is_direct = options.direct
     oracle = Oracle(platform.log, fleet)
     oracle.published[1] = oracle.now()
+    oracle.count_serving_engines = platform.count_serving_engines
     tasks = []
     try:
         for entry in fleet:
@@ -111,6 +112,8 @@
     if shares := oracle.refused_shares():
         print(f"  refused: {shares[0]:.3f} of the most urgent route, "
               f"{shares[1]:.3f} of the least urgent one")
+    print(f"  taken up: {len(oracle.take_ups)} streams that could go on, "
+          f"{oracle.count_continued()} did")
     for fault in oracle.faults[:20]:
         print(f"FAULT {fault}")
     state = "clean" if not oracle.faults else f"{len(oracle.faults)} faults"
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -52,6 +52,7 @@
         self.address = address  # As listed; a proxy may listen there.
         self.zone = zone
         self.id = target_id or f"i-{next(self._target_numbers):06x}"
+        self.version = "v1"  # Of its software.
         self.start_time_ms = time.time_ns() // 1_000_000
         self.mode = "ok"
         self.state = "ready"
@@ -78,7 +79,7 @@
 
     def record(self):
         return {"backend": self.service, "address": self.address,
-                "zone": self.zone, "version": "v1", "capacity": 8,
+                "zone": self.zone, "version": self.version, "capacity": 8,
                 "state": self.state, "warmup_left_ms": self.warm_up_left_ms(),
                 "sequence": 1, "born": self.start_time_ms}
 
@@ -241,7 +242,8 @@
             if self.mode in ("lost", "cut") and number > EVENT_COUNT // 2:
                 writer.transport.abort()
                 return
-            event = f"id: {number}\ndata: {request_id}.{number}\n\n"
+            event = f"id: {number}\n" \
+                f"data: {request_id}.{number}.{self.version}\n\n"
             writer.write(wire.chunk(event.encode()))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -81,12 +81,14 @@
         self.log = TargetLog()
         self.log.crash_target = self.crash_by_poison
         self.targets = []
+        self.restarting = []  # Targets that are down until their restart.
         self.proxies = {}  # Of targets, by listed address.
         self.version = 1
         self.extra_routes = 0
         self.warm_up = None  # WARM_UP, if engines start cold.
         self.has_bursts = False
         self._next_port = base + 1
+        self._started_engines = 0
         self._crash_tasks = set()
 
     def new_address(self):
@@ -104,6 +106,19 @@
             speeds += self.random.sample(SPEEDS, len(SPEEDS))
         return Pace(speeds.pop(), self.random.random())
 
+    def new_version(self, service, target_id):
+        """Returns a new target's version; a restarted one keeps its version."""
+        for target in self.targets + self.restarting:
+            if target.id == target_id:
+                return target.version
+        if service == "models":
+            self._started_engines += 1
+        return ("v1", "v2")[self._started_engines % 2]
+
+    def count_serving_engines(self, version):
+        return sum(target.version == version and target.mode == "ok"
+                   and target.state == "ready" for target in self.targets)
+
     def burst_rates(self):
         """Returns requests per second by kind."""
         calls_per_s = sum(1000 / BURST_PIECES["call_ms"] / target.pace.speed
@@ -136,6 +151,7 @@
         self.proxies[listed_address].set_mode("open")
         target = SERVICES[service](self.log, service, listed_address, zone,
                                    self.new_pace(service), target_id)
+        target.version = self.new_version(service, target_id)
         if self.has_bursts:
             target.call_s = BURST_PIECES["call_ms"] / 1000
         await target.start(target_address)
@@ -162,8 +178,10 @@
         self.kill(target)
         await asyncio.sleep(down_s)
         self.targets.remove(target)
+        self.restarting.append(target)
         await self.add_target(target.service, target.zone, target.address,
                               target.id)
+        self.restarting.remove(target)
 
     async def crash(self, target, down_s):
         """Kills a target; returns its replacement at the same address."""
