Streams: nothing is recorded for a stream whose first request is not named

A caller that takes up a stream without naming the request that began it goes on where a service has had a single version. The stream was then recorded under an empty request id, which all such callers of the path share: a later one, after a release, would have gone on at the version recorded there. Found by reading; the case is part of "an unrecorded stream goes on where only one version has served".

--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -64,7 +64,8 @@
     }
     m_service = found.origin.service;
     m_origin = std::move(found.origin);
-    m_taken_up_key = key;
+    if (!m_metadata.resumed_request.empty())
+        m_taken_up_key = key;
     co_return true;
 }
 
@@ -109,7 +110,7 @@
         log_stream("stopped", version);
         return false;
     }
-    const bool is_taken_up = m_taken_up_key && !m_is_head_sent;
+    const bool is_taken_up = is_taking_up_stream() && !m_is_head_sent;
     const std::string_view how = is_taken_up    ? "resumed"
                                  : is_continued ? "continued"
                                                 : "begun";
@@ -118,7 +119,7 @@
     if (!is_continued)
         m_origin = {m_service, version};
     const bool is_recorded = m_route->is_resumable && !version.empty() &&
-                             (!is_continued || is_taken_up);
+                             (!is_continued || (is_taken_up && m_taken_up_key));
     if (is_recorded && m_context.streams != nullptr)
         m_context.streams->record(
             m_taken_up_key.value_or(stream_key_of(m_metadata.id)), *m_origin,
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -113,9 +113,9 @@
     return longest;
 }
 
-// The stream began no earlier than the first request of its caller, who says
-// how much of the time since is left. Only while the list of targets is read: a
-// version that it does not show yet may serve at another entry already.
+// The stream began after its caller's first request, and the time that the
+// caller has left bounds how long ago that was. Requires a list of targets that
+// is up to date: another entry may use a version that this one does not know.
 std::optional<stream_registry::finding>
 stream_registry::find_in_history(const std::string& service,
                                  const caller_time& time) const
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -310,7 +310,7 @@
 }
 
 // Guards against streams that are lost when all entries restart one after the
-// other: each knew a stream, and none was told of it again.
+// other: the records were not sent to entries that came back.
 TEST_CASE("a stream survives a restart of all entries one after the other")
 {
     fleet entries;
@@ -414,12 +414,16 @@
         entry.time.advance(1s);
     }
     CHECK(contains(entry.stream("r2", resumes_r1), "data: v1"));
+    const std::string unnamed = "After: 2\r\n";
+    CHECK(contains(entry.stream("r2", unnamed), "data: v1"));
     entry.add_engine("v2");
     versions.note_versions(entry.context->directory.take_seen_versions(),
                            entry.time.now());
     CHECK(contains(entry.stream("r3", "After: 2\r\nResumes: r9\r\n"),
                    "stream_unknown"));
-    // Callers who say that they sent their first request after that.
+    // Nothing is recorded for streams whose first request is not named.
+    CHECK(contains(entry.stream("r3", unnamed), "stream_unknown"));
+    // A caller's time budget shows when it sent its first request at most.
     entry.time.advance(1s);
     entry.context->directory.note_removed("t2", 10, entry.time.now());
     entry.time.advance(3s);
