--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -110,6 +110,8 @@
         self.log(f"stop all, {gap} s apart")
         stops = []
         for entry in fleet:
+            if entry.disturbance_count:
+                continue  # Killed meanwhile, and about to be started.
             entry.is_stopping = True  # No other disturbance picks it.
             stops.append(asyncio.create_task(
                 entry.stop_gracefully(self.oracle.faults)))
