Streams: entries that join are sent older records although a stream begins

Found by reading: the entries that may keep copies were updated when a stream was recorded or looked for, too, and the next maintenance then saw no change and sent the older records to nobody. A stream whose first holders restarted one after the other would have been refused in a busy fleet. The change is noted wherever it is seen. Asking other entries is a function of its own.

"an entry that joins as a stream begins is sent the older records" fails with the update in record() as it was, and passes now.

--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -25,15 +25,31 @@
 /// rate, and requests take a while to arrive.
 constexpr duration lifetime_margin = std::chrono::seconds(1);
 
+constexpr duration discovery_step = std::chrono::milliseconds(20);
+
+/// Records per frame, some 10 KB: urgent frames wait behind one at most.
+constexpr int origins_per_frame = 100;
+
 duration lifetime_for(duration time_limit)
 {
     return std::min(time_limit + lifetime_margin, max_stream_lifetime);
 }
 
-constexpr duration discovery_step = std::chrono::milliseconds(20);
-
-/// Records per frame, some 10 KB: urgent frames wait behind one at most.
-constexpr int origins_per_frame = 100;
+peer::Frame stream_question_frame(std::uint64_t number,
+                                  const decision::stream_key& key,
+                                  const std::string& service,
+                                  const stream_registry::caller_time& time)
+{
+    peer::Frame frame;
+    peer::StreamQuestion& message = *frame.mutable_stream_question();
+    message.set_number(number);
+    message.set_key_high(key.high);
+    message.set_key_low(key.low);
+    message.set_service(service);
+    message.set_limit_ns(time.limit.count());
+    message.set_left_ns(time.left.count());
+    return frame;
+}
 
 } // namespace
 
@@ -60,11 +76,17 @@
     const duration lifetime = lifetime_for(time_limit);
     m_longest_lifetime = std::max(m_longest_lifetime, lifetime);
     m_records.note(key, {origin, now, now + lifetime, false});
-    m_records.set_entries(m_channel.stream_keepers());
+    update_entries();
     m_records.resend(key);
     send_copies({key});
 }
 
+void stream_registry::update_entries()
+{
+    if (m_records.set_entries(m_channel.stream_keepers()))
+        m_have_entries_changed = true;
+}
+
 void stream_registry::send_copies(const std::vector<decision::stream_key>& keys)
 {
     const instant now = m_context.now();
@@ -139,23 +161,30 @@
 {
     if (const auto own = find_own(key))
         co_return *own;
+    const std::optional<finding> answer = co_await ask(key, service, time);
+    if (answer && answer->from == source::entry)
+        co_return *answer;
+    // A copy may have arrived meanwhile.
+    if (const auto own = find_own(key))
+        co_return *own;
+    if (const auto certain = find_in_history(service, time))
+        co_return *certain;
+    co_return answer.value_or(finding{});
+}
+
+awaitable<std::optional<stream_registry::finding>>
+stream_registry::ask(decision::stream_key key, std::string service,
+                     caller_time time)
+{
     const std::uint64_t number = ++m_last_question;
     const auto asked = std::make_shared<question>(m_context.loop);
     m_questions[number] = asked;
-    peer::Frame frame;
-    peer::StreamQuestion& message = *frame.mutable_stream_question();
-    message.set_number(number);
-    message.set_key_high(key.high);
-    message.set_key_low(key.low);
-    message.set_service(service);
-    message.set_limit_ns(time.limit.count());
-    message.set_left_ns(time.left.count());
+    const peer::Frame frame = stream_question_frame(number, key, service, time);
     const instant started_at = m_context.now();
     std::set<std::string> sent_to;
-    std::optional<finding> found;
     for (;;)
     {
-        m_records.set_entries(m_channel.stream_keepers());
+        update_entries();
         for (const std::string& holder : m_records.likely_holders(key))
         {
             if (!sent_to.insert(holder).second)
@@ -167,25 +196,16 @@
         const duration timeout =
             is_fleet_known ? answer_timeout : discovery_timeout;
         const duration left = started_at + timeout - m_context.now();
-        const bool is_done = is_fleet_known && asked->unanswered.empty();
-        if (is_done || left <= duration::zero())
+        const bool is_found =
+            asked->answer && asked->answer->from == source::entry;
+        const bool are_all_asked = is_fleet_known && asked->unanswered.empty();
+        if (is_found || are_all_asked || left <= duration::zero())
             break;
         co_await asked->is_changed.wait(
             is_fleet_known ? left : std::min(left, discovery_step));
-        found = asked->answer && asked->answer->from == source::entry
-                    ? asked->answer
-                    : find_own(key);
-        if (found)
-            break;
     }
     m_questions.erase(number);
-    if (!found)
-        found = find_own(key);
-    if (!found)
-        found = find_in_history(service, time);
-    if (!found)
-        found = asked->answer;
-    co_return found.value_or(finding{});
+    co_return asked->answer;
 }
 
 void stream_registry::handle_origins(const peer::StreamOrigins& message)
@@ -245,7 +265,7 @@
 void stream_registry::note_lost(const std::string& address)
 {
     m_records.note_lost(address);
-    m_has_lost_entry = true;
+    m_have_entries_changed = true;
     for (const auto& [number, asked] : m_questions)
         if (asked->unanswered.erase(address) > 0)
             asked->is_changed.set();
@@ -254,8 +274,8 @@
 void stream_registry::maintain()
 {
     m_records.expire(m_context.now());
-    const bool is_changed = m_records.set_entries(m_channel.stream_keepers());
-    if (is_changed || std::exchange(m_has_lost_entry, false))
+    update_entries();
+    if (std::exchange(m_have_entries_changed, false))
         send_copies(m_records.keys());
     m_context.metrics.set_gauge({"stream_origins_known", {}},
                                 static_cast<double>(m_records.size()));
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -110,10 +110,17 @@
         auto_reset_event is_changed;
     };
 
+    /// Asks the entries that are likely to keep the record.
+    awaitable<std::optional<finding>>
+    ask(decision::stream_key key, std::string service, caller_time time);
     std::optional<finding> find_own(const decision::stream_key& key) const;
     std::optional<finding> find_in_history(const std::string& service,
                                            const caller_time& time) const;
     duration longest_lifetime() const;
+    /// Notes which other entries may keep copies now.
+    void update_entries();
+    /// Sends the records of \a keys to the entries that are to keep them and
+    /// were not sent them yet.
     void send_copies(const std::vector<decision::stream_key>& keys);
 
     entry_context& m_context;
@@ -123,7 +130,7 @@
     std::uint64_t m_last_question = 0;
     /// Of the streams recorded here; others may have begun that live as long.
     duration m_longest_lifetime{};
-    bool m_has_lost_entry = false; ///< Since the last maintenance.
+    bool m_have_entries_changed = false; ///< Since the last maintenance.
 };
 
 std::string_view to_string(stream_registry::source value);
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -338,6 +338,26 @@
     CHECK(contains(last.stream("r2", resumes_r1), "data: v1"));
 }
 
+// Guards against copies that entries which join never get: a stream that begins
+// at the same time hid the change.
+TEST_CASE("an entry that joins as a stream begins is sent the older records")
+{
+    fleet entries;
+    versioned_entry first(&entries, "a");
+    const decision::stream_origin origin{"events", "v1"};
+    const auto key = decision::make_stream_key("club", "h", "/events/r1", "r1");
+    first.streams.record(key, origin, 5s);
+    first.streams.maintain();
+    versioned_entry second(&entries, "b");
+    first.streams.record(decision::make_stream_key("club", "h", "/", "r0"),
+                         origin, 5s);
+    first.streams.maintain();
+    second.add_engine("v1");
+    second.add_engine("v2");
+    entries.erase("a");
+    CHECK(contains(second.stream("r2", resumes_r1), "data: v1"));
+}
+
 // Guards against a caller that waits for an entry that does not respond.
 TEST_CASE("an entry that does not answer delays no stream for long")
 {
