--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -12,7 +12,7 @@
 MAX_ACTIVE_POISONS = 2  # So that each still finds targets to crash.
 # Not drawn by default, so that existing seeds replay unchanged.
 OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven",
-                "kill_all")
+                "kill_all", "break_streams")
 GROW_INTERVAL_S = 3  # So that a narrow link can carry all versions.
 
 
@@ -61,10 +61,11 @@
             return None
         return self.random.choice(free)
 
-    def pick_target(self):
+    def pick_target(self, service=None):
         """Returns an undisturbed target whose service has another one."""
         free = [target for target in self.platform.targets
-                if target.mode == "ok" and target.state == "ready"
+                if target.service == (service or target.service)
+                and target.mode == "ok" and target.state == "ready"
                 and self.platform.proxies[target.address].mode == "open"]
         replaceable = [
             target for target in free
@@ -110,8 +111,8 @@
         self.log(f"stop all, {gap} s apart")
         stops = []
         for entry in fleet:
-            if entry.disturbance_count:
-                continue  # Killed meanwhile, and about to be started.
+            if entry.disturbance_count or entry.is_stopping:
+                continue  # Another disturbance is about to start it again.
             entry.is_stopping = True  # No other disturbance picks it.
             stops.append(asyncio.create_task(
                 entry.stop_gracefully(self.oracle.faults)))
@@ -173,8 +174,8 @@
         self.oracle.store_undisturbed_since = self.oracle.now()
 
     # Calls disturb(target), later undo(target), for a random target.
-    async def _disturb_target(self, disturb, undo):
-        target = self.pick_target()
+    async def _disturb_target(self, disturb, undo, service=None):
+        target = self.pick_target(service)
         if target is None:
             return
         self.oracle.targets_undisturbed_since = float("inf")
@@ -195,6 +196,14 @@
         await self._disturb_target(
             disturb, lambda target: setattr(target, "mode", "ok"))
 
+    async def do_break_streams(self):
+        """Has an engine break off its streams for a while."""
+        def disturb(target):
+            self.log(f"{target.id} breaks off streams")
+            target.mode = "cut"
+        await self._disturb_target(
+            disturb, lambda target: setattr(target, "mode", "ok"), "models")
+
     async def do_target_link(self):
         mode = self.random.choice(("cut", "silent", "deaf"))
         proxies = self.platform.proxies
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -156,7 +156,7 @@
 
     def note_take_up(self, sent):
         """Notes that a stream is about to be taken up."""
-        version, = sent.stream.versions
+        version = min(sent.stream.versions)
         if self.is_undisturbed(sent.entry, sent.sent_at) and \
                 self.count_serving_engines(version) >= 2:
             self.take_ups.append(sent)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -116,8 +116,9 @@
         return ("v1", "v2")[self._started_engines % 2]
 
     def count_serving_engines(self, version):
-        return sum(target.version == version and target.mode == "ok"
-                   and target.state == "ready" for target in self.targets)
+        return sum(target.service == "models" and target.version == version
+                   and target.mode == "ok" and target.state == "ready"
+                   for target in self.targets)
 
     def burst_rates(self):
         """Returns requests per second by kind."""
