Streams: an unrecorded stream of a split route goes on, too

Callers that name no request, or whose record is lost, were refused on routes with several services, since the service where the stream began is not known. The request now goes to the service that its route's weights choose, as it did before versions were kept, if that has had a single version since the stream can have begun: no stream holds events of two versions of one service.

--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -34,14 +34,11 @@
         co_return true;
     const auto& services = m_route->services;
     const decision::stream_key key = stream_key_of(m_metadata.resumed_request);
-    // A variable: g++ 12 destroys temporaries in such a call twice.
-    const std::string only_service =
-        services.size() == 1 ? services.front().service : std::string();
     const stream_registry::caller_time time{
         stream_time_limit(), m_metadata.budget.value_or(duration::zero())};
     stream_registry::finding found;
     if (m_context.streams != nullptr)
-        found = co_await m_context.streams->find(key, only_service, time);
+        found = co_await m_context.streams->find(key, m_service, time);
     m_context.count("streams_taken_up", "known_from", to_string(found.from));
     runtime::event("stream_taken_up")
         .with("request", m_metadata.id)
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -76,8 +76,9 @@
                                const caller_time&) = default;
     };
 
-    /// Finds the origin of the stream \a key. \a service is the only one of its
-    /// route; empty if it has several. Asks other entries if need be: for a
+    /// Finds the origin of the stream \a key. If no entry has recorded it, it
+    /// is the version of \a service, provided that this has had a single one
+    /// since the stream can have begun. Asks other entries if need be: for a
     /// tenth of a second at most, or half a second at an entry that has just
     /// started.
     awaitable<finding> find(decision::stream_key key, std::string service,
