Streams: event names are whole in the source

The names of the log lines were put together from parts, so that a search for a line of the log found nothing. The counter streams has the line's name as its label. Two vectors reserve their size, as the linter asks.

--- a/packages/decision/streams/copy_placement.cpp
+++ b/packages/decision/streams/copy_placement.cpp
@@ -27,6 +27,7 @@
         return false;
     m_addresses = std::move(addresses);
     m_hashes.clear();
+    m_hashes.reserve(m_addresses.size());
     for (const std::string& address : m_addresses)
         m_hashes.push_back(election_rank({}, address));
     return true;
@@ -49,6 +50,7 @@
             entry);
     }
     std::vector<std::string> addresses;
+    addresses.reserve(first.size());
     for (const auto& [rank, index] : first)
         addresses.push_back(m_addresses[index]);
     return addresses;
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -185,7 +185,9 @@
     /// Returns the key of the stream that \a request_id of this caller began.
     decision::stream_key stream_key_of(const std::string& request_id) const;
     duration stream_time_limit() const;
-    void log_stream(std::string_view how, const std::string& version) const;
+    /// Logs and counts an \a event of the stream, whose newest target has
+    /// \a version.
+    void note_stream(std::string_view event, const std::string& version);
     awaitable<void> send_refusal();
     unsigned refusal_status() const;
     std::string retry_after() const;
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -103,16 +103,14 @@
     const bool is_continued = m_origin.has_value();
     if (is_continued && (version.empty() || version != m_origin->version))
     {
-        m_context.count("streams", "how", "stopped");
-        log_stream("stopped", version);
+        note_stream("stream_stopped", version);
         return false;
     }
     const bool is_taken_up = is_taking_up_stream() && !m_is_head_sent;
-    const std::string_view how = is_taken_up    ? "resumed"
-                                 : is_continued ? "continued"
-                                                : "begun";
-    m_context.count("streams", "how", how);
-    log_stream(how, version);
+    note_stream(is_taken_up    ? "stream_resumed"
+                : is_continued ? "stream_continued"
+                               : "stream_begun",
+                version);
     if (!is_continued)
         m_origin = {m_service, version};
     const bool is_recorded = m_route->is_resumable && !version.empty() &&
@@ -124,10 +122,10 @@
     return true;
 }
 
-void exchange::log_stream(std::string_view how,
-                          const std::string& version) const
+void exchange::note_stream(std::string_view event, const std::string& version)
 {
-    runtime::event("stream_" + std::string(how))
+    m_context.count("streams", "event", event);
+    runtime::event(event)
         .with("request", m_metadata.id)
         .with("resumes", m_metadata.resumed_request)
         .with("target", m_last_target.id)
