--- a/tests/mutants/relay.py
+++ b/tests/mutants/relay.py
@@ -26,8 +26,7 @@
      "known.has_expired ? known.value.revision : known.newest_revision",
      "known.newest_revision"),
     ("an older update that a target is leaving is ignored", DIRECTORY,
-     "return update.is_leaving && apply_leaving(known, update);",
-     "return false;"),
+     "update.is_leaving && apply_leaving(known, update);", "false;"),
     ("expired targets are never removed", DIRECTORY,
      "        if (!known.has_expired)\n            continue;",
      "        if (id != known.value.incarnation.id || true)\n"
