Soak: a complete stream holds nothing but its events

When the oracle began to read events one by one, it passed over bytes between them, which the comparison of the whole body had found before. Complete streams are checked for other bytes again.

--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -41,6 +41,8 @@
             self.last_event = int(number)
             self.versions.add(version.decode())
         self.is_complete = sent.is_complete and sent.status == 200
+        if self.is_complete and EVENT_PATTERN.sub(b"", sent.body):
+            return f"holds other bytes: {sent.body!r}"
         if self.is_complete and self.last_event != EVENT_COUNT:
             return f"complete after event {self.last_event}"
         if len(self.versions) > 1:
