--- /dev/null
+++ b/tests/soak/total_loss.py
@@ -0,0 +1,131 @@
+"""Loses all entries while streams of two versions are in progress, then has
+their callers take them up: as many must go on as new streams begin.
+"""
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+
+from callers import Caller, Connection, REQUEST_KINDS
+from fleet import Entry
+from oracle import Oracle
+from soak import wait_ready
+from targets import EVENT_COUNT
+from world import PlatformStandin
+
+STREAMS = 24  # In progress at each loss; the engines' slots bear twice that.
+BEGIN_S = 1.0  # By then, each stream has events.
+MIN_SHARE = 0.9  # Of the share of new streams that begin.
+
+
+class TotalLoss:
+    def __init__(self, platform, oracle, seed):
+        self.oracle = oracle
+        self.platform = platform
+        self.random = random.Random(seed)
+        self.caller = Caller(oracle, seed, abandoned_share=0)
+        self.taken_up = []
+        self.begun = []
+
+    async def send(self, stream_of=None):
+        """Sends a request for a stream, a new one or that of a request."""
+        entry = self.random.choice(self.oracle.fleet)
+        sent = self.caller.new_request("chat", entry)
+        method, path, fields = REQUEST_KINDS["chat"]
+        fields = {**fields, "Authorization": "Bearer always"}
+        if stream_of:
+            sent.stream = stream_of.stream
+            fields["Last-Event-Id"] = str(sent.stream.last_event)
+            fields["Resumes"] = stream_of.request_id
+        connection = Connection(entry, self.oracle)
+        await connection.send(sent, method, path, fields)
+        connection.close()
+        self.oracle.check_outcome(sent)
+        return sent
+
+    async def lose_all(self, gap_s):
+        """Kills each entry, gap_s after the one before."""
+        kills = []
+        for entry in self.oracle.fleet:
+            kills.append(asyncio.create_task(
+                entry.kill(self.random.uniform(0.05, 0.3))))
+            await asyncio.sleep(gap_s)
+        for entry in self.oracle.fleet:
+            while entry.incarnation == self.incarnations[entry]:
+                await asyncio.sleep(0.02)
+        await wait_ready(self.oracle.fleet)
+        return kills
+
+    async def run(self, gap_s):
+        for target in self.platform.targets:
+            if target.service == "models":
+                target.mode = "slow"
+        self.incarnations = {entry: entry.incarnation
+                             for entry in self.oracle.fleet}
+        streams = [asyncio.create_task(self.send()) for _ in range(STREAMS)]
+        await asyncio.sleep(BEGIN_S)
+        kills = await self.lose_all(gap_s)
+        for target in self.platform.targets:
+            target.mode = "ok"
+        broken = [sent for sent in await asyncio.gather(*streams)
+                  if sent.stream.last_event not in (0, EVENT_COUNT)]
+        self.taken_up += await asyncio.gather(*map(self.send, broken))
+        self.begun += await asyncio.gather(*(self.send() for _ in broken))
+        await asyncio.gather(*kills)
+
+    def check(self):
+        gone_on = sum(sent.event_count > 0 for sent in self.taken_up)
+        begun = sum(sent.event_count > 0 for sent in self.begun)
+        print(f"{gone_on} of {len(self.taken_up)} streams went on, "
+              f"{begun} of {len(self.begun)} new ones began")
+        if len(self.taken_up) < STREAMS or \
+                gone_on / len(self.taken_up) < \
+                MIN_SHARE * begun / len(self.begun):
+            self.oracle.faults.append("streams ended with the entries")
+
+
+async def run(options, folder):
+    platform = PlatformStandin(options.base, options.seed)
+    await platform.start(options.copies)
+    seeds = [f"127.0.0.1:{options.base + 1004 + 10 * number}"
+             for number in (0, 1)]
+    fleet = [Entry(options.program, number, options.base + 1000,
+                   platform.store_address, folder, seeds, {})
+             for number in range(options.entries)]
+    oracle = Oracle(platform.log, fleet)
+    loss = TotalLoss(platform, oracle, options.seed)
+    try:
+        for entry in fleet:
+            await entry.open()
+        await wait_ready(fleet)
+        await asyncio.sleep(1)
+        for gap_s in options.gaps:
+            await loss.run(gap_s)
+    finally:
+        for entry in fleet:
+            entry.terminate()
+    loss.check()
+    return oracle.faults
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("program")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--entries", type=int, default=6)
+    parser.add_argument("--copies", type=int, default=4)
+    parser.add_argument("--base", type=int, default=26000)
+    parser.add_argument("--gaps", type=float, nargs="+", default=[0, 0, 0.1],
+                        help="seconds between the kills of each loss")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        faults = asyncio.run(run(options, folder))
+    for fault in faults[:20]:
+        print(f"FAULT {fault}")
+    sys.exit(1 if faults else 0)
+
+
+if __name__ == "__main__":
+    main()
