Decision, streams: copies at record keepers, and versions seen by others

All records of streams were kept by entries, so that a loss of all entries lost them. An origin record is now placed at two record keepers (processes beside the targets, lost for other reasons) and at one other entry; at three entries, as before, where fewer than two keepers respond. keeper_roster decides which keepers respond: a message without a reply is sent again, twice; a silent keeper is passed over for a while; a reply of another process shows a restart. version_history merges what other processes have seen, so that an entry that starts again knows the versions before it.

--- a/packages/decision/streams/origin_records.cpp
+++ b/packages/decision/streams/origin_records.cpp
@@ -1,6 +1,7 @@
 #include "decision/streams/origin_records.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mangofold::decision
 {
@@ -40,6 +41,12 @@
     return m_placement.set_entries(std::move(addresses));
 }
 
+bool origin_records::set_keepers(std::vector<std::string> addresses)
+{
+    m_keepers = addresses.size();
+    return m_keeper_placement.set_entries(std::move(addresses));
+}
+
 void origin_records::note_lost(const std::string& address)
 {
     for (auto& [key, stored] : m_records)
@@ -58,7 +65,11 @@
     const auto found = m_records.find(key);
     if (found == m_records.end())
         return {};
-    std::vector<std::string> holders = m_placement.holders(key, copies);
+    const std::size_t entry_copies =
+        m_keepers >= keeper_copies ? copies_beside_keepers : copies;
+    std::vector<std::string> holders = m_placement.holders(key, entry_copies);
+    std::ranges::move(m_keeper_placement.holders(key, keeper_copies),
+                      std::back_inserter(holders));
     std::erase_if(holders,
                   [&sent_to = found->second.sent_to](const std::string& holder)
                   { return !sent_to.insert(holder).second; });
@@ -66,11 +77,15 @@
 }
 
 // The entry that placed the copies left itself out, and this entry leaves
-// itself out, so the holders are among one more here.
+// itself out, so the holders are among one more here. The entry may also have
+// passed over keepers that did not respond to it.
 std::vector<std::string>
 origin_records::likely_holders(const stream_key& key) const
 {
-    return m_placement.holders(key, copies + 1);
+    std::vector<std::string> holders = m_placement.holders(key, copies + 1);
+    std::ranges::move(m_keeper_placement.holders(key, keeper_copies + 2),
+                      std::back_inserter(holders));
+    return holders;
 }
 
 std::vector<stream_key> origin_records::keys() const
--- a/packages/decision/streams/origin_records.hpp
+++ b/packages/decision/streams/origin_records.hpp
@@ -19,15 +19,22 @@
 ///
 /// A record says where a stream began and never changes. So a copy may be
 /// missing, but it is never wrong. Each entry that has a record sends it to the
-/// entries that are to keep it, again whenever those change; the record thus
-/// outlives the entry where the stream began, and a restart of all entries one
-/// after the other.
+/// other entries and to the record keepers that are to keep it, again whenever
+/// those change; the record thus outlives the entry where the stream began, a
+/// restart of all entries one after the other, and a loss of all entries.
 class origin_records
 {
 public:
     /// On how many other entries an entry places a copy.
     static constexpr std::size_t copies = 3;
 
+    /// The same beside copies at record keepers, which are lost for other
+    /// reasons than entries are.
+    static constexpr std::size_t copies_beside_keepers = 1;
+
+    /// At how many record keepers an entry places a copy.
+    static constexpr std::size_t keeper_copies = 2;
+
     struct record
     {
         stream_origin origin;
@@ -56,21 +63,32 @@
     /// changed.
     bool set_entries(std::vector<std::string> addresses);
 
-    /// Notes that the entry at \a address was lost: it may come back without
-    /// its copies.
+    /// Sets the record keepers. Returns whether they have changed.
+    bool set_keepers(std::vector<std::string> addresses);
+
+    /// Notes that the entry or record keeper at \a address was lost: it may
+    /// come back without its copies.
     void note_lost(const std::string& address);
 
     /// Has the record of \a key sent to its holders once more.
     void resend(const stream_key& key);
 
-    /// Returns the entries that are to keep the record of \a key and were not
-    /// sent it yet, and notes that they are.
+    /// Returns the entries and record keepers that are to keep the record of
+    /// \a key and were not sent it yet, and notes that they are.
     std::vector<std::string> take_new_holders(const stream_key& key);
 
-    /// Returns the entries to ask for a record that is not known here: those
-    /// that keep it by this entry's view, which may differ from another one's.
+    /// Returns the entries and record keepers to ask for a record that is not
+    /// known here: those that keep it by this entry's view, which may differ
+    /// from another one's.
     std::vector<std::string> likely_holders(const stream_key& key) const;
 
+    /// Returns the \a count record keepers that come first for \a key.
+    std::vector<std::string> keepers_for(const stream_key& key,
+                                         std::size_t count) const
+    {
+        return m_keeper_placement.holders(key, count);
+    }
+
     std::vector<stream_key> keys() const;
     void expire(instant now);
     std::size_t size() const { return m_records.size(); }
@@ -86,6 +104,8 @@
 
     std::size_t m_capacity;
     copy_placement m_placement;
+    copy_placement m_keeper_placement;
+    std::size_t m_keepers = 0;
     std::unordered_map<stream_key, stored_record, digest_hash> m_records;
     std::set<by_expiry> m_by_expiry;
 };
--- a/packages/decision/streams/version_history.cpp
+++ b/packages/decision/streams/version_history.cpp
@@ -1,5 +1,7 @@
 #include "decision/streams/version_history.hpp"
 
+#include <algorithm>
+
 namespace mangofold::decision
 {
 
@@ -16,10 +18,50 @@
 {
     for (const stream_origin& origin : seen)
         m_last_seen[origin] = now;
+    m_followed_until = now;
+    expire(now);
+}
+
+void version_history::expire(instant now)
+{
     std::erase_if(m_last_seen, [now](const auto& known)
                   { return known.second + memory < now; });
 }
 
+// Entries that are all lost see nothing until one has started again, and no
+// stream begins meanwhile. So a short time without observations hides no
+// version at which a stream can have begun.
+void version_history::merge(const version_observation& other)
+{
+    for (const auto& [origin, seen_at] : other.last_seen)
+    {
+        instant& last_seen =
+            m_last_seen.try_emplace(origin, seen_at).first->second;
+        last_seen = std::max(last_seen, seen_at);
+    }
+    const bool is_adjoining =
+        m_followed_since && other.since <= m_followed_until + max_unobserved &&
+        *m_followed_since <= other.until + max_unobserved;
+    if (is_adjoining)
+    {
+        m_followed_since = std::min(*m_followed_since, other.since);
+        m_followed_until = std::max(m_followed_until, other.until);
+    }
+    else if (!m_followed_since || other.until > m_followed_until)
+    {
+        m_followed_since = other.since;
+        m_followed_until = other.until;
+    }
+}
+
+std::optional<version_observation> version_history::observation() const
+{
+    if (!m_followed_since)
+        return std::nullopt;
+    return version_observation{*m_followed_since, m_followed_until,
+                               m_last_seen};
+}
+
 std::optional<std::string>
 version_history::only_version(const std::string& service, duration lifetime,
                               instant now) const
--- a/packages/decision/streams/version_history.hpp
+++ b/packages/decision/streams/version_history.hpp
@@ -11,6 +11,17 @@
 namespace mangofold::decision
 {
 
+/// What one process has seen of the list of targets in a span of time.
+struct version_observation
+{
+    instant since{}; ///< From then on, the list was followed without a gap.
+    instant until{};
+    std::map<stream_origin, instant> last_seen;
+
+    friend bool operator==(const version_observation&,
+                           const version_observation&) = default;
+};
+
 /// Which software versions the targets of each service had lately. While a
 /// service has had a single one for as long as any stream can live, the origin
 /// of a stream of that service is certain although no entry recorded it.
@@ -22,11 +33,27 @@
 
     /// Notes that the list of targets is followed from \a now on without a gap;
     /// targets may have come and gone unseen before.
-    void note_gap(instant now) { m_followed_since = now; }
+    void note_gap(instant now)
+    {
+        m_followed_since = now;
+        m_followed_until = now;
+    }
 
     /// Notes the versions that targets had since the last call.
     void note_versions(const std::set<stream_origin>& seen, instant now);
 
+    /// The longest time between two observations that may be taken for one.
+    static constexpr duration max_unobserved = std::chrono::seconds(10);
+
+    /// Adds what another process has seen.
+    void merge(const version_observation& other);
+
+    /// Forgets versions that were last seen long ago.
+    void expire(instant now);
+
+    /// Returns what is known of the last span without a gap, or nothing.
+    std::optional<version_observation> observation() const;
+
     /// Returns the version that all targets of \a service had for at least
     /// \a lifetime, or nothing.
     std::optional<std::string> only_version(const std::string& service,
@@ -35,6 +62,7 @@
 
 private:
     std::optional<instant> m_followed_since;
+    instant m_followed_until{};
     std::map<stream_origin, instant> m_last_seen;
 };
 
--- a/tests/decision/streams/origin_records_simulation_test.cpp
+++ b/tests/decision/streams/origin_records_simulation_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,13 +15,18 @@
 namespace
 {
 
-/// Simulates entries that record streams, send each other copies, some of which
-/// are lost or late, and that are killed and start again without records.
+/// Simulates entries that record streams, send each other and record keepers
+/// copies, some of which are lost or late, and that are killed and start again
+/// without records, as the keepers do.
 class stream_fleet
 {
 public:
-    stream_fleet(std::uint64_t seed, std::size_t entries) : m_random(seed)
+    stream_fleet(std::uint64_t seed, std::size_t entries,
+                 std::size_t keepers = 0)
+        : m_random(seed)
     {
+        for (std::size_t number = 0; number < keepers; ++number)
+            m_keepers["10.1.0." + std::to_string(number)];
         for (std::size_t number = 0; number < entries; ++number)
             m_entries["10.0.0." + std::to_string(number)] =
                 std::make_unique<origin_records>();
@@ -47,6 +53,24 @@
         m_unnoticed.push_back(address);
     }
 
+    /// Kills all entries; they start again before anything is noticed.
+    void restart_all()
+    {
+        for (const std::string& address : live_entries())
+            kill(address);
+        for (auto& [address, entry] : m_entries)
+            restart(address);
+    }
+
+    /// Has a random record keeper start again without records.
+    void restart_keeper()
+    {
+        auto keeper = m_keepers.begin();
+        std::advance(keeper, m_random.below(m_keepers.size()));
+        keeper->second = origin_records();
+        m_unnoticed.push_back(keeper->first);
+    }
+
     void restart(const std::string& address)
     {
         m_entries.at(address) = std::make_unique<origin_records>();
@@ -57,8 +81,12 @@
     {
         m_loss = loss;
         m_now += 50ms;
-        switch (m_random.below(6))
+        switch (m_random.below(m_keepers.empty() ? 6 : 8))
         {
+        case 6:
+            return restart_keeper();
+        case 7:
+            return m_random.below(4) == 0 ? restart_all() : deliver();
         case 0:
             return begin_stream();
         case 1:
@@ -99,7 +127,7 @@
         if (const auto* known = own.find(key, m_now))
             return known->origin;
         for (const std::string& holder : own.likely_holders(key))
-            if (const auto& other = m_entries.at(holder))
+            if (const origin_records* other = records_of(holder))
                 if (const auto* known = other->find(key, m_now))
                     return known->origin;
         return std::nullopt;
@@ -157,6 +185,27 @@
         return wrong;
     }
 
+    void deliver()
+    {
+        for (const copy& sent : m_copies)
+            if (origin_records* receiver = records_of(sent.to))
+                receiver->note(sent.key, sent.known);
+        m_copies.clear();
+    }
+
+    void maintain(const std::string& address)
+    {
+        auto others = live_entries();
+        std::erase(others, address);
+        m_entries.at(address)->set_entries(others);
+        std::vector<std::string> keepers;
+        for (const auto& [keeper, records] : m_keepers)
+            keepers.push_back(keeper);
+        m_entries.at(address)->set_keepers(keepers);
+        for (const stream_key& key : m_entries.at(address)->keys())
+            send_copies(address, key);
+    }
+
 private:
     struct stream
     {
@@ -191,27 +240,23 @@
         m_unnoticed.clear();
     }
 
-    void maintain(const std::string& address)
+    /// The records of an entry or a record keeper; null if it does not run.
+    origin_records* records_of(const std::string& address)
     {
-        auto others = live_entries();
-        std::erase(others, address);
-        m_entries.at(address)->set_entries(others);
-        for (const stream_key& key : m_entries.at(address)->keys())
-            send_copies(address, key);
+        const auto keeper = m_keepers.find(address);
+        return keeper == m_keepers.end() ? m_entries.at(address).get()
+                                         : &keeper->second;
     }
-
-    void deliver()
+    const origin_records* records_of(const std::string& address) const
     {
-        for (const copy& sent : m_copies)
-            if (const auto& entry = m_entries.at(sent.to))
-                entry->note(sent.key, sent.known);
-        m_copies.clear();
+        return const_cast<stream_fleet*>(this)->records_of(address);
     }
 
     random_source m_random;
     instant m_now{1h};
     double m_loss = 0;
     std::map<std::string, std::unique_ptr<origin_records>> m_entries;
+    std::map<std::string, origin_records> m_keepers;
     std::vector<stream> m_streams;
     std::vector<copy> m_copies;           ///< On their way.
     std::vector<std::string> m_unnoticed; ///< Losses.
@@ -225,7 +270,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed)
     {
-        stream_fleet fleet(seed, 2 + seed % 7);
+        stream_fleet fleet(seed, 2 + seed % 7, seed % 3 * 3);
         for (int step = 0; step < 150; ++step)
         {
             fleet.step(0.3);
@@ -293,3 +338,64 @@
         CHECK(fleet.missing_streams() == 0);
     }
 }
+
+// Guards against streams that end when all entries are lost at once.
+TEST_CASE("streams are found after all entries were lost at once")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        stream_fleet fleet(seed, 1 + seed % 9, 2 + seed % 12);
+        for (int number = 0; number < 10; ++number)
+            fleet.begin_stream();
+        fleet.deliver();
+        fleet.restart_all();
+        fleet.settle();
+        CHECK(fleet.missing_streams() == 0);
+    }
+}
+
+// Guards against a record that is left at one record keeper only, and lost with
+// it: the copies of a keeper that started again are sent once more.
+TEST_CASE("streams outlive all entries, and all keepers one after the other")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        stream_fleet fleet(seed, 3, 6);
+        for (int number = 0; number < 10; ++number)
+            fleet.begin_stream();
+        fleet.settle();
+        for (int restart = 0; restart < 12; ++restart)
+        {
+            fleet.restart_keeper();
+            CHECK(fleet.missing_streams() == 0);
+            fleet.settle();
+        }
+        fleet.restart_keeper();
+        fleet.restart_all();
+        fleet.settle();
+        CHECK(fleet.missing_streams() == 0);
+    }
+}
+
+// Guards against streams that end with half of the entries, and then with the
+// other half, before any loss is noticed.
+TEST_CASE("streams are found after one half was lost, then the other")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        stream_fleet fleet(seed, 6, 4);
+        for (int number = 0; number < 10; ++number)
+            fleet.begin_stream();
+        fleet.deliver();
+        const auto entries = fleet.live_entries();
+        for (std::size_t number = 0; number < entries.size(); ++number)
+        {
+            fleet.kill(entries[number]);
+            fleet.restart(entries[number]);
+            if (number == entries.size() / 2)
+                fleet.maintain(entries.front());
+        }
+        fleet.settle();
+        CHECK(fleet.missing_streams() == 0);
+    }
+}
--- a/tests/decision/streams/origin_records_test.cpp
+++ b/tests/decision/streams/origin_records_test.cpp
@@ -188,3 +188,82 @@
     CHECK_FALSE(history.only_version("chat", 10s, start + 30s));
     CHECK(history.only_version("chat", 10s, start + 31s));
 }
+
+// Guards against streams that end with their entries, and against more copies
+// than the loss of all entries and of one record keeper needs.
+TEST_CASE("a record is sent to two record keepers and to one other entry")
+{
+    origin_records records;
+    records.set_entries(addresses(5));
+    const std::vector<std::string> keepers{"k1", "k2", "k3", "k4", "k5"};
+    records.set_keepers(keepers);
+    records.note(key_of("r1"), record_of(first_version));
+    const auto holders = records.take_new_holders(key_of("r1"));
+    CHECK(holders.size() == origin_records::copies_beside_keepers +
+                                origin_records::keeper_copies);
+    CHECK(std::ranges::count_if(holders, [](const std::string& holder)
+                                { return holder.front() == 'k'; }) == 2);
+    for (const std::string& holder : holders)
+        CHECK(std::ranges::count(records.likely_holders(key_of("r1")),
+                                 holder) == 1);
+    // A keeper that was lost is sent the record again, or another one is.
+    records.note_lost(holders.back());
+    CHECK(records.take_new_holders(key_of("r1")) ==
+          std::vector{holders.back()});
+    records.set_keepers({});
+    CHECK(records.take_new_holders(key_of("r1")).size() ==
+          origin_records::copies - origin_records::copies_beside_keepers);
+}
+
+namespace
+{
+
+version_observation observed(instant since, instant until,
+                             const stream_origin& origin)
+{
+    return {since, until, {{origin, until}}};
+}
+
+} // namespace
+
+// Guards against streams that are refused after a loss of all entries although
+// one version has served all the time.
+TEST_CASE("what entries saw before their loss counts after it")
+{
+    version_history history;
+    history.note_gap(start);
+    history.note_versions({first_version}, start);
+    CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
+    history.merge(observed(start - 40s, start - 5s, first_version));
+    CHECK(history.only_version("chat", 20s, start + 1s) == "v1");
+    CHECK(history.observation()->since == start - 40s);
+}
+
+// Guards against a guess: another version has served before the loss, or may
+// have served unseen.
+TEST_CASE("what entries saw before their loss is never too little")
+{
+    version_history history;
+    history.note_gap(start);
+    history.note_versions({first_version}, start);
+    history.merge(observed(start - 40s, start - 11s, first_version));
+    CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
+    history.merge(observed(start - 40s, start - 5s, second_version));
+    CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
+    CHECK(history.only_version("chat", 20s, start + 20s) == "v1");
+    // A later observation of a shorter span takes nothing away.
+    history.merge(observed(start - 1s, start, first_version));
+    CHECK(history.observation()->since == start - 40s);
+}
+
+// Guards against a gap that a span after it hides.
+TEST_CASE("a span that began after a long gap replaces the one before")
+{
+    version_history history;
+    history.merge(observed(start - 60s, start - 30s, first_version));
+    history.merge(observed(start - 5s, start, first_version));
+    CHECK(history.observation()->since == start - 5s);
+    history.merge(observed(start - 60s, start - 30s, second_version));
+    CHECK(history.observation()->since == start - 5s);
+    CHECK_FALSE(history.only_version("chat", 40s, start));
+}
--- a/tests/mutants/streams.py
+++ b/tests/mutants/streams.py
@@ -3,6 +3,7 @@
 """
 
 PARTS = ["tests/support/main.cpp",
+         "tests/decision/streams/keeper_roster_test.cpp",
          "tests/decision/streams/origin_records_test.cpp",
          "tests/decision/streams/origin_records_simulation_test.cpp",
          "tests/decision/target_directory_test.cpp"]
@@ -11,6 +12,7 @@
 RECORDS = "packages/decision/streams/origin_records.cpp"
 HISTORY = "packages/decision/streams/version_history.cpp"
 ORIGIN = "packages/decision/streams/stream_origin.cpp"
+ROSTER = "packages/decision/streams/keeper_roster.cpp"
 DIRECTORY = "packages/decision/target_directory.cpp"
 
 # Name, file, removed text, replacement.
@@ -22,6 +24,27 @@
      "sent_to.insert(holder); return sent_to.size() > copies;"),
     ("only as many entries are asked as keep copies", RECORDS,
      "copies + 1", "copies"),
+    ("records are not sent to record keepers", RECORDS,
+     "m_keeper_placement.holders(key, keeper_copies)",
+     "std::vector<std::string>()"),
+    ("record keepers are not asked", RECORDS,
+     "m_keeper_placement.holders(key, keeper_copies + 2)",
+     "std::vector<std::string>()"),
+    ("a lost message is not sent again", ROSTER,
+     "waiting.sends < max_sends", "waiting.sends < 1"),
+    ("silent record keepers are sent copies", ROSTER,
+     "*known.silent_until <= now)\n            addresses",
+     "*known.silent_until > now)\n            addresses"),
+    ("a restart of a record keeper goes unnoticed", ROSTER,
+     "known.born && *known.born != born", "false"),
+    ("spans are joined over any gap", HISTORY,
+     "other.since <= m_followed_until + max_unobserved &&\n"
+     "        *m_followed_since <= other.until + max_unobserved", "true"),
+    ("versions that others saw are dropped", HISTORY,
+     "last_seen = std::max(last_seen, seen_at);",
+     "last_seen = m_followed_since ? instant() : last_seen;"),
+    ("what was seen before a loss does not count", HISTORY,
+     "m_followed_since = std::min(*m_followed_since, other.since);", ""),
     ("expired records are used", RECORDS,
      "found->second.known.expires_at > now", "true"),
     ("one of two origins is used", RECORDS,
