Serving, platform: records of streams outlive all entries

Cause: the origin of a stream was kept by entries only, so one cause of loss took the record and all its copies. Now a small process beside each engine, mangofold-platform-keeper, keeps copies, too. An entry finds it on the host of each target of the services that stream, sends it one datagram before the first event, and asks it when a stream is taken up. Entries also tell three keepers which versions they have seen, and learn them when they start, so that streams without a record go on where one version has served.

--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -44,7 +44,8 @@
     : m_context(loop, time, protocol, settings(), seed),
       m_settings(m_context, std::move(settings)), m_batcher(m_context),
       m_source(m_context, source), m_mesh(m_context, m_source, m_batcher),
-      m_scheduler(m_context, m_mesh), m_streams(m_context, m_mesh),
+      m_scheduler(m_context, m_mesh), m_keepers(m_context),
+      m_records(m_mesh, m_keepers), m_streams(m_context, m_records),
       m_peers(
           m_context, m_batcher,
           [this](const std::string& address) { m_mesh.add(address); },
@@ -208,6 +209,7 @@
     spawn(m_context.loop, m_settings.run());
     spawn(m_context.loop, m_source.run());
     spawn(m_context.loop, m_mesh.run());
+    spawn(m_context.loop, m_keepers.run());
     spawn(m_context.loop, m_streams.run());
     spawn(m_context.loop, m_peers.run());
     spawn(m_context.loop, m_batcher.run());
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -5,6 +5,7 @@
 #include "serving/peer_mesh.hpp"
 #include "serving/peer_server.hpp"
 #include "serving/piece_batcher.hpp"
+#include "serving/records/keeper_client.hpp"
 #include "serving/request_server.hpp"
 #include "serving/settings_reloader.hpp"
 #include "serving/source_reader.hpp"
@@ -44,6 +45,8 @@
     source_reader m_source;
     peer_mesh m_mesh;
     engine_scheduler m_scheduler;
+    keeper_client m_keepers;
+    record_channel m_records;
     stream_registry m_streams;
     peer_server m_peers;
     job_router m_router;
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -1,5 +1,6 @@
 #include "runtime/event.hpp"
 #include "serving/exchange.hpp"
+#include "serving/stream_registry.hpp"
 
 #include <algorithm>
 #include <array>
@@ -65,10 +66,16 @@
         return std::to_string(static_cast<std::uint64_t>(
             std::ceil(seconds(m_verdict.retry_after).count())));
     constexpr double min_delay_s = 0.05;
-    // Another entry may know what this one does not; if none does, the caller
-    // had better begin anew soon.
-    if (m_refusal == refusal::stream_unknown ||
-        (m_refusal == refusal::stopping && m_context.has_remaining_peers()))
+    // Until this entry knows who keeps records, it or another one may soon know
+    // the stream; then none does, and the caller had better begin anew soon.
+    constexpr double discovery_s = 0.5;
+    if (m_refusal == refusal::stream_unknown)
+        return std::to_string(m_context.streams != nullptr &&
+                                      m_context.streams->is_discovering()
+                                  ? discovery_s
+                                  : min_delay_s)
+            .substr(0, 5);
+    if (m_refusal == refusal::stopping && m_context.has_remaining_peers())
         return std::to_string(min_delay_s).substr(0, 5);
     const double remaining_s =
         seconds(m_metadata.budget
--- a/packages/serving/node_settings.hpp
+++ b/packages/serving/node_settings.hpp
@@ -24,15 +24,17 @@
     std::string name;
     std::string zone;
     std::string region;
-    runtime::address caller_address;     ///< Listens for callers.
-    runtime::address readiness_address;  ///< Listens for the load balancer's
-                                         ///< readiness checks.
-    runtime::address peer_address;       ///< Listens for other entries.
-    runtime::address announced_address;  ///< Where other entries reach
-                                         ///< \c peer_address; differs from it
-                                         ///< behind a proxy.
-    runtime::address source_address;     ///< Publishes the configuration and
-                                         ///< the list of targets.
+    runtime::address caller_address;    ///< Listens for callers.
+    runtime::address readiness_address; ///< Listens for the load balancer's
+                                        ///< readiness checks.
+    runtime::address peer_address;      ///< Listens for other entries.
+    runtime::address announced_address; ///< Where other entries reach
+                                        ///< \c peer_address; differs from it
+                                        ///< behind a proxy.
+    runtime::address source_address;    ///< Publishes the configuration and
+                                        ///< the list of targets.
+    /// Where the record keepers beside the targets listen; 0 if there are none.
+    std::uint16_t record_keeper_port = 0;
     std::vector<runtime::address> seeds; ///< First entries to contact; some may
                                          ///< no longer exist.
     duration grace{};                    ///< From the stop signal to the exit.
--- /dev/null
+++ b/packages/serving/records/keeper_client.cpp
@@ -0,0 +1,155 @@
+#include "serving/records/keeper_client.hpp"
+
+#include "runtime/event.hpp"
+#include "serving/records/datagram.hpp"
+
+namespace mangofold::serving
+{
+
+using asio::ip::udp;
+
+// Without a socket, copies are placed at entries only.
+keeper_client::keeper_client(entry_context& context)
+    : m_context(context), m_socket(context.loop)
+{
+    error_code fault;
+    m_socket.open(udp::v4(), fault);
+    if (!fault)
+        m_socket.bind(
+            udp::endpoint(
+                asio::ip::make_address(context.settings.peer_address.host), 0),
+            fault);
+    if (!fault)
+        return;
+    runtime::event("record_keepers_unreachable")
+        .with("fault", fault.message())
+        .error();
+    m_socket.close(fault);
+}
+
+std::vector<std::string> keeper_client::responding() const
+{
+    return m_roster.responding(m_context.now());
+}
+
+// A record keeper runs on the host of a target. Those of services that generate
+// no streams need none, and have none.
+void keeper_client::update_addresses()
+{
+    const std::uint16_t port = m_context.settings.record_keeper_port;
+    if (m_directory_changes == m_context.directory.change_count() &&
+        m_catalog == m_context.catalog && m_port == port)
+        return;
+    m_directory_changes = m_context.directory.change_count();
+    m_catalog = m_context.catalog;
+    m_port = port;
+    std::set<std::string> services;
+    if (m_catalog && port != 0 && m_socket.is_open())
+        for (const catalog::route& route : m_catalog->content().routes)
+            if (route.is_stream)
+                for (const catalog::weighted_service& choice : route.services)
+                    services.insert(choice.service);
+    std::set<std::string> addresses;
+    for (const decision::listed_target& target : m_context.directory.all())
+        if (!target.address.empty() && services.contains(target.service))
+            addresses.insert(runtime::address{
+                runtime::address::parse(target.address).host, port}
+                                 .text());
+    m_roster.set_listed(addresses);
+    std::erase_if(m_sent, [this](const auto& sent)
+                  { return !m_roster.is_listed(sent.second.to); });
+}
+
+void keeper_client::transmit(const std::string& address,
+                             const peer::Frame& frame)
+{
+    const runtime::address to = runtime::address::parse(address);
+    error_code fault; // What is not sent is sent again, as what is lost.
+    m_socket.send_to(asio::buffer(frame.SerializeAsString()),
+                     udp::endpoint(asio::ip::make_address(to.host), to.port), 0,
+                     fault);
+}
+
+void keeper_client::send(const std::string& address, const peer::Frame& frame)
+{
+    const bool needs_reply =
+        frame.has_stream_origins() || frame.has_version_observation();
+    if (!needs_reply)
+        return transmit(address, frame);
+    const std::uint64_t number = ++m_last_number;
+    peer::Frame& sent =
+        m_sent.insert_or_assign(number, sent_frame{address, frame})
+            .first->second.frame;
+    if (sent.has_stream_origins())
+        sent.mutable_stream_origins()->set_number(number);
+    else
+        sent.mutable_version_observation()->set_number(number);
+    m_roster.note_sent(address, number, m_context.now());
+    transmit(address, sent);
+}
+
+void keeper_client::note_lost(const std::string& address, std::string_view why)
+{
+    m_context.count("record_keepers_lost", "why", why);
+    runtime::event("record_keeper_lost")
+        .with("keeper", address)
+        .with("why", why)
+        .info();
+    if (m_context.streams != nullptr)
+        m_context.streams->note_lost(address);
+}
+
+void keeper_client::maintain()
+{
+    update_addresses();
+    const auto overdue = m_roster.take_overdue(m_context.now());
+    for (const std::uint64_t number : overdue.to_resend)
+        if (const auto found = m_sent.find(number); found != m_sent.end())
+            transmit(found->second.to, found->second.frame);
+    for (const std::uint64_t number : overdue.given_up)
+        m_sent.erase(number);
+    for (const std::string& address : overdue.silent)
+        note_lost(address, "silent");
+    m_context.metrics.set_gauge({"record_keepers_responding", {}},
+                                static_cast<double>(responding().size()));
+}
+
+void keeper_client::handle(const std::string& address, const peer::Frame& frame)
+{
+    if (frame.has_kept())
+    {
+        m_sent.erase(frame.kept().number());
+        if (m_roster.note_reply(address, frame.kept().number(),
+                                frame.kept().born()))
+            note_lost(address, "restarted");
+    }
+    if (m_context.streams == nullptr)
+        return;
+    if (frame.has_stream_answer())
+        m_context.streams->handle_answer(address, frame.stream_answer());
+    if (frame.has_version_observation())
+        m_context.streams->handle_observation(frame.version_observation());
+}
+
+awaitable<void> keeper_client::run()
+{
+    std::string received(max_datagram_bytes, '\0');
+    while (m_socket.is_open())
+    {
+        udp::endpoint sender;
+        error_code fault;
+        const std::size_t size = co_await m_socket.async_receive_from(
+            asio::buffer(received), sender, store_error_in(fault));
+        if (fault)
+            co_await pause_after_error(m_context.loop);
+        const std::string address =
+            runtime::address{sender.address().to_string(), sender.port()}
+                .text();
+        peer::Frame frame;
+        if (!fault && is_listed(address) &&
+            frame.ParseFromArray(received.data(), static_cast<int>(size)))
+            handle(address, frame);
+    }
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/records/record_keeper.cpp
@@ -0,0 +1,104 @@
+#include "serving/records/record_keeper.hpp"
+
+#include "runtime/event.hpp"
+#include "serving/records/datagram.hpp"
+#include "serving/stream_messages.hpp"
+
+namespace mangofold::serving
+{
+
+using asio::ip::udp;
+
+peer::Frame record_keeper::kept(std::uint64_t number) const
+{
+    peer::Frame frame;
+    frame.mutable_kept()->set_number(number);
+    frame.mutable_kept()->set_born(m_born);
+    return frame;
+}
+
+peer::Frame record_keeper::answer(const peer::StreamQuestion& question) const
+{
+    peer::Frame frame;
+    answer_from_records(question, m_records, m_time.now(),
+                        *frame.mutable_stream_answer());
+    return frame;
+}
+
+// A keeper that knows nothing yet says so, as the sender waits for a reply.
+peer::Frame record_keeper::observation(std::uint64_t number) const
+{
+    const instant now = m_time.now();
+    peer::Frame frame;
+    peer::VersionObservation& message = *frame.mutable_version_observation();
+    message.set_number(number);
+    write_version_observation(m_versions.observation().value_or(
+                                  decision::version_observation{now, now, {}}),
+                              now, message);
+    return frame;
+}
+
+std::optional<peer::Frame> record_keeper::handle(const peer::Frame& frame)
+{
+    const instant now = m_time.now();
+    switch (frame.content_case())
+    {
+    case peer::Frame::kStreamOrigins:
+        note_stream_origins(frame.stream_origins(), now, m_records);
+        return kept(frame.stream_origins().number());
+    case peer::Frame::kStreamQuestion:
+        return answer(frame.stream_question());
+    case peer::Frame::kVersionObservation:
+        if (const auto seen =
+                read_version_observation(frame.version_observation(), now))
+            m_versions.merge(*seen);
+        return kept(frame.version_observation().number());
+    case peer::Frame::kVersionQuestion:
+        return observation(frame.version_question().number());
+    default:
+        return std::nullopt;
+    }
+}
+
+void record_keeper::expire()
+{
+    m_records.expire(m_time.now());
+    m_versions.expire(m_time.now());
+}
+
+record_keeper_server::record_keeper_server(asio::io_context& loop,
+                                           record_keeper& keeper,
+                                           const runtime::address& address)
+    : m_loop(loop),
+      m_socket(loop, udp::endpoint(asio::ip::make_address(address.host),
+                                   address.port)),
+      m_keeper(keeper)
+{
+}
+
+awaitable<void> record_keeper_server::run()
+{
+    std::string received(max_datagram_bytes, '\0');
+    for (;;)
+    {
+        udp::endpoint sender;
+        error_code fault;
+        const std::size_t size = co_await m_socket.async_receive_from(
+            asio::buffer(received), sender, store_error_in(fault));
+        if (fault)
+            co_await pause_after_error(m_loop);
+        peer::Frame frame;
+        if (fault ||
+            !frame.ParseFromArray(received.data(), static_cast<int>(size)))
+            continue;
+        m_keeper.expire();
+        const auto reply = m_keeper.handle(frame);
+        if (!reply)
+            continue;
+        // A reply that can't be sent now is as one that is lost on the way.
+        m_socket.send_to(asio::buffer(reply->SerializeAsString()), sender, 0,
+                         fault);
+    }
+}
+
+} // namespace mangofold::serving
--- /dev/null
+++ b/packages/serving/records/record_keeper.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "decision/streams/origin_records.hpp"
+#include "decision/streams/version_history.hpp"
+#include "peer.pb.h"
+#include "runtime/address.hpp"
+#include "runtime/clock.hpp"
+#include "serving/asio.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <optional>
+
+namespace mangofold::serving
+{
+
+/// Keeps records of streams, and which versions targets had, for entries that
+/// may all be lost. It runs beside a target, decides nothing, and forgets each
+/// record when its stream can no longer go on.
+class record_keeper
+{
+public:
+    /// \a born identifies this process among those that run at this address one
+    /// after the other.
+    record_keeper(const runtime::clock& time, std::uint64_t born)
+        : m_time(time), m_born(born)
+    {
+    }
+
+    /// Returns the reply to \a frame, or nothing.
+    std::optional<peer::Frame> handle(const peer::Frame& frame);
+
+    /// Forgets what has expired.
+    void expire();
+
+    std::size_t size() const { return m_records.size(); }
+
+private:
+    peer::Frame kept(std::uint64_t number) const;
+    peer::Frame answer(const peer::StreamQuestion& question) const;
+    peer::Frame observation(std::uint64_t number) const;
+
+    const runtime::clock& m_time;
+    std::uint64_t m_born;
+    decision::origin_records m_records;
+    decision::version_history m_versions;
+};
+
+/// Serves a record_keeper on a UDP socket.
+class record_keeper_server
+{
+public:
+    /// Throws boost::system::system_error if \a address is in use.
+    record_keeper_server(asio::io_context& loop, record_keeper& keeper,
+                         const runtime::address& address);
+
+    /// Answers messages. Never returns.
+    awaitable<void> run();
+
+private:
+    asio::io_context& m_loop;
+    asio::ip::udp::socket m_socket;
+    record_keeper& m_keeper;
+};
+
+} // namespace mangofold::serving
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -1,5 +1,6 @@
 #include "serving/stream_registry.hpp"
 
+#include "runtime/event.hpp"
 #include "serving/stream_messages.hpp"
 
 #include <algorithm>
@@ -30,6 +31,22 @@
 /// Records per frame, some 10 KB: urgent frames wait behind one at most.
 constexpr int origins_per_frame = 100;
 
+/// Records per datagram to a record keeper, some 1 KB: one packet.
+constexpr int origins_per_datagram = 12;
+
+/// How many record keepers know the versions that targets had.
+constexpr std::size_t version_keepers = 3;
+
+/// How often an entry tells them: less often in a large fleet, where each one
+/// knows the same.
+constexpr duration report_interval = std::chrono::seconds(1);
+constexpr duration report_interval_per_entry = std::chrono::milliseconds(20);
+
+/// How often an entry that has just started asks for these versions, and how
+/// many times.
+constexpr duration version_question_interval = std::chrono::milliseconds(200);
+constexpr int max_version_questions = 10;
+
 duration lifetime_for(duration time_limit)
 {
     return std::min(time_limit + lifetime_margin, max_stream_lifetime);
@@ -55,8 +72,8 @@
 
 std::string_view to_string(stream_registry::source value)
 {
-    constexpr std::array<std::string_view, 4> names{"none", "own", "entry",
-                                                    "history"};
+    constexpr std::array<std::string_view, 5> names{"none", "own", "entry",
+                                                    "keeper", "history"};
     return names.at(static_cast<std::size_t>(value));
 }
 
@@ -76,15 +93,24 @@
     const duration lifetime = lifetime_for(time_limit);
     m_longest_lifetime = std::max(m_longest_lifetime, lifetime);
     m_records.note(key, {origin, now, now + lifetime, false});
-    update_entries();
+    update_holders();
     m_records.resend(key);
     send_copies({key});
 }
 
-void stream_registry::update_entries()
+void stream_registry::update_holders()
+{
+    const bool have_entries_changed =
+        m_records.set_entries(m_channel.stream_keepers());
+    const bool have_keepers_changed =
+        m_records.set_keepers(m_channel.record_keepers());
+    m_have_holders_changed =
+        m_have_holders_changed || have_entries_changed || have_keepers_changed;
+}
+
+bool stream_registry::is_discovering() const
 {
-    if (m_records.set_entries(m_channel.stream_keepers()))
-        m_have_entries_changed = true;
+    return !m_channel.is_fleet_known() || !m_context.has_all_targets;
 }
 
 void stream_registry::send_copies(const std::vector<decision::stream_key>& keys)
@@ -101,7 +127,10 @@
             peer::StreamOrigins& message =
                 *frames[holder].mutable_stream_origins();
             write_stream_origin(key, *known, now, *message.add_origins());
-            if (message.origins_size() < origins_per_frame)
+            const int most = m_channel.is_record_keeper(holder)
+                                 ? origins_per_datagram
+                                 : origins_per_frame;
+            if (message.origins_size() < most)
                 continue;
             m_channel.send(holder, frames[holder]);
             frames.erase(holder);
@@ -144,12 +173,14 @@
 {
     if (service.empty() || !m_context.directory.is_source_available())
         return std::nullopt;
+    const instant now = m_context.now();
+    m_context.versions.note_versions(m_context.directory.take_seen_versions(),
+                                     now);
     const duration lifetime =
         std::max(lifetime_for(time.limit), longest_lifetime());
     const duration age = lifetime - std::clamp(time.left, duration::zero(),
                                                lifetime - lifetime_margin);
-    const auto version =
-        m_context.versions.only_version(service, age, m_context.now());
+    const auto version = m_context.versions.only_version(service, age, now);
     if (!version)
         return std::nullopt;
     return finding{source::history, {service, *version}, duration::zero()};
@@ -162,7 +193,7 @@
     if (const auto own = find_own(key))
         co_return *own;
     const std::optional<finding> answer = co_await ask(key, service, time);
-    if (answer && answer->from == source::entry)
+    if (answer && answer->from != source::history)
         co_return *answer;
     // A copy may have arrived meanwhile.
     if (const auto own = find_own(key))
@@ -184,7 +215,7 @@
     std::set<std::string> sent_to;
     for (;;)
     {
-        update_entries();
+        update_holders();
         for (const std::string& holder : m_records.likely_holders(key))
         {
             if (!sent_to.insert(holder).second)
@@ -192,17 +223,18 @@
             asked->unanswered.insert(holder);
             m_channel.send(holder, frame);
         }
-        const bool is_fleet_known = m_channel.is_fleet_known();
+        const bool are_holders_known = !is_discovering();
         const duration timeout =
-            is_fleet_known ? answer_timeout : discovery_timeout;
+            are_holders_known ? answer_timeout : discovery_timeout;
         const duration left = started_at + timeout - m_context.now();
         const bool is_found =
-            asked->answer && asked->answer->from == source::entry;
-        const bool are_all_asked = is_fleet_known && asked->unanswered.empty();
+            asked->answer && asked->answer->from != source::history;
+        const bool are_all_asked =
+            are_holders_known && asked->unanswered.empty();
         if (is_found || are_all_asked || left <= duration::zero())
             break;
         co_await asked->is_changed.wait(
-            is_fleet_known ? left : std::min(left, discovery_step));
+            are_holders_known ? left : std::min(left, discovery_step));
     }
     m_questions.erase(number);
     co_return asked->answer;
@@ -210,9 +242,7 @@
 
 void stream_registry::handle_origins(const peer::StreamOrigins& message)
 {
-    for (const peer::StreamOrigin& received : message.origins())
-        if (const auto known = read_stream_origin(received, m_context.now()))
-            m_records.note(read_stream_key(received), *known);
+    note_stream_origins(message, m_context.now(), m_records);
 }
 
 peer::Frame
@@ -222,13 +252,8 @@
     const decision::stream_key key{message.key_high(), message.key_low()};
     peer::Frame frame;
     peer::StreamAnswer& answer = *frame.mutable_stream_answer();
-    answer.set_number(message.number());
-    if (const auto* known = m_records.find(key, now))
-    {
-        answer.set_source(peer::StreamAnswer::RECORD);
-        write_stream_origin(key, *known, now, *answer.mutable_origin());
+    if (answer_from_records(message, m_records, now, answer))
         return frame;
-    }
     const auto bounded = [](std::int64_t ns)
     { return std::clamp(duration(ns), duration::zero(), max_stream_lifetime); };
     const caller_time time{bounded(message.limit_ns()),
@@ -257,7 +282,9 @@
     if (!known || known->is_ambiguous)
         return;
     if (message.source() == peer::StreamAnswer::RECORD)
-        asked.answer = {source::entry, known->origin, now - known->began_at};
+        asked.answer = {m_channel.is_record_keeper(address) ? source::keeper
+                                                            : source::entry,
+                        known->origin, now - known->began_at};
     else if (message.source() == peer::StreamAnswer::HISTORY && !asked.answer)
         asked.answer = {source::history, known->origin, duration::zero()};
 }
@@ -265,17 +292,79 @@
 void stream_registry::note_lost(const std::string& address)
 {
     m_records.note_lost(address);
-    m_have_entries_changed = true;
+    m_have_holders_changed = true;
     for (const auto& [number, asked] : m_questions)
         if (asked->unanswered.erase(address) > 0)
             asked->is_changed.set();
 }
 
+void stream_registry::handle_observation(
+    const peer::VersionObservation& message)
+{
+    const auto seen = read_version_observation(message, m_context.now());
+    if (!seen)
+        return;
+    m_version_questions = max_version_questions;
+    // What this entry sees itself comes first, or a version that is new would
+    // be missing from the longer span.
+    m_context.versions.note_versions(m_context.directory.take_seen_versions(),
+                                     m_context.now());
+    m_context.versions.merge(*seen);
+    runtime::event("versions_learned")
+        .with("since_ms", whole_milliseconds(m_context.now() - seen->since))
+        .with("until_ms", whole_milliseconds(m_context.now() - seen->until))
+        .with("versions", seen->last_seen.size())
+        .info();
+}
+
+// Record keepers outlive entries: entries that all start again learn from them
+// which versions have served before.
+void stream_registry::exchange_versions()
+{
+    if (!m_context.has_all_targets ||
+        !m_context.directory.is_source_available())
+        return;
+    const auto seen = m_context.versions.observation();
+    const std::vector<std::string> keepers =
+        m_records.keepers_for({}, version_keepers);
+    if (!seen || keepers.empty())
+        return;
+    if (seen->since > std::exchange(m_observed_since, seen->since))
+        m_version_questions = 0;
+    const instant now = m_context.now();
+    peer::Frame frame;
+    if (m_version_questions < max_version_questions)
+    {
+        if (m_versions_asked_at &&
+            now < *m_versions_asked_at + version_question_interval)
+            return;
+        m_versions_asked_at = now;
+        ++m_version_questions;
+        frame.mutable_version_question()->set_number(1);
+    }
+    else
+    {
+        const duration interval =
+            std::max(report_interval,
+                     report_interval_per_entry *
+                         static_cast<std::int64_t>(m_context.fleet_size()));
+        if (m_versions_reported_at && now < *m_versions_reported_at + interval)
+            return;
+        m_versions_reported_at = now;
+        write_version_observation(*seen, now,
+                                  *frame.mutable_version_observation());
+    }
+    for (const std::string& keeper : keepers)
+        m_channel.send(keeper, frame);
+}
+
 void stream_registry::maintain()
 {
     m_records.expire(m_context.now());
-    update_entries();
-    if (std::exchange(m_have_entries_changed, false))
+    m_channel.maintain();
+    update_holders();
+    exchange_versions();
+    if (std::exchange(m_have_holders_changed, false))
         send_copies(m_records.keys());
     m_context.metrics.set_gauge({"stream_origins_known", {}},
                                 static_cast<double>(m_records.size()));
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -19,7 +19,8 @@
 /// For how long a stream is recorded at most, whatever time its caller states.
 constexpr duration max_stream_lifetime = std::chrono::minutes(10);
 
-/// How an entry reaches the entries that keep records of streams.
+/// How an entry reaches the processes that keep records of streams: other
+/// entries, and the record keepers beside the targets.
 class stream_channel
 {
 public:
@@ -29,10 +30,18 @@
     /// stopping.
     virtual std::vector<std::string> stream_keepers() const = 0;
 
+    /// Returns the addresses of the record keepers that respond.
+    virtual std::vector<std::string> record_keepers() const { return {}; }
+    virtual bool is_record_keeper(const std::string&) const { return false; }
+
+    /// Called several times a second.
+    virtual void maintain() {}
+
     /// Whether this entry knows most of the others.
     virtual bool is_fleet_known() const = 0;
 
-    /// Sends \a frame to the entry at \a address if it is connected.
+    /// Sends \a frame to the entry at \a address if it is connected, or to the
+    /// record keeper there.
     virtual void send(const std::string& address, const peer::Frame& frame) = 0;
 };
 
@@ -49,6 +58,7 @@
         none,   ///< The origin is not known.
         own,    ///< A record of this entry.
         entry,  ///< Another entry.
+        keeper, ///< A record keeper.
         history ///< The service has had targets of one version only.
     };
 
@@ -84,14 +94,21 @@
     awaitable<finding> find(decision::stream_key key, std::string service,
                             caller_time time);
 
+    /// Whether this entry has not seen yet who keeps records.
+    bool is_discovering() const;
+
     /// Keeps the records that another entry has sent.
     void handle_origins(const peer::StreamOrigins& message);
     peer::Frame handle_question(const peer::StreamQuestion& message);
-    /// Handles an answer of the entry at \a address.
+    /// Handles an answer of the entry or record keeper at \a address.
     void handle_answer(const std::string& address,
                        const peer::StreamAnswer& message);
 
-    /// Notes that the entry at \a address no longer answers.
+    /// Handles what a record keeper has seen of the targets' versions.
+    void handle_observation(const peer::VersionObservation& message);
+
+    /// Notes that the entry or record keeper at \a address no longer answers,
+    /// or has started again.
     void note_lost(const std::string& address);
 
     /// Sends records to the entries that are to keep them now, and forgets old
@@ -106,7 +123,7 @@
     {
         explicit question(asio::io_context& loop) : is_changed(loop) {}
 
-        std::set<std::string> unanswered; ///< Entries.
+        std::set<std::string> unanswered; ///< Entries and record keepers.
         std::optional<finding> answer;
         auto_reset_event is_changed;
     };
@@ -118,9 +135,12 @@
     std::optional<finding> find_in_history(const std::string& service,
                                            const caller_time& time) const;
     duration longest_lifetime() const;
-    /// Notes which other entries may keep copies now.
-    void update_entries();
-    /// Sends the records of \a keys to the entries that are to keep them and
+    /// Notes which other entries and record keepers may keep copies now.
+    void update_holders();
+    /// Tells record keepers of the versions that targets have, and asks them
+    /// for those before this entry started.
+    void exchange_versions();
+    /// Sends the records of \a keys to the holders that are to keep them and
     /// were not sent them yet.
     void send_copies(const std::vector<decision::stream_key>& keys);
 
@@ -131,7 +151,11 @@
     std::uint64_t m_last_question = 0;
     /// Of the streams recorded here; others may have begun that live as long.
     duration m_longest_lifetime{};
-    bool m_have_entries_changed = false; ///< Since the last maintenance.
+    bool m_have_holders_changed = false; ///< Since the last maintenance.
+    std::optional<instant> m_versions_reported_at;
+    std::optional<instant> m_versions_asked_at;
+    int m_version_questions = 0; ///< Since the list was last read anew.
+    instant m_observed_since{};  ///< See decision::version_observation.
 };
 
 std::string_view to_string(stream_registry::source value);
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -1,3 +1,4 @@
+#include "serving/records/record_keeper.hpp"
 #include "serving/stream_registry.hpp"
 #include "support/complete_responses.hpp"
 #include "support/serving_fixture.hpp"
@@ -48,14 +49,20 @@
 /// The entries of a fleet, which reach each other without a network.
 using fleet = std::map<std::string, versioned_entry*>;
 
+/// Record keepers, which outlive all entries.
+using keeper_map = std::map<std::string, serving::record_keeper>;
+
 /// An entry whose engines stream events that name the engine's version.
 class versioned_entry : public serving_fixture, public serving::stream_channel
 {
 public:
-    explicit versioned_entry(fleet* others = nullptr, std::string address = "a")
-        : m_fleet(others), m_address(std::move(address))
+    explicit versioned_entry(fleet* others = nullptr, std::string address = "a",
+                             keeper_map* beside_engines = nullptr)
+        : m_fleet(others), m_address(std::move(address)),
+          m_keepers(beside_engines)
     {
         context->streams = &streams;
+        context->has_all_targets = true;
         if (m_fleet != nullptr)
             (*m_fleet)[m_address] = this;
     }
@@ -79,10 +86,26 @@
         return keepers;
     }
 
+    bool is_record_keeper(const std::string& address) const override
+    {
+        return m_keepers != nullptr && m_keepers->contains(address);
+    }
+
+    std::vector<std::string> record_keepers() const override
+    {
+        std::vector<std::string> addresses;
+        if (m_keepers != nullptr)
+            for (const auto& [address, keeper] : *m_keepers)
+                addresses.push_back(address);
+        return addresses;
+    }
+
     bool is_fleet_known() const override { return true; }
 
     void send(const std::string& address, const peer::Frame& frame) override
     {
+        if (is_record_keeper(address))
+            return send_to_keeper(address, frame);
         versioned_entry& to = *m_fleet->at(address);
         if (to.is_silent)
             return;
@@ -94,6 +117,15 @@
                              .stream_answer());
     }
 
+    void send_to_keeper(const std::string& address, const peer::Frame& frame)
+    {
+        const auto reply = m_keepers->at(address).handle(frame);
+        if (reply->has_stream_answer())
+            streams.handle_answer(address, reply->stream_answer());
+        if (reply->has_version_observation())
+            streams.handle_observation(reply->version_observation());
+    }
+
     using serving_fixture::send;
 
     /// Adds an engine that completes resumed streams. In new ones it does
@@ -155,6 +187,21 @@
 private:
     fleet* m_fleet;
     std::string m_address;
+    keeper_map* m_keepers;
+};
+
+/// Four record keepers that know nothing yet.
+class keepers_test
+{
+public:
+    keepers_test()
+    {
+        for (const char* address : {"k1", "k2", "k3", "k4"})
+            beside_engines.try_emplace(address, time, 1);
+    }
+
+    runtime::paused_clock time;
+    keeper_map beside_engines;
 };
 
 /// Headers of a request that takes up the stream of the request "r1".
@@ -456,3 +503,85 @@
         entry.stream("r5", "After: 2\r\nResumes: r9\r\nBudget: 4500\r\n"),
         "data: v1"));
 }
+
+// Guards against streams that end when all entries are lost at once, although
+// engines of their version serve.
+TEST_CASE_FIXTURE(keepers_test,
+                  "a stream goes on at its version after all entries were lost")
+{
+    {
+        versioned_entry entry(nullptr, "a", &beside_engines);
+        entry.add_engine("v1", action::hang);
+        entry.begin_stream();
+    }
+    versioned_entry restarted(nullptr, "a", &beside_engines);
+    for (const char* version : {"v2", "v1", "v2"})
+        restarted.add_engine(version);
+    const std::string got = restarted.stream("r2", resumes_r1);
+    CHECK(contains(got, "data: v1"));
+    CHECK_FALSE(contains(got, "data: v2"));
+    CHECK(contains(got, last_chunk));
+}
+
+// Guards against the same where a record keeper was lost with the entries.
+TEST_CASE_FIXTURE(keepers_test,
+                  "one lost record keeper ends no stream of lost entries")
+{
+    for (const char* lost : {"k1", "k2", "k3", "k4"})
+    {
+        {
+            versioned_entry entry(nullptr, "a", &beside_engines);
+            entry.add_engine("v1", action::hang);
+            entry.begin_stream();
+        }
+        beside_engines.erase(lost);
+        beside_engines.try_emplace(lost, time, 2);
+        versioned_entry restarted(nullptr, "a", &beside_engines);
+        restarted.add_engine("v2");
+        restarted.add_engine("v1");
+        CHECK(contains(restarted.stream("r2", resumes_r1), "data: v1"));
+    }
+}
+
+// Guards against streams without a record that are refused for as long as a
+// stream lives after all entries were lost, where one version has served.
+TEST_CASE_FIXTURE(keepers_test,
+                  "record keepers tell a new entry which versions have served")
+{
+    const auto serve_for = [this](versioned_entry& entry, int seconds)
+    {
+        entry.context->directory.set_source_available(true, entry.time.now());
+        entry.context->versions.note_gap(entry.time.now());
+        for (int second = 0; second < seconds; ++second)
+        {
+            entry.context->versions.note_versions(
+                entry.context->directory.take_seen_versions(),
+                entry.time.now());
+            entry.streams.maintain();
+            entry.time.advance(1s);
+            time.advance(1s);
+        }
+    };
+    const std::string unnamed = "After: 2\r\n";
+    {
+        versioned_entry entry(nullptr, "a", &beside_engines);
+        entry.add_engine("v1");
+        serve_for(entry, 20);
+    }
+    time.advance(2s);
+    {
+        versioned_entry restarted(nullptr, "a", &beside_engines);
+        restarted.add_engine("v1");
+        CHECK(contains(restarted.stream("r2", unnamed), "stream_unknown"));
+        serve_for(restarted, 1);
+        CHECK(contains(restarted.stream("r3", unnamed), "data: v1"));
+        // Another version that serves now, or has served lately.
+        restarted.add_engine("v2");
+        CHECK(contains(restarted.stream("r4", unnamed), "stream_unknown"));
+        serve_for(restarted, 3);
+    }
+    versioned_entry last(nullptr, "a", &beside_engines);
+    last.add_engine("v1");
+    serve_for(last, 1);
+    CHECK(contains(last.stream("r5", unnamed), "stream_unknown"));
+}
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,6 +13,41 @@
 RECOVERY_S = 2.0  # After a disturbance, until the bounds hold again.
 
 
+class RecordKeepers:
+    """The record keepers: one process on the host of each engine."""
+
+    def __init__(self, entry_program, port, folder):
+        self.program = os.path.join(os.path.dirname(entry_program),
+                                    "mangofold-platform-keeper")
+        self.port = port
+        self.folder = folder
+        self.processes = {}  # By host.
+
+    def start(self, host):
+        path = os.path.join(self.folder, f"keeper-{host}.toml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(f"""node_name = "keeper-{host}"
+ip = "{host}"
+internal_ports = [{self.port}, {self.port}]
+""")
+        with open(path + ".log", "a", encoding="utf-8") as log:
+            self.processes[host] = subprocess.Popen(
+                [self.program], stdout=log, stderr=log,
+                env={**os.environ, "MANGOFOLD_CONFIG": path})
+
+    async def restart(self, host, down_s):
+        """Kills the keeper on a host and starts it again without records."""
+        self.processes[host].kill()
+        self.processes[host].wait()
+        await asyncio.sleep(down_s)
+        self.start(host)
+
+    def terminate(self):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
 class Entry:
     """One entry process, restarted whenever it has exited."""
 
@@ -27,6 +62,7 @@
         # Other entries reach this entry through peer_proxy, unless is_direct.
         self.is_direct = False
         self.downlink = Link(bytes_per_s)
+        self.keeper_port = 0  # Of the record keepers; 0 if there are none.
         self.peer_proxy = Proxy(f"127.0.0.1:{port + 4}", self.control_plane,
                                 target_link=self.downlink,
                                 client_links=downlinks)
@@ -47,6 +83,7 @@
         text = f"""node_name = "{self.name}"
 zone = "{self.zone}"
 region = "r"
+internal_ports = [{self.keeper_port}, {self.keeper_port}]
 seeds = [{", ".join(f'"{seed}"' for seed in self.seeds)}]
 heartbeat_ms = 400
 announced_peers = "{self.control_plane if self.is_direct
--- a/tests/soak/total_loss.py
+++ b/tests/soak/total_loss.py
@@ -9,7 +9,7 @@
 import tempfile
 
 from callers import Caller, Connection, REQUEST_KINDS
-from fleet import Entry
+from fleet import Entry, RecordKeepers
 from oracle import Oracle
 from soak import wait_ready
 from targets import EVENT_COUNT
@@ -88,12 +88,16 @@
 
 async def run(options, folder):
     platform = PlatformStandin(options.base, options.seed)
+    platform.keepers = RecordKeepers(options.program, options.base + 999,
+                                     folder)
     await platform.start(options.copies)
     seeds = [f"127.0.0.1:{options.base + 1004 + 10 * number}"
              for number in (0, 1)]
     fleet = [Entry(options.program, number, options.base + 1000,
                    platform.store_address, folder, seeds, {})
              for number in range(options.entries)]
+    for entry in fleet:
+        entry.keeper_port = platform.keepers.port
     oracle = Oracle(platform.log, fleet)
     loss = TotalLoss(platform, oracle, options.seed)
     try:
@@ -106,6 +110,7 @@
     finally:
         for entry in fleet:
             entry.terminate()
+        platform.keepers.terminate()
     loss.check()
     return oracle.faults
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -87,6 +87,8 @@
         self.extra_routes = 0
         self.warm_up = None  # WARM_UP, if engines start cold.
         self.has_bursts = False
+        self.keepers = None  # RecordKeepers, if any run.
+        self._engine_hosts = 0
         self._next_port = base + 1
         self._started_engines = 0
         self._crash_tasks = set()
@@ -95,6 +97,14 @@
         self._next_port += 1
         return f"127.0.0.1:{self._next_port}"
 
+    def new_engine_address(self, address):
+        """Returns the address on a host of its own, with a record keeper."""
+        self._engine_hosts += 1
+        host = f"127.0.1.{self._engine_hosts}"
+        if self.keepers:
+            self.keepers.start(host)
+        return f"{host}:{address.rsplit(':', 1)[1]}"
+
     def configuration(self):
         return configuration(self.version, self.extra_routes, self.warm_up,
                              self.has_bursts)
@@ -145,6 +155,8 @@
         target_address = self.new_address()
         if listed_address is None:
             listed_address = self.new_address()
+            if service == "models":
+                listed_address = self.new_engine_address(listed_address)
             self.proxies[listed_address] = Proxy(listed_address,
                                                  target_address)
             await self.proxies[listed_address].start()
