Streams: holders of records are compared ten times a second at most

Comparing some thousand addresses for each stream that begins would take up to half a percent of a core at the size to design for (arithmetic). The check that notices changed holders runs ten times a second anyway, and sends what changed.

--- a/packages/decision/streams/origin_records.hpp
+++ b/packages/decision/streams/origin_records.hpp
@@ -89,6 +89,9 @@
         return m_keeper_placement.holders(key, count);
     }
 
+    /// Returns the number of record keepers.
+    std::size_t keepers() const { return m_keepers; }
+
     std::vector<stream_key> keys() const;
     void expire(instant now);
     std::size_t size() const { return m_records.size(); }
--- a/packages/serving/records/keeper_client.cpp
+++ b/packages/serving/records/keeper_client.cpp
@@ -110,8 +110,6 @@
         m_sent.erase(number);
     for (const std::string& address : overdue.silent)
         note_lost(address, "silent");
-    m_context.metrics.set_gauge({"record_keepers_responding", {}},
-                                static_cast<double>(responding().size()));
 }
 
 void keeper_client::handle(const std::string& address, const peer::Frame& frame)
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -93,13 +93,19 @@
     const duration lifetime = lifetime_for(time_limit);
     m_longest_lifetime = std::max(m_longest_lifetime, lifetime);
     m_records.note(key, {origin, now, now + lifetime, false});
-    update_holders();
+    // Comparing thousands of addresses for each stream would take more time
+    // than all else here.
+    if (!m_holders_updated_at ||
+        now >= *m_holders_updated_at + maintenance_interval)
+        update_holders();
     m_records.resend(key);
     send_copies({key});
 }
 
 void stream_registry::update_holders()
 {
+    m_holders_updated_at = m_context.now();
+    m_channel.maintain();
     const bool have_entries_changed =
         m_records.set_entries(m_channel.stream_keepers());
     const bool have_keepers_changed =
@@ -361,11 +367,12 @@
 void stream_registry::maintain()
 {
     m_records.expire(m_context.now());
-    m_channel.maintain();
     update_holders();
     exchange_versions();
     if (std::exchange(m_have_holders_changed, false))
         send_copies(m_records.keys());
+    m_context.metrics.set_gauge({"record_keepers_responding", {}},
+                                static_cast<double>(m_records.keepers()));
     m_context.metrics.set_gauge({"stream_origins_known", {}},
                                 static_cast<double>(m_records.size()));
 }
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -34,7 +34,7 @@
     virtual std::vector<std::string> record_keepers() const { return {}; }
     virtual bool is_record_keeper(const std::string&) const { return false; }
 
-    /// Called several times a second.
+    /// Notes which record keepers there are and which respond.
     virtual void maintain() {}
 
     /// Whether this entry knows most of the others.
@@ -151,6 +151,7 @@
     std::uint64_t m_last_question = 0;
     /// Of the streams recorded here; others may have begun that live as long.
     duration m_longest_lifetime{};
+    std::optional<instant> m_holders_updated_at;
     bool m_have_holders_changed = false; ///< Since the last maintenance.
     std::optional<instant> m_versions_reported_at;
     std::optional<instant> m_versions_asked_at;
