Serving, records: the crashes of targets outlive all entries

Same class as the loss of streams: what all entries know is lost with them. A part of prompts, or a request, that crashes targets had to crash up to five more after all entries were lost.

--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -45,7 +45,8 @@
       m_settings(m_context, std::move(settings)), m_batcher(m_context),
       m_source(m_context, source), m_mesh(m_context, m_source, m_batcher),
       m_scheduler(m_context, m_mesh), m_keepers(m_context),
-      m_records(m_mesh, m_keepers), m_streams(m_context, m_records),
+      m_records(m_mesh, m_keepers), m_crash_copies(m_context, m_keepers),
+      m_streams(m_context, m_records),
       m_peers(
           m_context, m_batcher,
           [this](const std::string& address) { m_mesh.add(address); },
@@ -64,6 +65,9 @@
     m_context.is_fleet_size_known = [this] { return m_mesh.is_settled(); };
     m_context.has_remaining_peers = [this]
     { return m_mesh.has_remaining_peers(); };
+    m_keepers.set_handler(
+        [this](const std::string& address, const peer::Frame& frame)
+        { m_crash_copies.handle(address, frame); });
     m_peers.set_ping_handler(
         [this](const std::string& address, const peer::Holding& theirs)
         { m_mesh.handle_ping(address, theirs); });
@@ -210,6 +214,7 @@
     spawn(m_context.loop, m_source.run());
     spawn(m_context.loop, m_mesh.run());
     spawn(m_context.loop, m_keepers.run());
+    spawn(m_context.loop, m_crash_copies.run());
     spawn(m_context.loop, m_streams.run());
     spawn(m_context.loop, m_peers.run());
     spawn(m_context.loop, m_batcher.run());
--- a/packages/serving/entry_process.hpp
+++ b/packages/serving/entry_process.hpp
@@ -5,6 +5,7 @@
 #include "serving/peer_mesh.hpp"
 #include "serving/peer_server.hpp"
 #include "serving/piece_batcher.hpp"
+#include "serving/records/crash_copies.hpp"
 #include "serving/records/keeper_client.hpp"
 #include "serving/request_server.hpp"
 #include "serving/settings_reloader.hpp"
@@ -47,6 +48,7 @@
     engine_scheduler m_scheduler;
     keeper_client m_keepers;
     record_channel m_records;
+    crash_copies m_crash_copies;
     stream_registry m_streams;
     peer_server m_peers;
     job_router m_router;
--- a/packages/serving/records/keeper_client.cpp
+++ b/packages/serving/records/keeper_client.cpp
@@ -72,8 +72,9 @@
 
 void keeper_client::send(const std::string& address, const peer::Frame& frame)
 {
-    const bool needs_reply =
-        frame.has_stream_origins() || frame.has_version_observation();
+    const bool needs_reply = frame.has_stream_origins() ||
+                             frame.has_version_observation() ||
+                             frame.has_ends();
     if (!needs_reply)
         return transmit(address, frame);
     const std::uint64_t number = ++m_last_number;
@@ -82,6 +83,8 @@
             .first->second.frame;
     if (sent.has_stream_origins())
         sent.mutable_stream_origins()->set_number(number);
+    else if (sent.has_ends())
+        sent.mutable_ends()->set_number(number);
     else
         sent.mutable_version_observation()->set_number(number);
     m_roster.note_sent(address, number, m_context.now());
@@ -121,6 +124,8 @@
                                 frame.kept().born()))
             note_lost(address, "restarted");
     }
+    if (m_handler)
+        m_handler(address, frame);
     if (m_context.streams == nullptr)
         return;
     if (frame.has_stream_answer())
--- a/packages/serving/records/keeper_client.hpp
+++ b/packages/serving/records/keeper_client.hpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -20,6 +21,11 @@
 public:
     explicit keeper_client(entry_context& context);
 
+    /// Receives each sound frame of a listed keeper, with its address.
+    using frame_handler =
+        std::function<void(const std::string& address, const peer::Frame&)>;
+    void set_handler(frame_handler handler) { m_handler = std::move(handler); }
+
     /// Returns the addresses of the record keepers that respond.
     std::vector<std::string> responding() const;
 
@@ -53,6 +59,7 @@
     entry_context& m_context;
     asio::ip::udp::socket m_socket;
     decision::keeper_roster m_roster;
+    frame_handler m_handler;
     std::map<std::uint64_t, sent_frame> m_sent; ///< Without a reply, by number.
     std::uint64_t m_last_number = 0;
     // What the addresses were last computed from.
--- a/packages/serving/records/record_keeper.cpp
+++ b/packages/serving/records/record_keeper.cpp
@@ -1,8 +1,9 @@
 #include "serving/records/record_keeper.hpp"
 
-#include "runtime/event.hpp"
+#include "serving/peer_messages.hpp"
 #include "serving/records/datagram.hpp"
 #include "serving/stream_messages.hpp"
+#include "serving/target_losses.hpp"
 
 namespace mangofold::serving
 {
@@ -14,6 +15,7 @@
     peer::Frame frame;
     frame.mutable_kept()->set_number(number);
     frame.mutable_kept()->set_born(m_born);
+    frame.mutable_kept()->set_ends_summary(m_crashes.summary());
     return frame;
 }
 
@@ -38,6 +40,18 @@
     return frame;
 }
 
+peer::Frame record_keeper::crashes(const peer::EndsQuestion& question) const
+{
+    const instant now = m_time.now();
+    std::uint64_t last_change = question.after();
+    peer::Frame frame;
+    for (const decision::target_crash& crash :
+         m_crashes.changes_after(last_change, max_crashes_per_message, now))
+        write_target_crash(crash, now, *frame.mutable_ends()->add_ends());
+    frame.mutable_ends()->set_next(last_change);
+    return frame;
+}
+
 std::optional<peer::Frame> record_keeper::handle(const peer::Frame& frame)
 {
     const instant now = m_time.now();
@@ -53,6 +67,12 @@
                 read_version_observation(frame.version_observation(), now))
             m_versions.merge(*seen);
         return kept(frame.version_observation().number());
+    case peer::Frame::kEnds:
+        for (const peer::TargetEnd& received : frame.ends().ends())
+            m_crashes.note(read_target_crash(received, now), now);
+        return kept(frame.ends().number());
+    case peer::Frame::kEndsQuestion:
+        return crashes(frame.ends_question());
     case peer::Frame::kVersionQuestion:
         return observation(frame.version_question().number());
     default:
@@ -64,6 +84,7 @@
 {
     m_records.expire(m_time.now());
     m_versions.expire(m_time.now());
+    m_crashes.expire(m_time.now());
 }
 
 record_keeper_server::record_keeper_server(asio::io_context& loop,
--- a/packages/serving/records/record_keeper.hpp
+++ b/packages/serving/records/record_keeper.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/crash_log.hpp"
 #include "decision/streams/origin_records.hpp"
 #include "decision/streams/version_history.hpp"
 #include "peer.pb.h"
@@ -14,9 +15,9 @@
 namespace mangofold::serving
 {
 
-/// Keeps records of streams, and which versions targets had, for entries that
-/// may all be lost. It runs beside a target, decides nothing, and forgets each
-/// record when its stream can no longer go on.
+/// Keeps records of streams, which versions targets had, and the crashes of
+/// targets, for entries that may all be lost. It runs beside a target, decides
+/// nothing, and forgets each record when its stream can no longer go on.
 class record_keeper
 {
 public:
@@ -39,11 +40,13 @@
     peer::Frame kept(std::uint64_t number) const;
     peer::Frame answer(const peer::StreamQuestion& question) const;
     peer::Frame observation(std::uint64_t number) const;
+    peer::Frame crashes(const peer::EndsQuestion& question) const;
 
     const runtime::clock& m_time;
     std::uint64_t m_born;
     decision::origin_records m_records;
     decision::version_history m_versions;
+    decision::crash_log m_crashes;
 };
 
 /// Serves a record_keeper on a UDP socket.
--- a/packages/serving/target_losses.cpp
+++ b/packages/serving/target_losses.cpp
@@ -9,10 +9,6 @@
 namespace
 {
 
-/// Target crashes sent in one message. At 60 bytes each they take 6 KB, which
-/// delays responses to callers on a link of 10 Mbit/s by 5 ms.
-constexpr std::size_t max_crashes_per_message = 100;
-
 constexpr std::size_t min_logged_incidents = 2;
 
 std::string joined_ids(const std::vector<decision::target_incarnation>& targets)
--- a/packages/serving/target_losses.hpp
+++ b/packages/serving/target_losses.hpp
@@ -9,6 +9,10 @@
 namespace mangofold::serving
 {
 
+/// Target crashes sent in one message. At 60 bytes each they take 6 KB, which
+/// delays responses to callers on a link of 10 Mbit/s by 5 ms.
+constexpr std::size_t max_crashes_per_message = 100;
+
 /// Records that a target crashed while \a request was in progress on it.
 /// Content with several crashes is quarantined. A crash of a leaving target is
 /// ignored, since such a target ends without a request that causes it.
