--- a/packages/decision/streams/keeper_roster.hpp
+++ b/packages/decision/streams/keeper_roster.hpp
@@ -31,9 +31,19 @@
     /// Sets the addresses at which keepers may run.
     void set_listed(const std::set<std::string>& addresses);
 
+    /// How long a keeper may go unheard until it is probed, since it may have
+    /// started again.
+    static constexpr duration probe_age = std::chrono::seconds(2);
+
     /// Returns the keepers to place copies at, in order: those listed, but for
     /// the silent ones.
-    std::vector<std::string> responding(instant now) const;
+    std::vector<std::string> candidates(instant now) const;
+
+    /// Returns those among them that have responded.
+    std::set<std::string> confirmed(instant now) const;
+
+    /// Returns the confirmed keeper to probe next, or nothing.
+    std::optional<std::string> next_probe(instant now) const;
 
     /// Whether \a address is listed.
     bool is_listed(const std::string& address) const
@@ -49,7 +59,7 @@
     /// identifies its process by \a born. Returns whether another process ran
     /// there before, whose records are lost.
     bool note_reply(const std::string& address, std::uint64_t number,
-                    std::uint64_t born);
+                    std::uint64_t born, instant now);
 
     /// What became of the messages without a reply.
     struct overdue_messages
@@ -68,7 +78,13 @@
 private:
     struct keeper
     {
+        bool is_silent(instant now) const
+        {
+            return silent_until && *silent_until > now;
+        }
+
         std::optional<std::uint64_t> born;
+        instant used_at{}; ///< Last message or reply.
         std::optional<instant> silent_until;
         duration rest = first_rest; ///< The next time that it is silent.
     };
--- a/packages/decision/streams/origin_records.cpp
+++ b/packages/decision/streams/origin_records.cpp
@@ -41,10 +41,13 @@
     return m_placement.set_entries(std::move(addresses));
 }
 
-bool origin_records::set_keepers(std::vector<std::string> addresses)
+bool origin_records::set_keepers(std::vector<std::string> addresses,
+                                 std::set<std::string> confirmed)
 {
-    m_keepers = addresses.size();
-    return m_keeper_placement.set_entries(std::move(addresses));
+    const bool is_one_lost =
+        !std::ranges::includes(confirmed, m_confirmed_keepers);
+    m_confirmed_keepers = std::move(confirmed);
+    return m_keeper_placement.set_entries(std::move(addresses)) || is_one_lost;
 }
 
 void origin_records::note_lost(const std::string& address)
@@ -65,11 +68,15 @@
     const auto found = m_records.find(key);
     if (found == m_records.end())
         return {};
-    const std::size_t entry_copies =
-        m_keepers >= keeper_copies ? copies_beside_keepers : copies;
-    std::vector<std::string> holders = m_placement.holders(key, entry_copies);
-    std::ranges::move(m_keeper_placement.holders(key, keeper_copies),
-                      std::back_inserter(holders));
+    const std::vector<std::string> keepers =
+        m_keeper_placement.holders(key, keeper_copies);
+    const bool are_confirmed =
+        keepers.size() == keeper_copies &&
+        std::ranges::all_of(keepers, [this](const std::string& keeper)
+                            { return m_confirmed_keepers.contains(keeper); });
+    std::vector<std::string> holders = m_placement.holders(
+        key, are_confirmed ? copies_beside_keepers : copies);
+    std::ranges::copy(keepers, std::back_inserter(holders));
     std::erase_if(holders,
                   [&sent_to = found->second.sent_to](const std::string& holder)
                   { return !sent_to.insert(holder).second; });
--- a/packages/decision/streams/origin_records.hpp
+++ b/packages/decision/streams/origin_records.hpp
@@ -63,8 +63,10 @@
     /// changed.
     bool set_entries(std::vector<std::string> addresses);
 
-    /// Sets the record keepers. Returns whether they have changed.
-    bool set_keepers(std::vector<std::string> addresses);
+    /// Sets the record keepers, and which of them have responded. Returns
+    /// whether copies may have to be placed elsewhere.
+    bool set_keepers(std::vector<std::string> addresses,
+                     std::set<std::string> confirmed);
 
     /// Notes that the entry or record keeper at \a address was lost: it may
     /// come back without its copies.
@@ -89,8 +91,8 @@
         return m_keeper_placement.holders(key, count);
     }
 
-    /// Returns the number of record keepers.
-    std::size_t keepers() const { return m_keepers; }
+    /// Returns the number of record keepers that have responded.
+    std::size_t keepers() const { return m_confirmed_keepers.size(); }
 
     std::vector<stream_key> keys() const;
     void expire(instant now);
@@ -108,7 +110,7 @@
     std::size_t m_capacity;
     copy_placement m_placement;
     copy_placement m_keeper_placement;
-    std::size_t m_keepers = 0;
+    std::set<std::string> m_confirmed_keepers;
     std::unordered_map<stream_key, stored_record, digest_hash> m_records;
     std::set<by_expiry> m_by_expiry;
 };
--- a/packages/decision/streams/version_history.cpp
+++ b/packages/decision/streams/version_history.cpp
@@ -1,7 +1,5 @@
 #include "decision/streams/version_history.hpp"
 
-#include <algorithm>
-
 namespace mangofold::decision
 {
 
@@ -18,7 +16,6 @@
 {
     for (const stream_origin& origin : seen)
         m_last_seen[origin] = now;
-    m_followed_until = now;
     expire(now);
 }
 
@@ -62,6 +59,19 @@
                                m_last_seen};
 }
 
+bool version_history::has_other_version(const stream_origin& origin,
+                                        duration lifetime, instant now) const
+{
+    return std::ranges::any_of(
+        m_last_seen,
+        [&](const auto& known)
+        {
+            return known.first.service == origin.service &&
+                   known.first.version != origin.version &&
+                   known.second >= now - lifetime - interval;
+        });
+}
+
 std::optional<std::string>
 version_history::only_version(const std::string& service, duration lifetime,
                               instant now) const
--- a/packages/decision/streams/version_history.hpp
+++ b/packages/decision/streams/version_history.hpp
@@ -3,6 +3,7 @@
 #include "decision/streams/stream_origin.hpp"
 #include "decision/time.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,6 +40,15 @@
         m_followed_until = now;
     }
 
+    /// Notes that changes of the list were missed, until note_gap().
+    void note_missed() { m_followed_since.reset(); }
+
+    /// Notes that the list was known to be up to date at \a now.
+    void note_up_to_date(instant now)
+    {
+        m_followed_until = std::max(m_followed_until, now);
+    }
+
     /// Notes the versions that targets had since the last call.
     void note_versions(const std::set<stream_origin>& seen, instant now);
 
@@ -54,6 +64,11 @@
     /// Returns what is known of the last span without a gap, or nothing.
     std::optional<version_observation> observation() const;
 
+    /// Whether another version than that of \a origin was seen for its service
+    /// in the last \a lifetime.
+    bool has_other_version(const stream_origin& origin, duration lifetime,
+                           instant now) const;
+
     /// Returns the version that all targets of \a service had for at least
     /// \a lifetime, or nothing.
     std::optional<std::string> only_version(const std::string& service,
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -124,6 +124,8 @@
                                    ///< the source or another entry.
     bool has_all_targets = false;  ///< The whole list was read at least
                                    ///< once.
+    instant list_current_at{};     ///< When the source last confirmed that the
+                                   ///< list of targets is up to date.
     /// End of the time after the start in which requests wait for data that
     /// this process has not read yet: the first catalog and a first target of
     /// the requested service.
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -69,12 +69,13 @@
     // Until this entry knows who keeps records, it or another one may soon know
     // the stream; then none does, and the caller had better begin anew soon.
     constexpr double discovery_s = 0.5;
+    const bool is_discovering =
+        m_context.streams != nullptr && m_context.streams->is_discovering();
     if (m_refusal == refusal::stream_unknown)
-        return std::to_string(m_context.streams != nullptr &&
-                                      m_context.streams->is_discovering()
-                                  ? discovery_s
-                                  : min_delay_s)
+        return std::to_string(is_discovering ? discovery_s : min_delay_s)
             .substr(0, 5);
+    if (m_refusal == refusal::version_gone && is_discovering)
+        return std::to_string(discovery_s).substr(0, 5);
     if (m_refusal == refusal::stopping && m_context.has_remaining_peers())
         return std::to_string(min_delay_s).substr(0, 5);
     const double remaining_s =
--- a/packages/serving/records/crash_copies.cpp
+++ b/packages/serving/records/crash_copies.cpp
@@ -33,7 +33,7 @@
 // an older copy takes nothing back.
 void crash_copies::maintain()
 {
-    m_placement.set_entries(m_keepers.responding());
+    m_placement.set_entries(m_keepers.candidates());
     const std::vector<std::string> holders =
         m_placement.holders({}, crash_keepers);
     std::erase_if(m_states, [&holders](const auto& known)
--- a/packages/serving/records/keeper_client.cpp
+++ b/packages/serving/records/keeper_client.cpp
@@ -8,6 +8,13 @@
 
 using asio::ip::udp;
 
+namespace
+{
+
+constexpr duration probe_interval = std::chrono::milliseconds(200);
+
+} // namespace
+
 // Without a socket, copies are placed at entries only.
 keeper_client::keeper_client(entry_context& context)
     : m_context(context), m_socket(context.loop)
@@ -19,6 +26,9 @@
             udp::endpoint(
                 asio::ip::make_address(context.settings.peer_address.host), 0),
             fault);
+    // A datagram that would have to wait is as one that is lost.
+    if (!fault)
+        m_socket.non_blocking(true, fault);
     if (!fault)
         return;
     runtime::event("record_keepers_unreachable")
@@ -27,9 +37,14 @@
     m_socket.close(fault);
 }
 
-std::vector<std::string> keeper_client::responding() const
+std::vector<std::string> keeper_client::candidates() const
 {
-    return m_roster.responding(m_context.now());
+    return m_roster.candidates(m_context.now());
+}
+
+std::set<std::string> keeper_client::confirmed() const
+{
+    return m_roster.confirmed(m_context.now());
 }
 
 // A record keeper runs on the host of a target. Those of services that generate
@@ -113,15 +128,34 @@
         m_sent.erase(number);
     for (const std::string& address : overdue.silent)
         note_lost(address, "silent");
+    probe();
+}
+
+// A restart of a keeper that is sent nothing would go unnoticed, and its copies
+// would be missing.
+void keeper_client::probe()
+{
+    const instant now = m_context.now();
+    if (m_probed_at && now < *m_probed_at + probe_interval)
+        return;
+    m_probed_at = now;
+    const auto address = m_roster.next_probe(now);
+    if (!address)
+        return;
+    peer::Frame frame;
+    frame.mutable_stream_origins();
+    send(*address, frame);
 }
 
 void keeper_client::handle(const std::string& address, const peer::Frame& frame)
 {
     if (frame.has_kept())
     {
-        m_sent.erase(frame.kept().number());
+        const auto sent = m_sent.find(frame.kept().number());
+        if (sent != m_sent.end() && sent->second.to == address)
+            m_sent.erase(sent);
         if (m_roster.note_reply(address, frame.kept().number(),
-                                frame.kept().born()))
+                                frame.kept().born(), m_context.now()))
             note_lost(address, "restarted");
     }
     if (m_handler)
@@ -131,7 +165,8 @@
     if (frame.has_stream_answer())
         m_context.streams->handle_answer(address, frame.stream_answer());
     if (frame.has_version_observation())
-        m_context.streams->handle_observation(frame.version_observation());
+        m_context.streams->handle_observation(address,
+                                              frame.version_observation());
 }
 
 awaitable<void> keeper_client::run()
--- a/packages/serving/records/keeper_client.hpp
+++ b/packages/serving/records/keeper_client.hpp
@@ -26,8 +26,11 @@
         std::function<void(const std::string& address, const peer::Frame&)>;
     void set_handler(frame_handler handler) { m_handler = std::move(handler); }
 
-    /// Returns the addresses of the record keepers that respond.
-    std::vector<std::string> responding() const;
+    /// Returns the addresses where record keepers may run.
+    std::vector<std::string> candidates() const;
+
+    /// Returns those of them that have responded.
+    std::set<std::string> confirmed() const;
 
     bool is_listed(const std::string& address) const
     {
@@ -48,6 +51,7 @@
     void update_addresses();
     void transmit(const std::string& address, const peer::Frame& frame);
     void handle(const std::string& address, const peer::Frame& frame);
+    void probe();
     void note_lost(const std::string& address, std::string_view why);
 
     struct sent_frame
@@ -62,6 +66,7 @@
     frame_handler m_handler;
     std::map<std::uint64_t, sent_frame> m_sent; ///< Without a reply, by number.
     std::uint64_t m_last_number = 0;
+    std::optional<instant> m_probed_at;
     // What the addresses were last computed from.
     std::uint64_t m_directory_changes = ~std::uint64_t{0};
     catalog::catalog_ptr m_catalog;
@@ -84,7 +89,11 @@
     }
     std::vector<std::string> record_keepers() const override
     {
-        return m_keepers.responding();
+        return m_keepers.candidates();
+    }
+    std::set<std::string> confirmed_record_keepers() const override
+    {
+        return m_keepers.confirmed();
     }
     bool is_record_keeper(const std::string& address) const override
     {
--- a/packages/serving/records/record_keeper.cpp
+++ b/packages/serving/records/record_keeper.cpp
@@ -95,6 +95,8 @@
                                    address.port)),
       m_keeper(keeper)
 {
+    // A reply that would have to wait is as one that is lost.
+    m_socket.non_blocking(true);
 }
 
 awaitable<void> record_keeper_server::run()
@@ -116,7 +118,6 @@
         const auto reply = m_keeper.handle(frame);
         if (!reply)
             continue;
-        // A reply that can't be sent now is as one that is lost on the way.
         m_socket.send_to(asio::buffer(reply->SerializeAsString()), sender, 0,
                          fault);
     }
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -230,6 +230,7 @@
                                        m_context.now());
     m_context.has_all_targets = true;
     m_context.versions.note_gap(m_context.now());
+    m_context.list_current_at = m_context.now();
     m_revision = m_list.revision;
     runtime::event("targets_read")
         .with("targets", m_list.targets.size())
@@ -270,6 +271,7 @@
     if (body && status == gone)
     {
         runtime::event("history_lost").with("revision", m_revision).warn();
+        m_context.versions.note_missed();
         m_has_full_list = false;
         co_return true;
     }
@@ -277,6 +279,7 @@
         co_return false;
     const source_page page = m_dialect.parse_changes(*body);
     apply(page);
+    m_context.list_current_at = m_context.now();
     m_revision = std::max(m_revision, page.revision);
     if (!page.changes.empty())
         co_await sleep(decision::source_polling::pause_after_changes(
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -26,7 +26,9 @@
 /// rate, and requests take a while to arrive.
 constexpr duration lifetime_margin = std::chrono::seconds(1);
 
-constexpr duration discovery_step = std::chrono::milliseconds(20);
+/// After how long a question is sent again to record keepers, which datagrams
+/// may not have reached, and to more of them.
+constexpr duration question_step = std::chrono::milliseconds(20);
 
 /// Records per frame, some 10 KB: urgent frames wait behind one at most.
 constexpr int origins_per_frame = 100;
@@ -42,6 +44,16 @@
 constexpr duration report_interval = std::chrono::seconds(1);
 constexpr duration report_interval_per_entry = std::chrono::milliseconds(20);
 
+/// How many of them must agree with what an entry takes over: one alone may
+/// have been out of reach for a while.
+constexpr std::size_t min_version_answers = 2;
+
+/// The key by which they are chosen, the same for all entries.
+constexpr decision::stream_key version_key{};
+
+/// Most versions in a report, which must fit a datagram.
+constexpr std::size_t max_reported_versions = 300;
+
 /// How often an entry that has just started asks for these versions, and how
 /// many times.
 constexpr duration version_question_interval = std::chrono::milliseconds(200);
@@ -108,8 +120,8 @@
     m_channel.maintain();
     const bool have_entries_changed =
         m_records.set_entries(m_channel.stream_keepers());
-    const bool have_keepers_changed =
-        m_records.set_keepers(m_channel.record_keepers());
+    const bool have_keepers_changed = m_records.set_keepers(
+        m_channel.record_keepers(), m_channel.confirmed_record_keepers());
     m_have_holders_changed =
         m_have_holders_changed || have_entries_changed || have_keepers_changed;
 }
@@ -171,22 +183,32 @@
 }
 
 // The stream began after its caller's first request, and the time that the
-// caller has left bounds how long ago that was. Requires a list of targets that
-// is up to date: another entry may use a version that this one does not know.
+// caller has left bounds how long ago that was.
+duration stream_registry::longest_age(const caller_time& time) const
+{
+    const duration lifetime =
+        std::max(lifetime_for(time.limit), longest_lifetime());
+    return lifetime -
+           std::clamp(time.left, duration::zero(), lifetime - lifetime_margin);
+}
+
+void stream_registry::note_versions() const
+{
+    m_context.versions.note_versions(m_context.directory.take_seen_versions(),
+                                     m_context.now());
+}
+
+// Requires a list of targets that is up to date: another entry may use a
+// version that this one does not know.
 std::optional<stream_registry::finding>
 stream_registry::find_in_history(const std::string& service,
                                  const caller_time& time) const
 {
     if (service.empty() || !m_context.directory.is_source_available())
         return std::nullopt;
-    const instant now = m_context.now();
-    m_context.versions.note_versions(m_context.directory.take_seen_versions(),
-                                     now);
-    const duration lifetime =
-        std::max(lifetime_for(time.limit), longest_lifetime());
-    const duration age = lifetime - std::clamp(time.left, duration::zero(),
-                                               lifetime - lifetime_margin);
-    const auto version = m_context.versions.only_version(service, age, now);
+    note_versions();
+    const auto version = m_context.versions.only_version(
+        service, longest_age(time), m_context.now());
     if (!version)
         return std::nullopt;
     return finding{source::history, {service, *version}, duration::zero()};
@@ -198,18 +220,46 @@
 {
     if (const auto own = find_own(key))
         co_return *own;
-    const std::optional<finding> answer = co_await ask(key, service, time);
-    if (answer && answer->from != source::history)
-        co_return *answer;
+    const finding answer = co_await ask(key, service, time);
     // A copy may have arrived meanwhile.
     if (const auto own = find_own(key))
         co_return *own;
+    if (answer.from == source::entry || answer.from == source::keeper)
+        co_return answer;
     if (const auto certain = find_in_history(service, time))
         co_return *certain;
-    co_return answer.value_or(finding{});
+    // The list of the entry that answered may lag behind this one.
+    note_versions();
+    if (m_context.versions.has_other_version(answer.origin, longest_age(time),
+                                             m_context.now()))
+        co_return finding{};
+    co_return answer;
+}
+
+void stream_registry::send_question(const decision::stream_key& key,
+                                    const peer::Frame& frame, std::size_t round,
+                                    question& asked)
+{
+    std::vector<std::string> holders = m_records.likely_holders(key);
+    if (round > 0)
+    {
+        const auto more = m_records.keepers_for(
+            key, decision::origin_records::keeper_copies + 2 + 2 * round);
+        holders.insert(holders.end(), more.begin(), more.end());
+    }
+    for (const std::string& holder : holders)
+    {
+        const bool is_new = asked.sent_to.insert(holder).second;
+        if (is_new)
+            asked.unanswered.insert(holder);
+        const bool may_be_lost = asked.unanswered.contains(holder) &&
+                                 m_channel.is_record_keeper(holder);
+        if (is_new || may_be_lost)
+            m_channel.send(holder, frame);
+    }
 }
 
-awaitable<std::optional<stream_registry::finding>>
+awaitable<stream_registry::finding>
 stream_registry::ask(decision::stream_key key, std::string service,
                      caller_time time)
 {
@@ -218,32 +268,39 @@
     m_questions[number] = asked;
     const peer::Frame frame = stream_question_frame(number, key, service, time);
     const instant started_at = m_context.now();
-    std::set<std::string> sent_to;
+    instant sent_at = started_at;
+    std::size_t round = 0;
+    update_holders();
+    send_question(key, frame, round, *asked);
     for (;;)
     {
-        update_holders();
-        for (const std::string& holder : m_records.likely_holders(key))
-        {
-            if (!sent_to.insert(holder).second)
-                continue;
-            asked->unanswered.insert(holder);
-            m_channel.send(holder, frame);
-        }
+        const instant now = m_context.now();
         const bool are_holders_known = !is_discovering();
         const duration timeout =
             are_holders_known ? answer_timeout : discovery_timeout;
-        const duration left = started_at + timeout - m_context.now();
+        const duration left = started_at + timeout - now;
         const bool is_found =
-            asked->answer && asked->answer->from != source::history;
+            asked->is_contradicted ||
+            (asked->answer && asked->answer->from != source::history);
         const bool are_all_asked =
             are_holders_known && asked->unanswered.empty();
         if (is_found || are_all_asked || left <= duration::zero())
             break;
-        co_await asked->is_changed.wait(
-            are_holders_known ? left : std::min(left, discovery_step));
+        if (now >= sent_at + question_step)
+        {
+            sent_at = now;
+            if (now >= *m_holders_updated_at + question_step)
+                update_holders();
+            send_question(key, frame, ++round, *asked);
+        }
+        const duration step =
+            std::min(left, time_until(sent_at + question_step, now));
+        co_await asked->is_changed.wait(step);
     }
     m_questions.erase(number);
-    co_return asked->answer;
+    if (asked->is_contradicted)
+        co_return finding{};
+    co_return asked->answer.value_or(finding{});
 }
 
 void stream_registry::handle_origins(const peer::StreamOrigins& message)
@@ -285,9 +342,13 @@
     asked.is_changed.set();
     const instant now = m_context.now();
     const auto known = read_stream_origin(message.origin(), now);
-    if (!known || known->is_ambiguous)
+    if (!known)
         return;
-    if (message.source() == peer::StreamAnswer::RECORD)
+    const bool is_other_version =
+        asked.answer && asked.answer->origin != known->origin;
+    if (known->is_ambiguous || is_other_version)
+        asked.is_contradicted = true;
+    else if (message.source() == peer::StreamAnswer::RECORD)
         asked.answer = {m_channel.is_record_keeper(address) ? source::keeper
                                                             : source::entry,
                         known->origin, now - known->began_at};
@@ -304,63 +365,95 @@
             asked->is_changed.set();
 }
 
+// One keeper may have been out of reach of all entries while another version
+// served, so what only one of them knows is not taken over.
 void stream_registry::handle_observation(
-    const peer::VersionObservation& message)
+    const std::string& address, const peer::VersionObservation& message)
 {
-    const auto seen = read_version_observation(message, m_context.now());
-    if (!seen)
+    const instant now = m_context.now();
+    const auto seen = read_version_observation(message, now);
+    if (!seen || seen->last_seen.empty() ||
+        m_version_questions >= max_version_questions)
+        return;
+    m_version_answers.insert_or_assign(address, *seen);
+    if (m_version_answers.size() <
+        std::min(min_version_answers, m_channel.record_keepers().size()))
         return;
     m_version_questions = max_version_questions;
     // What this entry sees itself comes first, or a version that is new would
     // be missing from the longer span.
-    m_context.versions.note_versions(m_context.directory.take_seen_versions(),
-                                     m_context.now());
-    m_context.versions.merge(*seen);
+    note_versions();
+    for (const auto& [keeper, known] : m_version_answers)
+        m_context.versions.merge(known);
+    m_version_answers.clear();
+    const auto all = m_context.versions.observation();
     runtime::event("versions_learned")
-        .with("since_ms", whole_milliseconds(m_context.now() - seen->since))
-        .with("until_ms", whole_milliseconds(m_context.now() - seen->until))
-        .with("versions", seen->last_seen.size())
+        .with("since_ms", whole_milliseconds(now - (all ? all->since : now)))
+        .with("until_ms", whole_milliseconds(now - seen->until))
+        .with("versions", all ? all->last_seen.size() : 0)
         .info();
 }
 
+std::set<std::string> stream_registry::streaming_services() const
+{
+    std::set<std::string> services;
+    if (m_context.catalog)
+        for (const catalog::route& route : m_context.catalog->content().routes)
+            if (route.is_stream)
+                for (const catalog::weighted_service& choice : route.services)
+                    services.insert(choice.service);
+    return services;
+}
+
 // Record keepers outlive entries: entries that all start again learn from them
-// which versions have served before.
+// which versions have served before. A version that is new is reported at once,
+// or the keepers would not know it if all entries were lost.
 void stream_registry::exchange_versions()
 {
     if (!m_context.has_all_targets ||
         !m_context.directory.is_source_available())
         return;
-    const auto seen = m_context.versions.observation();
-    const std::vector<std::string> keepers =
-        m_records.keepers_for({}, version_keepers);
-    if (!seen || keepers.empty())
+    note_versions();
+    m_context.versions.note_up_to_date(m_context.list_current_at);
+    auto seen = m_context.versions.observation();
+    if (!seen)
         return;
+    // After a gap in the list, the keepers may know what was missed.
     if (seen->since > std::exchange(m_observed_since, seen->since))
         m_version_questions = 0;
     const instant now = m_context.now();
     peer::Frame frame;
+    std::size_t receivers = version_keepers;
     if (m_version_questions < max_version_questions)
     {
         if (m_versions_asked_at &&
             now < *m_versions_asked_at + version_question_interval)
             return;
         m_versions_asked_at = now;
-        ++m_version_questions;
-        frame.mutable_version_question()->set_number(1);
+        receivers += 2 * static_cast<std::size_t>(m_version_questions++);
+        frame.mutable_version_question();
     }
     else
     {
+        const std::set<std::string> services = streaming_services();
+        std::erase_if(seen->last_seen, [&services](const auto& known)
+                      { return !services.contains(known.first.service); });
         const duration interval =
             std::max(report_interval,
                      report_interval_per_entry *
                          static_cast<std::int64_t>(m_context.fleet_size()));
-        if (m_versions_reported_at && now < *m_versions_reported_at + interval)
+        const bool is_due = !m_versions_reported_at ||
+                            now >= *m_versions_reported_at + interval ||
+                            seen->last_seen.size() > m_reported_versions;
+        if (!is_due || seen->last_seen.size() > max_reported_versions)
             return;
         m_versions_reported_at = now;
+        m_reported_versions = seen->last_seen.size();
         write_version_observation(*seen, now,
                                   *frame.mutable_version_observation());
     }
-    for (const std::string& keeper : keepers)
+    for (const std::string& keeper :
+         m_records.keepers_for(version_key, receivers))
         m_channel.send(keeper, frame);
 }
 
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -30,8 +30,14 @@
     /// stopping.
     virtual std::vector<std::string> stream_keepers() const = 0;
 
-    /// Returns the addresses of the record keepers that respond.
+    /// Returns the addresses where record keepers may run.
     virtual std::vector<std::string> record_keepers() const { return {}; }
+
+    /// Returns those of them that have responded.
+    virtual std::set<std::string> confirmed_record_keepers() const
+    {
+        return {};
+    }
     virtual bool is_record_keeper(const std::string&) const { return false; }
 
     /// Notes which record keepers there are and which respond.
@@ -105,7 +111,8 @@
                        const peer::StreamAnswer& message);
 
     /// Handles what a record keeper has seen of the targets' versions.
-    void handle_observation(const peer::VersionObservation& message);
+    void handle_observation(const std::string& address,
+                            const peer::VersionObservation& message);
 
     /// Notes that the entry or record keeper at \a address no longer answers,
     /// or has started again.
@@ -123,18 +130,33 @@
     {
         explicit question(asio::io_context& loop) : is_changed(loop) {}
 
-        std::set<std::string> unanswered; ///< Entries and record keepers.
+        std::set<std::string> sent_to;    ///< Entries and record keepers.
+        std::set<std::string> unanswered; ///< Of these.
         std::optional<finding> answer;
+        /// The caller used a request id twice, or entries saw different
+        /// versions: the origin is in doubt.
+        bool is_contradicted = false;
         auto_reset_event is_changed;
     };
 
     /// Asks the entries that are likely to keep the record.
-    awaitable<std::optional<finding>>
-    ask(decision::stream_key key, std::string service, caller_time time);
+    awaitable<finding> ask(decision::stream_key key, std::string service,
+                           caller_time time);
+    /// Sends \a frame to the processes that may keep the record of \a key; in
+    /// later rounds to more record keepers, and again to those that have not
+    /// answered.
+    void send_question(const decision::stream_key& key,
+                       const peer::Frame& frame, std::size_t round,
+                       question& asked);
+    /// Notes the versions that targets have now.
+    void note_versions() const;
     std::optional<finding> find_own(const decision::stream_key& key) const;
     std::optional<finding> find_in_history(const std::string& service,
                                            const caller_time& time) const;
+    /// Returns how long ago the stream can have begun.
+    duration longest_age(const caller_time& time) const;
     duration longest_lifetime() const;
+    std::set<std::string> streaming_services() const;
     /// Notes which other entries and record keepers may keep copies now.
     void update_holders();
     /// Tells record keepers of the versions that targets have, and asks them
@@ -157,6 +179,9 @@
     std::optional<instant> m_versions_asked_at;
     int m_version_questions = 0; ///< Since the list was last read anew.
     instant m_observed_since{};  ///< See decision::version_observation.
+    /// What record keepers know, by their address.
+    std::map<std::string, decision::version_observation> m_version_answers;
+    std::size_t m_reported_versions = 0;
 };
 
 std::string_view to_string(stream_registry::source value);
--- a/tests/decision/streams/origin_records_simulation_test.cpp
+++ b/tests/decision/streams/origin_records_simulation_test.cpp
@@ -201,7 +201,8 @@
         std::vector<std::string> keepers;
         for (const auto& [keeper, records] : m_keepers)
             keepers.push_back(keeper);
-        m_entries.at(address)->set_keepers(keepers);
+        m_entries.at(address)->set_keepers(keepers,
+                                           {keepers.begin(), keepers.end()});
         for (const stream_key& key : m_entries.at(address)->keys())
             send_copies(address, key);
     }
--- a/tests/decision/streams/origin_records_test.cpp
+++ b/tests/decision/streams/origin_records_test.cpp
@@ -196,7 +196,7 @@
     origin_records records;
     records.set_entries(addresses(5));
     const std::vector<std::string> keepers{"k1", "k2", "k3", "k4", "k5"};
-    records.set_keepers(keepers);
+    records.set_keepers(keepers, {keepers.begin(), keepers.end()});
     records.note(key_of("r1"), record_of(first_version));
     const auto holders = records.take_new_holders(key_of("r1"));
     CHECK(holders.size() == origin_records::copies_beside_keepers +
@@ -210,7 +210,7 @@
     records.note_lost(holders.back());
     CHECK(records.take_new_holders(key_of("r1")) ==
           std::vector{holders.back()});
-    records.set_keepers({});
+    records.set_keepers({}, {});
     CHECK(records.take_new_holders(key_of("r1")).size() ==
           origin_records::copies - origin_records::copies_beside_keepers);
 }
@@ -267,3 +267,46 @@
     CHECK(history.observation()->since == start - 5s);
     CHECK_FALSE(history.only_version("chat", 40s, start));
 }
+
+// Guards against a record with one copy: hosts without a record keeper count as
+// ones that keep it.
+TEST_CASE("unconfirmed record keepers replace no copies at entries")
+{
+    origin_records records;
+    records.set_entries(addresses(5));
+    const std::vector<std::string> keepers{"k1", "k2"};
+    CHECK(records.set_keepers(keepers, {"k1"}));
+    records.note(key_of("r1"), record_of(first_version));
+    CHECK(records.take_new_holders(key_of("r1")).size() ==
+          origin_records::copies + origin_records::keeper_copies);
+    CHECK_FALSE(records.set_keepers(keepers, {"k1", "k2"}));
+    records.note(key_of("r2"), record_of(first_version));
+    CHECK(records.take_new_holders(key_of("r2")).size() == 3);
+    CHECK(records.set_keepers(keepers, {"k2"}));
+    CHECK(records.take_new_holders(key_of("r2")).size() == 2);
+}
+
+// Guards against a version that another entry, whose list lags, takes for the
+// only one.
+TEST_CASE("a version that was seen lately speaks against another one")
+{
+    version_history history;
+    history.note_versions({first_version, second_version}, start);
+    CHECK(history.has_other_version(first_version, 20s, start + 15s));
+    CHECK_FALSE(history.has_other_version(first_version, 20s, start + 22s));
+    CHECK_FALSE(history.has_other_version({"note", "v1"}, 20s, start));
+}
+
+// Guards against a span without a gap that hides missed changes of the list.
+TEST_CASE("nothing is told of a list whose changes were missed")
+{
+    version_history history;
+    history.note_gap(start);
+    history.note_versions({first_version}, start + 30s);
+    CHECK(history.observation()->until == start);
+    history.note_up_to_date(start + 20s);
+    CHECK(history.observation()->until == start + 20s);
+    history.note_missed();
+    CHECK_FALSE(history.observation());
+    CHECK_FALSE(history.only_version("chat", 10s, start + 30s));
+}
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -100,6 +100,12 @@
         return addresses;
     }
 
+    std::set<std::string> confirmed_record_keepers() const override
+    {
+        const auto all = record_keepers();
+        return {all.begin(), all.end()};
+    }
+
     bool is_fleet_known() const override { return true; }
 
     void send(const std::string& address, const peer::Frame& frame) override
@@ -123,7 +129,7 @@
         if (reply->has_stream_answer())
             streams.handle_answer(address, reply->stream_answer());
         if (reply->has_version_observation())
-            streams.handle_observation(reply->version_observation());
+            streams.handle_observation(address, reply->version_observation());
     }
 
     using serving_fixture::send;
@@ -557,6 +563,7 @@
             entry.context->versions.note_versions(
                 entry.context->directory.take_seen_versions(),
                 entry.time.now());
+            entry.context->list_current_at = entry.time.now();
             entry.streams.maintain();
             entry.time.advance(1s);
             time.advance(1s);
