Serving: each SIGHUP is logged, and no exception ends the reloader

The log did not show whether a SIGHUP had arrived if the settings were unchanged. Any exception other than settings_error ended the reloader's coroutine: later signals and changes were ignored until a restart. Each signal of a series cost one read on the event loop: 20 signals during a read, 20 more.

A coroutine now counts the signals (settings_signals), and another reads: at once, and then at most every 50 ms, so that signals that come during a read share the next one. The event says how many signals it answers (settings_unchanged, settings_taken, settings_refused). Whatever a read throws leaves the previous settings in force.

--- a/packages/serving/settings_reloader.cpp
+++ b/packages/serving/settings_reloader.cpp
@@ -15,6 +15,10 @@
 /// core.
 constexpr duration poll_interval = std::chrono::seconds(2);
 
+/// Pause after a read for a signal: however fast signals come, the time for
+/// reads stays a small part of the loop's.
+constexpr duration pause_after_signal = std::chrono::milliseconds(50);
+
 bool has_same_addresses(const node_settings& left, const node_settings& right)
 {
     return left.caller_address == right.caller_address &&
@@ -34,13 +38,28 @@
 
 settings_reloader::settings_reloader(entry_context& context, reader read)
     : m_context(context), m_read(std::move(read)),
-      m_last_read(context.settings), m_hangup(context.loop, SIGHUP)
+      m_last_read(context.settings), m_hangup(context.loop, SIGHUP),
+      m_signalled(context.loop)
+{
+}
+
+settings_reloader::outcome settings_reloader::refuse(std::string_view trigger,
+                                                     const std::string& fault)
 {
+    if (m_fault != fault || trigger == "signal")
+        runtime::event("settings_refused")
+            .with("why", trigger)
+            .with("signals", std::exchange(m_signals, 0))
+            .with("fault", fault)
+            .error();
+    m_fault = fault;
+    return outcome::rejected;
 }
 
 // The file can be read while it is being written, or contain a mistake. If the
 // process exited or lost its settings then, its callers would be disconnected.
-// The previous settings stay in force until a valid file can be read.
+// The previous settings stay in force until a valid file can be read. Any
+// exception counts, as it would end the coroutine, and with it all reloads.
 settings_reloader::outcome settings_reloader::reload(std::string_view trigger)
 {
     node_settings read;
@@ -48,19 +67,25 @@
     {
         read = m_read();
     }
-    catch (const settings_error& fault)
+    catch (const std::exception& fault)
     {
-        if (m_fault != fault.what())
-            runtime::event("settings_refused")
-                .with("why", trigger)
-                .with("fault", fault.what())
-                .error();
-        m_fault = fault.what();
-        return outcome::rejected;
+        return refuse(trigger, fault.what());
+    }
+    catch (...)
+    {
+        return refuse(trigger, "unknown exception");
     }
     m_fault.clear();
+    const std::uint64_t signals = std::exchange(m_signals, 0);
     if (read == m_last_read)
+    {
+        if (trigger == "signal")
+            runtime::event("settings_unchanged")
+                .with("why", trigger)
+                .with("signals", signals)
+                .info();
         return outcome::unchanged;
+    }
     m_last_read = read;
     if (!has_same_addresses(read, m_context.settings))
     {
@@ -80,26 +105,36 @@
     m_context.settings = std::move(read);
     runtime::event("settings_taken")
         .with("why", trigger)
+        .with("signals", signals)
         .with("seeds", m_context.settings.seeds.size())
         .info();
     return outcome::applied;
 }
 
+awaitable<void> settings_reloader::count_signals()
+{
+    for (;;)
+    {
+        error_code ignored; // The wait is never cancelled.
+        co_await m_hangup.async_wait(store_error_in(ignored));
+        ++m_signals;
+        ++m_context.metrics.count({"settings_signals", ""});
+        m_signalled.set();
+    }
+}
+
 awaitable<void> settings_reloader::run()
 {
+    spawn(m_context.loop, count_signals());
     for (;;)
     {
-        loop_timer timer(m_context.loop, poll_interval);
-        timer.async_wait(
-            [this](const error_code& fault)
-            {
-                if (!fault)
-                    m_hangup.cancel();
-            });
-        error_code fault;
-        co_await m_hangup.async_wait(store_error_in(fault));
-        timer.cancel();
-        reload(fault ? "interval" : "signal");
+        const bool is_signalled = co_await m_signalled.wait(poll_interval);
+        reload(is_signalled ? "signal" : "interval");
+        if (!is_signalled)
+            continue;
+        error_code ignored; // The timer is never cancelled.
+        loop_timer timer(m_context.loop, pause_after_signal);
+        co_await timer.async_wait(store_error_in(ignored));
     }
 }
 
--- a/packages/serving/settings_reloader.hpp
+++ b/packages/serving/settings_reloader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "serving/auto_reset_event.hpp"
 #include "serving/entry_context.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -15,14 +16,15 @@
 class settings_reloader
 {
 public:
-    /// Returns the settings as currently written. Throws settings_error if they
-    /// can't be read.
+    /// Returns the settings as currently written. Throws settings_error or
+    /// another exception if they can't be read.
     using reader = std::function<node_settings()>;
 
     settings_reloader(entry_context& context, reader read);
 
-    /// Reloads the settings after each SIGHUP, and periodically to detect
-    /// changes without a signal. Never returns.
+    /// Reloads the settings after SIGHUP, and periodically to detect changes
+    /// without a signal. Signals in quick succession share a read. Never
+    /// returns.
     awaitable<void> run();
 
     enum class outcome : std::uint8_t
@@ -37,12 +39,17 @@
     outcome reload(std::string_view trigger);
 
 private:
+    awaitable<void> count_signals();
+    outcome refuse(std::string_view trigger, const std::string& fault);
+
     entry_context& m_context;
     reader m_read;
     node_settings m_last_read; ///< As last read, including changes that need
                                ///< a restart.
     std::string m_fault;       ///< Of the last read; empty if it succeeded.
     asio::signal_set m_hangup;
+    auto_reset_event m_signalled;
+    std::uint64_t m_signals = 0; ///< Since the last read.
 };
 
 } // namespace mangofold::serving
--- a/tests/serving/settings_reloader_test.cpp
+++ b/tests/serving/settings_reloader_test.cpp
@@ -2,8 +2,12 @@
 #include "support/serving_fixture.hpp"
 
 #include <doctest/doctest.h>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
 
 #include <csignal>
+#include <filesystem>
+#include <sstream>
 
 using namespace mangofold;
 using namespace mangofold::serving;
@@ -20,8 +24,11 @@
     {
     }
 
-    node_settings read() const
+    node_settings read()
     {
+        ++reads;
+        if (during_read)
+            during_read();
         if (is_unreadable)
             throw settings_error("unreadable");
         return written;
@@ -29,9 +36,34 @@
 
     node_settings written;
     bool is_unreadable = false;
+    int reads = 0;
+    std::function<void()> during_read;
     settings_reloader reloader;
 };
 
+/// Collects what is logged while it exists.
+class log_text
+{
+public:
+    log_text()
+    {
+        spdlog::set_default_logger(std::make_shared<spdlog::logger>(
+            "test", std::make_shared<spdlog::sinks::ostream_sink_st>(m_text)));
+    }
+    ~log_text() { spdlog::set_default_logger(m_before); }
+    log_text(const log_text&) = delete;
+    log_text& operator=(const log_text&) = delete;
+
+    bool has(const std::string& part) const
+    {
+        return m_text.str().find(part) != std::string::npos;
+    }
+
+private:
+    std::ostringstream m_text;
+    std::shared_ptr<spdlog::logger> m_before = spdlog::default_logger();
+};
+
 } // namespace
 
 // An operator changes the settings and sends SIGHUP. Without a handler the
@@ -84,3 +116,85 @@
     CHECK(entry.context->settings.caller_address.port == 0);
     CHECK(entry.context->settings.max_configuration_delay == 3s);
 }
+
+// Guards against a log that does not show whether a signal arrived.
+TEST_CASE("a signal is logged and counted although the settings are unchanged")
+{
+    const log_text log;
+    settings_fixture entry;
+    spawn(entry.loop, entry.reloader.run());
+    entry.settle();
+    entry.time.advance(2s);
+    entry.settle();
+    CHECK_FALSE(log.has("settings_unchanged"));
+    std::raise(SIGHUP);
+    entry.run_until([&] { return log.has("settings_unchanged"); });
+    CHECK(log.has(R"("why":"signal","signals":1)"));
+    CHECK(entry.context->metrics.count({"settings_signals", ""}) == 1);
+}
+
+// Guards against a loop that only reads settings: each of many signals must
+// not cost a read of its own, and none may be lost.
+TEST_CASE("signals in quick succession share a read after the present one")
+{
+    const log_text log;
+    settings_fixture entry;
+    entry.during_read = [&]
+    {
+        for (int sent = 0; entry.reads == 1 && sent < 20; ++sent)
+            std::raise(SIGHUP);
+    };
+    spawn(entry.loop, entry.reloader.run());
+    entry.settle();
+    std::raise(SIGHUP);
+    entry.run_until([&] { return entry.reads > 0; });
+    entry.settle();
+    CHECK(entry.reads == 1);
+    entry.time.advance(100ms);
+    entry.run_until([&] { return entry.reads > 1; });
+    entry.settle();
+    entry.time.advance(100ms);
+    entry.settle();
+    CHECK(entry.reads == 2);
+    CHECK(log.has(R"("why":"signal","signals":20)"));
+    CHECK(entry.context->metrics.count({"settings_signals", ""}) == 21);
+}
+
+// Guards against an exception that ends the reloader, so that later signals and
+// changes are ignored.
+TEST_CASE("whatever a read throws, the previous settings stay in force")
+{
+    const log_text log;
+    settings_fixture entry;
+    spawn(entry.loop, entry.reloader.run());
+    entry.settle();
+    entry.written.grace = 5s;
+    std::string expected;
+    SUBCASE("file system")
+    {
+        entry.during_read = []
+        { std::filesystem::directory_iterator("/no such file"); };
+        expected = "No such file";
+    }
+    SUBCASE("memory")
+    {
+        entry.during_read = [] { throw std::bad_alloc(); };
+        expected = "bad_alloc";
+    }
+    SUBCASE("no exception class")
+    {
+        entry.during_read = [] { throw 7; };
+        expected = "unknown exception";
+    }
+    std::raise(SIGHUP);
+    entry.run_until([&] { return entry.reads == 1; });
+    entry.settle();
+    CHECK(entry.context->settings.grace == 0s);
+    CHECK(log.has("settings_refused"));
+    CHECK(log.has(expected));
+    entry.during_read = nullptr;
+    entry.time.advance(100ms); // Signals are taken again after a pause.
+    entry.settle();
+    entry.time.advance(2s);
+    entry.run_until([&] { return entry.context->settings.grace == 5s; });
+}
