Runtime, programs: signals are held back until they are waited for

Callers' streams were cut when an operator sent SIGHUP to an entry that had just started or was about to end: it ended with 129. asio's signal_set restores the default action when it is destroyed, and stands only after the first read of the settings. The other programs had no handler for SIGHUP at all. SIGUSR1 and SIGUSR2 of a log rotation, and SIGPIPE of a reader of the log that had gone, ended an entry, too.

The kernel keeps what is blocked, so nothing is lost. Programs of run_until_signalled wait for signals with sigtimedwait; their threads leave them to the main thread, so that no call there is interrupted. SIGHUP is logged (hangup_ignored).

--- a/packages/entry/main.cpp
+++ b/packages/entry/main.cpp
@@ -9,6 +9,7 @@
 
 int main(int argc, char** argv)
 {
+    runtime::hold_signals();
     if (argc == 3 && std::string(argv[1]) == "check")
         return entry::check_manifest(argv[2]);
     runtime::settings flags("mangofold-entry: accepts the requests of clients\n"
--- a/packages/runtime/program.cpp
+++ b/packages/runtime/program.cpp
@@ -7,18 +7,6 @@
 namespace mangofold::runtime
 {
 
-namespace
-{
-
-volatile std::sig_atomic_t stop_requested = 0;
-
-void request_stop(int)
-{
-    stop_requested = 1;
-}
-
-} // namespace
-
 bool print_requested_info(const settings& flags, const std::string& program)
 {
     if (flags.has("help"))
@@ -34,16 +22,12 @@
     return false;
 }
 
-void install_signal_handlers()
-{
-    std::signal(SIGTERM, request_stop);
-    std::signal(SIGINT, request_stop);
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
-bool is_stop_requested()
+bool is_stop_requested(std::chrono::milliseconds timeout)
 {
-    return stop_requested != 0;
+    const auto taken = take_signal(timeout);
+    if (taken == SIGHUP)
+        event("hangup_ignored").info();
+    return taken && taken != SIGHUP;
 }
 
 } // namespace mangofold::runtime
--- a/packages/runtime/program.hpp
+++ b/packages/runtime/program.hpp
@@ -2,13 +2,12 @@
 
 #include "runtime/event.hpp"
 #include "runtime/settings.hpp"
+#include "runtime/signals.hpp"
 
-#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <exception>
 #include <string>
-#include <thread>
 
 namespace mangofold::runtime
 {
@@ -17,29 +16,25 @@
 /// Returns whether the program has nothing else to do.
 bool print_requested_info(const settings& flags, const std::string& program);
 
-/// Makes SIGTERM and SIGINT request a stop, and ignores SIGPIPE.
-void install_signal_handlers();
-
-/// Whether a signal has requested a stop.
-bool is_stop_requested();
+/// Waits for signals for at most \a timeout. Returns whether SIGTERM or SIGINT
+/// has requested a stop; logs SIGHUP, which has no effect.
+bool is_stop_requested(std::chrono::milliseconds timeout);
 
 /// Starts the root supervisor that \a make returns (as a smart pointer), calls
 /// its check() regularly, and stops it when a signal requests a stop. Returns
-/// the exit code.
+/// the exit code. All signals are taken on this thread; they are held back on
+/// the threads that the supervisor starts.
 template<typename Make>
 int run_until_signalled(Make make)
 {
     constexpr std::chrono::milliseconds check_interval{50};
-    install_signal_handlers();
+    hold_signals();
     try
     {
         auto root = make();
         root->start();
-        while (!is_stop_requested())
-        {
-            std::this_thread::sleep_for(check_interval);
+        while (!is_stop_requested(check_interval))
             root->check();
-        }
         event("stopping").info();
         root->stop();
         event("stopped").info();
--- a/packages/sidecar/main.cpp
+++ b/packages/sidecar/main.cpp
@@ -8,6 +8,7 @@
 
 int main(int argc, char** argv)
 {
+    runtime::hold_signals();
     runtime::settings flags(
         "mangofold-sidecar: controls the admission of work to one target");
     sidecar::add_flags(flags);
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -60,6 +60,7 @@
 
 int main(int argc, char** argv)
 {
+    runtime::hold_signals();
     runtime::settings flags(
         "standin: simulates the platform or a target for tests and benchmarks");
     flags.descriptions().add_options()("kind", po::value<std::string>())(
