Serving: a longer idle time counts for callers that wait already

After a configuration that allows callers longer idle times, connections that were idle at that moment were still closed after the time of the configuration before: the limit was read once, when the wait began. A caller that sent its next request just then got a reset.

The wait now ends only when the time of the configuration in force has passed. A shorter time counts from the next wait on, as before.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -180,6 +180,25 @@
     return 0;
 }
 
+// A configuration that allows callers more time counts for those that wait now,
+// too: their connections are not closed after the time of the one before.
+awaitable<bool>
+caller_session::wait_for_data(duration catalog::caller_limits::*limit)
+{
+    const instant began_at = loop_clock::now();
+    instant end = began_at;
+    do
+    {
+        end = began_at + m_handler.limits().*limit;
+        const bool has_new_data =
+            co_await m_data_received.wait(time_until(end, loop_clock::now()));
+        if (has_new_data)
+            co_return true;
+        end = began_at + m_handler.limits().*limit;
+    } while (loop_clock::now() < end);
+    co_return false;
+}
+
 awaitable<bool> caller_session::read_request()
 {
     const catalog::caller_limits limits = m_handler.limits();
@@ -208,10 +227,10 @@
             has_sent_continue = true;
             co_await send("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        const duration timeout = has_started && !parser.is_header_done()
-                                     ? limits.header_time
-                                     : limits.idle_time;
-        const bool has_new_data = co_await m_data_received.wait(timeout);
+        const bool has_new_data =
+            co_await wait_for_data(has_started && !parser.is_header_done()
+                                       ? &catalog::caller_limits::header_time
+                                       : &catalog::caller_limits::idle_time);
         if (m_closes_after_response && !has_started)
             co_return false;
         if (has_new_data || m_is_read_closed)
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -457,3 +457,22 @@
                  "whole"));
     CHECK(target.connections() == 2);
 }
+
+// Guards against a change of the configuration that closes connections: those
+// that wait already were closed after the time of the configuration before.
+TEST_CASE("a longer idle time counts for callers that wait already")
+{
+    serving_fixture entry;
+    mangofold::catalog::document longer = entry.context->catalog->content();
+    const auto caller = entry.connect();
+    entry.settle();
+    entry.time.advance(10s);
+    longer.limits.idle_time = 60s;
+    entry.context->catalog =
+        std::make_shared<mangofold::catalog::catalog_index>(std::move(longer));
+    entry.time.advance(40s);
+    entry.settle();
+    CHECK_FALSE(caller->is_ended);
+    entry.time.advance(11s);
+    entry.run_until([&] { return caller->is_ended; });
+}
