Serving: tests of targets that crash after the head, known to fail

Different requests with one part of their prompts whose targets crash 5 ms after the head of the answer. With a sealed head the part is stopped as before, in chunks, without framing, and after a reset or an orderly end. With a head without a seal, with an encoded one, and with a stream that ends without an event before its target crashes, all twenty requests crash their targets (forty where streams are sent on).

--- a/tests/support/crashing_targets.hpp
+++ b/tests/support/crashing_targets.hpp
@@ -51,9 +51,12 @@
             return {response_text(request_id_of(request), served_body),
                     end::keep};
         ++crashes;
+        scripted_target::response crash{sent_before_crash, crash_by};
+        if (!sent_before_crash.empty())
+            crash.action_delay = std::chrono::milliseconds(5);
         context->directory.note_confirmed_removal(name, 100 + crashes);
         add();
-        return {"", end::reset};
+        return crash;
     }
 
     /// Sends a request to \a path a while later, under a new id, as a caller
@@ -91,6 +94,9 @@
     std::string service;
     std::string trigger;
     std::string served_body = "id: 1\ndata: e\n\n";
+    /// What a target sends 5 ms before it crashes.
+    std::string sent_before_crash;
+    end crash_by = end::reset;
     std::string version = "v1"; ///< Of targets added from now on.
     std::size_t targets_listed = 0;
     std::size_t crashes = 0;
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -40,6 +40,11 @@
     if (!reply.bytes.empty())
         co_await asio::async_write(socket, asio::buffer(reply.bytes),
                                    store_error_in(fault));
+    if (reply.action_delay > duration::zero())
+    {
+        loop_timer timer(loop, reply.action_delay);
+        co_await timer.async_wait(store_error_in(fault));
+    }
 }
 
 } // namespace
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -28,6 +28,8 @@
             hang ///< Like keep, for answers that never arrive or complete.
         } action = connection_action::keep;
         serving::duration delay{}; ///< Before the bytes are sent.
+        /// Between the bytes and what happens to the connection.
+        serving::duration action_delay{};
     };
     /// Called with the bytes of each request, including its head, and its
     /// number from 0.
