Serving: crashes after the head of an answer that the entry gives up

What callers saw: with targets that crash 5 ms after a head without a seal (or an encoded one, or after a stream without an event), different requests with one part crashed one target each without end. Cause: the entry closed the connection of such an answer at once and sent the request on. It never saw the crash, so none was held against the part. An intact head was not the cause: it clears nothing, and a crash after it was held against the parts before, too. Change: an answer given up before its first event is watched for a second longer, and a crash meanwhile recorded like any other; a trial awaits it before its next attempt. An answer with a body that ends is no crash. Failed before: test_poison_part, 20 crashes for 20 requests, 40 where streams are sent on; now at most 8.

--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -9,6 +9,7 @@
 #include "serving/placement_messages.hpp"
 #include "serving/stage_runner.hpp"
 #include "serving/target_call.hpp"
+#include "serving/target_losses.hpp"
 
 #include <functional>
 #include <memory>
@@ -136,6 +137,10 @@
     decision::name_set serving_versions() const;
     /// Records that \a target crashed while the request was in progress there.
     void record_crash(const decision::target_incarnation& target);
+    target_run newest_run(const decision::target_incarnation& target) const;
+    /// Gives up an answer that has no event, and records it if the target
+    /// crashes soon after.
+    awaitable<void> give_up_answer(target_call& call);
     /// Records that the newest attempt was answered and its target survived.
     void record_survival();
     /// Whether the target has survived the newest attempt although its answer
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -40,8 +40,7 @@
         call.metadata().is_signed && call.metadata().is_unencoded;
     if (is_success(status) && !is_valid)
     {
-        m_refusal = refusal::answer_spoiled;
-        call.abort();
+        co_await give_up_answer(call);
         co_return attempt_outcome::retry;
     }
     if (m_route->is_stream && is_success(status))
@@ -196,6 +195,8 @@
         // A target that crashes closes its connections, too.
         if (call.ends_with_connection())
             record_crash(call.target().incarnation);
+        else if (!m_is_prompt_read)
+            co_await give_up_answer(call);
         m_refusal = refusal::answer_spoiled;
         co_return m_is_head_sent ? attempt_outcome::redo_stages
                                  : attempt_outcome::retry;
--- a/packages/serving/exchange_inputs.cpp
+++ b/packages/serving/exchange_inputs.cpp
@@ -17,7 +17,8 @@
     co_await timer.async_wait(store_error_in(ignored));
     const auto running_call = call.lock();
     const auto runner = stages.lock();
-    if (!running_call || !runner || runner->is_released())
+    if (!running_call || running_call->is_given_up() || !runner ||
+        runner->is_released())
         co_return;
     ++context.metrics.count({"results_released_early", ""});
     runner->release();
--- a/packages/serving/exchange_quarantine.cpp
+++ b/packages/serving/exchange_quarantine.cpp
@@ -1,6 +1,8 @@
 #include "decision/suspects/request_suspects.hpp"
+#include "decision/suspects/run_survival.hpp"
 #include "runtime/event.hpp"
 #include "serving/exchange.hpp"
+#include "serving/given_up_runs.hpp"
 #include "serving/target_losses.hpp"
 
 namespace mangofold::serving
@@ -11,11 +13,6 @@
 
 using admission = decision::quarantine::admission;
 
-/// How long after the first event of an answer a target that still sends events
-/// has survived the request. Targets crash some tenths of a second after they
-/// began to answer.
-constexpr duration survival_time = std::chrono::seconds(1);
-
 } // namespace
 
 // Computed on demand: most requests are never suspected of anything.
@@ -140,28 +137,39 @@
 
 void exchange::record_crash(const decision::target_incarnation& target)
 {
-    const instant now = m_context.now();
-    record_target_crash(m_context,
-                        {content_digest(), target, m_sent_at, now, false},
-                        m_metadata.id);
-    if (has_survived())
-        return;
-    decision::target_crash crash{{}, target, m_sent_at, now};
-    crash.is_part = true;
-    crash.accounts = suspects().account;
-    crash.versions = decision::name_set::of(m_target_version);
-    for (const decision::digest& part : suspects().parts)
-    {
-        crash.content = part;
-        record_part_crash(m_context, crash, m_metadata.id);
-    }
+    record_run_crash(m_context, newest_run(target), has_survived());
+}
+
+target_run
+exchange::newest_run(const decision::target_incarnation& target) const
+{
+    return {m_metadata.id, suspects(), target, m_target_version, m_sent_at};
+}
+
+// Closing the connection here would hide a crash that follows, and a part whose
+// targets crash after such a head would never be suspected. A trial awaits the
+// outcome; otherwise its next attempt would crash another target.
+awaitable<void> exchange::give_up_answer(target_call& call)
+{
+    m_refusal = refusal::answer_spoiled;
+    call.give_up();
+    std::shared_ptr<target_call> given_up = call.shared_from_this();
+    target_run run = newest_run(call.target().incarnation);
+    if (m_is_trial)
+        co_await watch_given_up_run(m_context, given_up, run,
+                                    decision::survival_time);
+    else
+        spawn(m_context.loop, watch_given_up_run(m_context, given_up, run,
+                                                 decision::survival_time));
 }
 
-// If the event loop is behind, events that arrived together are read apart.
 bool exchange::has_survived() const
 {
-    return time_with_events() >=
-           survival_time + m_context.loop_lag.lag(m_context.now());
+    const instant now = m_context.now();
+    const auto first_event_at =
+        m_is_prompt_read ? std::optional(m_first_event_at) : std::nullopt;
+    return decision::has_survived(first_event_at, now,
+                                  m_context.loop_lag.lag(now));
 }
 
 void exchange::record_survival()
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -162,9 +162,30 @@
     return std::exchange(m_parser->get().body(), {});
 }
 
+// Half of the idle time that the target states, so that a request is never sent
+// while the target closes the connection.
+duration target_call::idle_time() const
+{
+    return m_metadata.keep_alive_timeout
+               ? std::min<duration>(*m_metadata.keep_alive_timeout / 2,
+                                    max_idle_time)
+               : default_idle_time;
+}
+
+awaitable<bool> target_call::is_closed_within(duration time)
+{
+    const auto self = shared_from_this();
+    if (!m_parser->keep_alive() || m_parser->need_eof())
+        co_return false;
+    const duration watched = std::min(time, idle_time());
+    const auto result = co_await m_connection->read(watched);
+    co_return result == connection_outcome::closed_by_peer ||
+        result == connection_outcome::failed;
+}
+
 void target_call::release_connection()
 {
-    if (!m_connection)
+    if (!m_connection || m_is_given_up)
         return;
     const bool is_reusable = is_complete() && m_parser->keep_alive() &&
                              !m_parser->need_eof() && m_connection->is_sent() &&
@@ -172,13 +193,7 @@
                              m_connection->is_open();
     if (!is_reusable)
         return abort();
-    // Half of the idle time that the target states, so that a request is never
-    // sent while the target closes the connection.
-    const duration idle =
-        m_metadata.keep_alive_timeout
-            ? std::min(*m_metadata.keep_alive_timeout / 2, max_idle_time)
-            : default_idle_time;
-    m_pool.put_back(m_target.incarnation, std::move(m_connection), idle);
+    m_pool.put_back(m_target.incarnation, std::move(m_connection), idle_time());
     m_connection.reset();
 }
 
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -74,6 +74,15 @@
     /// Closes the connection at once, so that the target stops its work.
     void abort();
 
+    /// Notes that the answer is of no use, and that a watcher reads on and
+    /// closes the connection.
+    void give_up() { m_is_given_up = true; }
+    bool is_given_up() const { return m_is_given_up; }
+
+    /// Whether the target closes the connection within \a time of the end of
+    /// an answer after which it is to stay open.
+    awaitable<bool> is_closed_within(duration time);
+
     const call_destination& target() const { return m_target; }
 
     /// Returns when connecting was requested, for a reused connection the time
@@ -91,6 +100,7 @@
     awaitable<outcome> skip_stray_answer(duration timeout);
     outcome parse();
     outcome parse_end();
+    duration idle_time() const;
     void reset_parser();
     bool is_stray_answer() const;
 
@@ -103,6 +113,7 @@
     std::string m_id;
     bool m_has_no_body = false; ///< Answers to HEAD have no body.
     bool m_is_aborted = false;
+    bool m_is_given_up = false;
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/target_losses.cpp
+++ b/packages/serving/target_losses.cpp
@@ -125,6 +125,25 @@
         log_part_state(context, crash.content, before, request, "own");
 }
 
+void record_run_crash(entry_context& context, const target_run& run,
+                      bool has_survived)
+{
+    const instant now = context.now();
+    decision::target_crash crash{run.suspects.content, run.target, run.sent_at,
+                                 now};
+    record_target_crash(context, crash, run.request);
+    if (has_survived)
+        return;
+    crash.is_part = true;
+    crash.accounts = run.suspects.account;
+    crash.versions = decision::name_set::of(run.version);
+    for (const decision::digest& part : run.suspects.parts)
+    {
+        crash.content = part;
+        record_part_crash(context, crash, run.request);
+    }
+}
+
 void record_parts_survived(entry_context& context,
                            const std::vector<decision::digest>& parts,
                            instant answered_at)
--- a/packages/serving/target_losses.hpp
+++ b/packages/serving/target_losses.hpp
@@ -22,6 +22,21 @@
                        const decision::target_crash& crash,
                        const std::string& request);
 
+/// A run of a request on a target.
+struct target_run
+{
+    std::string request;
+    decision::request_suspects suspects;
+    decision::target_incarnation target;
+    std::string version; ///< Of the target's software.
+    instant sent_at{};
+};
+
+/// Records the crash of a target during \a run for the content of the request
+/// and, unless the target \a has_survived the request, for its parts.
+void record_run_crash(entry_context& context, const target_run& run,
+                      bool has_survived = false);
+
 /// Records that a target survived a request with \a parts, which it began to
 /// answer at \a answered_at. Refutes their crashes before.
 void record_parts_survived(entry_context& context,
