--- a/tests/mutants/parts.py
+++ b/tests/mutants/parts.py
@@ -9,6 +9,7 @@
 QUARANTINE = "packages/decision/suspects/quarantine_parts.cpp"
 CRASH_LOG = "packages/decision/crash_log.cpp"
 EVIDENCE = "packages/decision/suspects/crash_evidence.cpp"
+SURVIVAL = "packages/decision/suspects/run_survival.cpp"
 SUSPECTS = "packages/decision/suspects/request_suspects.cpp"
 
 # Name, file, the line that is replaced, its replacement.
@@ -51,6 +52,9 @@
      "was_cleared = was_cleared && crash.is_refuted;"),
     ("a popular part explains the crashes of a bad one", EVIDENCE,
      "(!own.is_part || own.was_cleared || !known.was_cleared) &&", ""),
+    ("an answer without events has survived", SURVIVAL,
+     "return first_event_at && now >= *first_event_at",
+     "return !first_event_at || now >= *first_event_at"),
     ("the last part of a prompt counts, too", SUSPECTS,
      "index + 1 < ids.size()", "index < ids.size()"),
     ("a long prompt has thousands of parts", SUSPECTS,
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -15,6 +15,9 @@
 PIECES_CALL_S = 0.03  # The duration of a call of pieces.
 # From the start of a poison request to the crash of its target.
 POISON_CRASH_DELAY_S = 0.03
+BEGUN_SHARE = 0.5  # Of the crashes of an engine, those after the head.
+UNSEALED_SHARE = 0.5  # Of those, the ones whose head lacks its seal.
+BEGUN_CRASH_DELAY_S = 0.005  # From the head to the crash.
 POISON_PATTERN = re.compile(r"/poison-\d+")
 # A part of prompts that crashes each engine that starts a request with it.
 BAD_PART_PATTERN = re.compile(r"\bbad\d+(?=:)")
@@ -144,17 +147,21 @@
     def run(self, request_id):
         self.log.runs[request_id].append(self.id)
 
-    async def run_poison(self, message):
+    async def run_poison(self, message, writer):
         """Crashes this target if a request is poison; returns if it is."""
         match = POISON_PATTERN.search(message.start_line) or \
             BAD_PART_PATTERN.search(message.field("x-mangofold-prompt-prefix"))
         if not match:
             return False
-        await self.crash_on_poison(match[0])
+        await self.begin_poison(message, writer)
+        self.crash_on_poison(match[0])
         return True
 
-    async def crash_on_poison(self, poison):
+    async def begin_poison(self, message, writer):
+        """Starts on a request on which this target crashes."""
         await asyncio.sleep(POISON_CRASH_DELAY_S)
+
+    def crash_on_poison(self, poison):
         if self.mode != "gone":
             now = asyncio.get_running_loop().time()
             self.log.poison_crashes[poison].append(now)
@@ -175,7 +182,7 @@
             self.log.add_fault(
                 f"{request_id}: the API key was forwarded to a target")
         self.run(request_id)
-        if await self.run_poison(message):
+        if await self.run_poison(message, writer):
             return
         await asyncio.sleep(SLOW_RESPONSE_S if self.mode == "slow" else 0.005)
         self.record_finished_work(request_id, writer)
@@ -225,7 +232,7 @@
                 409, X_Mangofold_Not_Executed="1", **self.stated_fields()))
             return
         self.run(request_id)
-        if await self.run_poison(message):
+        if await self.run_poison(message, writer):
             return
         self.running += 1
         try:
@@ -233,16 +240,29 @@
         finally:
             self.running -= 1
 
-    async def stream(self, message, writer):
-        request_id = message.field("x-mangofold-request-id")
-        first_event = int(message.field("last-event-id") or 0) + 1
+    async def begin_poison(self, message, writer):
+        await asyncio.sleep(POISON_CRASH_DELAY_S)
+        if random.random() < BEGUN_SHARE:
+            self.write_head(message, writer,
+                            random.random() >= UNSEALED_SHARE)
+            await asyncio.sleep(BEGUN_CRASH_DELAY_S)
+
+    def write_head(self, message, writer, is_sealed=True):
+        """Begins a stream; returns whether it has chunks."""
         is_framed = random.random() >= UNFRAMED_SHARE
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         if is_framed:
             head.append("Transfer-Encoding: chunked")
         head += [f"{name}: {value}"
-                 for name, value in self.response_fields(message).items()]
+                 for name, value in self.response_fields(message).items()
+                 if is_sealed or name != "X-Mangofold-Response-Seal"]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        return is_framed
+
+    async def stream(self, message, writer):
+        request_id = message.field("x-mangofold-request-id")
+        first_event = int(message.field("last-event-id") or 0) + 1
+        is_framed = self.write_head(message, writer)
         for number in range(first_event, EVENT_COUNT + 1):
             await asyncio.sleep(0.3 if self.mode == "slow" else
                                 self.duration(EVENT_INTERVAL_S))
@@ -285,7 +305,8 @@
         self.log.piece_calls.append((now, self))
         for item in body["items"]:
             if poison := self.log.stage_poisons.get(item["id"]):
-                await self.crash_on_poison(poison)
+                await asyncio.sleep(POISON_CRASH_DELAY_S)
+                self.crash_on_poison(poison)
                 return
         self.waiting += 1
         async with self.free_slot:
