--- a/packages/serving/exchange_quarantine.cpp
+++ b/packages/serving/exchange_quarantine.cpp
@@ -13,6 +13,10 @@
 
 using admission = decision::quarantine::admission;
 
+/// How long a target works on at most for an answer that was given up, while
+/// its request may run at another one already.
+constexpr duration given_up_watch_time = std::chrono::milliseconds(300);
+
 } // namespace
 
 // Computed on demand: most requests are never suspected of anything.
@@ -157,10 +161,10 @@
     target_run run = newest_run(call.target().incarnation);
     if (m_is_trial)
         co_await watch_given_up_run(m_context, given_up, run,
-                                    decision::survival_time);
+                                    given_up_watch_time);
     else
         spawn(m_context.loop, watch_given_up_run(m_context, given_up, run,
-                                                 decision::survival_time));
+                                                 given_up_watch_time));
 }
 
 bool exchange::has_survived() const
