Soak: record keepers, losses in series and hangups

Hardly any stream was in progress when the soak killed all entries, and those that were taken up right after were not judged, so that it could not see that streams end with all entries.

- All runs have record keepers beside the engines, one host in six has none.
`keeper` and `keeper_pause` disturb one at a time: a record survives the loss of one keeper, and copies are made again within RECOVERY_S.
Keepers go with the host of a replaced engine, and must not exit by themselves.
- `loss_series` kills all entries 0.03 to 1 s apart or in two halves.
Both kinds of losses of all entries wait until no entry is disturbed; before, `kill_all` was passed over mostly.
In such runs half of the streams last 1.2 s, and callers take up theirs when all entries are ready again.
- `hangups` sends SIGHUP in series to one or all entries, whether they start, serve or stop, with new settings in half of the cases.
An entry that starts gets signals as soon as it has read its settings: what ends it before that is not its code.
- Streams taken up after a loss of all entries are judged from the moment at which all are ready, unless something else disturbs their entry.
The share that goes on is checked for all of them, for these and for the others; for these it is compared with the new streams whose callers got an answer, as requests to no entry would lower the bound.
The last line names the shares by cause.
- A stopping entry must exit with 0, and an answer that breaks off before any target was disturbed is a fault.

total_loss.py can restart a record keeper right before each loss and crash an engine at it.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,7 @@
 ABANDONED_SHARE = 0.1  # The share of requests that are abandoned early.
 TAKE_UP_SHARE = 0.5  # The share of broken streams that are taken up.
 MAX_TAKE_UPS = 3  # Of one stream.
+LOSS_WAIT_S = 2.0  # How long a caller waits for the end of a total loss.
 BUSY_ENTRY_SHARE = 0.9  # Of the new connections, while one entry gets most.
 REQUEST_KINDS = {
     "find": ("GET", "/find/x", {}),
@@ -141,18 +142,20 @@
             self.oracle.check_outcome(sent)
             if connection.writer is None:
                 connection = None
-            if kind == "chat" and self.random.random() < TAKE_UP_SHARE:
+            if kind == "chat" and (self.random.random() < TAKE_UP_SHARE or
+                                   self.oracle.is_loss_in_progress()):
                 await self.take_up(sent)
 
     async def take_up(self, first):
         """Takes up a stream that broke off at random entries."""
         stream = first.stream
+        await self.oracle.wait_loss_end(LOSS_WAIT_S)
         for _ in range(MAX_TAKE_UPS):
             if stream.last_event in (0, EVENT_COUNT):
                 return
             sent = self.new_request("chat", self.pick_entry())
             sent.stream = stream
-            self.oracle.note_take_up(sent)
+            self.oracle.note_take_up(sent, first)
             method, path, fields = REQUEST_KINDS["chat"]
             connection = Connection(sent.entry, self.oracle)
             await connection.send(sent, method, path, {
--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -12,7 +12,11 @@
 MAX_ACTIVE_POISONS = 2  # So that each still finds targets to crash.
 # Not drawn by default, so that existing seeds replay unchanged.
 OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven",
-                "kill_all", "break_streams", "bad_part", "busy_entry")
+                "kill_all", "break_streams", "bad_part", "busy_entry",
+                "loss_series", "hangups", "keeper", "keeper_pause")
+LOSS_KINDS = ("kill_all", "loss_series")
+MAX_START_S = 10  # Of all entries, after they were lost.
+MAX_RESERVE_S = 6  # Until no entry is stopping, which takes GRACE_S at most.
 GROW_INTERVAL_S = 3  # So that a narrow link can carry all versions.
 
 
@@ -30,6 +34,7 @@
         self.poison_numbers = itertools.count(1)
         self.active_poisons = 0
         self.is_bursting = False
+        self.is_fleet_reserved = False  # For a loss of all entries.
         self.until = 0.0  # When the run ends.
         names = [name for name in dir(self) if name.startswith("do_")]
         self.kinds = [name for name in names
@@ -57,7 +62,8 @@
         """Returns an undisturbed entry, or None if it is the last one."""
         free = [entry for entry in self.oracle.fleet if entry.is_running()
                 and not entry.disturbance_count and not entry.is_stopping]
-        if len(free) < 2:  # One always remains to serve requests.
+        # One always remains to serve requests.
+        if len(free) < 2 or self.is_fleet_reserved:
             return None
         return self.random.choice(free)
 
@@ -80,15 +86,76 @@
             self.log(f"kill {entry.name}")
             await entry.kill(self.random_duration(1))
 
+    def _is_fleet_undisturbed(self):
+        return not any(entry.is_stopping or entry.disturbance_count
+                       for entry in self.oracle.fleet)
+
+    async def _reserve_fleet(self):
+        """Waits until no entry is disturbed, and returns whether that is so.
+
+        Meanwhile, no other disturbance picks an entry.
+        """
+        if self.is_fleet_reserved:
+            return False
+        self.is_fleet_reserved = True
+        until = self.oracle.now() + MAX_RESERVE_S
+        while not self._is_fleet_undisturbed() and self.oracle.now() < until:
+            await asyncio.sleep(0.02)
+        self.is_fleet_reserved = False
+        return self._is_fleet_undisturbed()
+
     async def do_kill_all(self):
         """Kills all entries at the same moment."""
         fleet = self.oracle.fleet
-        if any(entry.is_stopping or entry.disturbance_count
-               for entry in fleet):
+        if not await self._reserve_fleet():
             return
         self.log("kill all")
         down_s = self.random_duration(1)
-        await asyncio.gather(*(entry.kill(down_s) for entry in fleet))
+        await self._lose_all("kill_all",
+                             [(entry, down_s, 0) for entry in fleet])
+
+    async def do_loss_series(self):
+        """Kills all entries one after the other, or in two halves."""
+        fleet = list(self.oracle.fleet)
+        if not await self._reserve_fleet():
+            return
+        self.random.shuffle(fleet)
+        gap_s = self.random.choice((0.03, 0.1, 0.3, 1))
+        half = len(fleet) // 2 if self.random.random() < 0.4 else 0
+        self.log(f"kill {'one half, then the other' if half else 'all'}, "
+                 f"{gap_s} s apart")
+        await self._lose_all("loss_series", [
+            (entry, self.random_duration(1),
+             gap_s if not half or number == half - 1 else 0)
+            for number, entry in enumerate(fleet)])
+
+    async def _lose_all(self, kind, kills):
+        """Kills entries: (entry, how long it is down, gap to the next)."""
+        fleet = self.oracle.fleet
+        self.oracle.begin_loss(kind)
+        for entry in fleet:
+            entry.begin_disturbance()  # No other disturbance picks it.
+        incarnations = {entry: entry.incarnation for entry in fleet}
+        tasks = []
+        for entry, down_s, gap_s in kills:
+            tasks.append(asyncio.create_task(entry.kill(down_s)))
+            if gap_s:
+                await asyncio.sleep(gap_s)
+        while any(entry.incarnation == incarnations[entry]
+                  for entry in fleet):
+            await asyncio.sleep(0.02)
+        until = self.oracle.now() + MAX_START_S
+        while not all([await entry.is_ready() for entry in fleet]):
+            for entry in fleet:
+                entry.restart_if_exited()
+            if self.oracle.now() > until:
+                self.oracle.faults.append("not ready after a loss of all")
+                break
+            await asyncio.sleep(0.02)
+        self.oracle.end_loss()
+        await asyncio.gather(*tasks)
+        for entry in fleet:
+            entry.end_disturbance()
 
     async def do_pause(self):
         if entry := self.pick_entry():
@@ -103,8 +170,7 @@
     async def do_roll(self):
         """Stops all entries one after another, at short intervals."""
         fleet = list(self.oracle.fleet)
-        if any(entry.is_stopping or entry.disturbance_count
-               for entry in fleet):
+        if self.is_fleet_reserved or not self._is_fleet_undisturbed():
             return
         self.random.shuffle(fleet)
         gap = self.random.choice((0, 0.4, 0.8, 1.5, 2.5))
@@ -130,6 +196,41 @@
             await asyncio.sleep(self.random_duration(2))
             entry.write_settings()
 
+    async def do_hangups(self):
+        """Sends SIGHUP in series, also to entries that start or stop."""
+        picker = random.Random(self.random.random())
+        fleet = self.oracle.fleet
+        entries = fleet if picker.random() < 0.5 else [picker.choice(fleet)]
+        has_new_settings = picker.random() < 0.5
+        interval_s = picker.choice((0.002, 0.005, 0.01, 0.02, 0.05))
+        self.log(f"hangups of {', '.join(entry.name for entry in entries)} "
+                 f"each {interval_s} s{', new settings' * has_new_settings}")
+        until = self.oracle.now() + picker.uniform(0.3, 2.5)
+        while self.oracle.now() < until:
+            for entry in entries:
+                if has_new_settings:
+                    entry.disturb_settings(picker)
+                if entry.has_begun():
+                    entry.send_signal(signal.SIGHUP)
+            await asyncio.sleep(interval_s)
+        for entry in entries:
+            entry.write_settings()
+
+    async def do_keeper(self):
+        """Kills a record keeper for a while."""
+        keepers = self.platform.keepers
+        if host := keepers.pick(self.random):
+            self.log(f"kill the record keeper on {host}")
+            await keepers.disturb(host, keepers.restart(
+                host, self.random_duration()))
+
+    async def do_keeper_pause(self):
+        keepers = self.platform.keepers
+        if host := keepers.pick(self.random):
+            self.log(f"pause the record keeper on {host}")
+            await keepers.disturb(host, keepers.pause(
+                host, self.random_duration()))
+
     async def do_peers(self):
         """Disturbs the connections from other entries to one entry."""
         if entry := self.pick_entry():
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,19 +11,53 @@
 DRAIN_S = 1.0  # By then, a draining target gets no new requests.
 CONFIG_S = 1.0  # By then, a published configuration is in force.
 RECOVERY_S = 2.0  # After a disturbance, until the bounds hold again.
+HOSTS_PER_GAP = 6  # Of these hosts of engines, one has no record keeper.
+# Settings that can't be used, by the text that they replace.
+ABSURD_SETTINGS = (
+    ("memory_mb = 256", "memory_mb = -1"), ("max_fds = 4096", "max_fds = 0"),
+    ("cpu_share = 0.5", "cpu_share = nan"),
+    ("cpu_cores = 1", "cpu_cores = 1e300"),
+    (f"grace_s = {GRACE_S}", "grace_s = -9223372036854775808"),
+    ("config_ms", 'config_ms = "soon" #'), ("drain_ms", "drain_ms = 1e300 #"),
+    ("budget_ratio = 0.2", "budget_ratio = -inf"),
+    ("budget_window_s = 10", "budget_window_s = 0"),
+    ("seeds = [", "seeds = [7, [], "), ("frontend", "frontend = 0 #"),
+    ("internal_ports = [", 'internal_ports = [70000, "", '),
+    ('zone = "', 'zone = "\\u0000'), ("[platform]", "[[platform]]"))
+
+
+async def wait_ready(fleet):
+    for _ in range(200):
+        await asyncio.sleep(0.1)
+        if all([await entry.is_ready() for entry in fleet]):
+            return
+    raise SystemExit("the entries did not become ready")
 
 
 class RecordKeepers:
-    """The record keepers: one process on the host of each engine."""
+    """The record keepers: one process on the host of each engine.
+
+    With a seed, some hosts have none.
+    """
 
-    def __init__(self, entry_program, port, folder):
+    def __init__(self, entry_program, port, folder, seed=None):
         self.program = os.path.join(os.path.dirname(entry_program),
                                     "mangofold-platform-keeper")
         self.port = port
         self.folder = folder
-        self.processes = {}  # By host.
+        self.seed = seed
+        self.processes = {}  # By host; None while it is down.
+        self.disturbed = None  # Host whose keeper is disturbed.
+        self.undisturbed_since = 0.0
+        self.unexpected_exits = []  # Hosts and exit codes.
+
+    def has_keeper(self, host):
+        number = int(host.rsplit(".", 1)[1])
+        return self.seed is None or (number + self.seed) % HOSTS_PER_GAP != 0
 
     def start(self, host):
+        if not self.has_keeper(host):
+            return
         path = os.path.join(self.folder, f"keeper-{host}.toml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(f"""node_name = "keeper-{host}"
@@ -35,17 +69,51 @@
                 [self.program], stdout=log, stderr=log,
                 env={**os.environ, "MANGOFOLD_CONFIG": path})
 
+    def stop(self, host):
+        """Ends the keeper on a host that has gone."""
+        if process := self.processes.pop(host, None):
+            self._end(host, process)
+
+    def _end(self, host, process):
+        if process.poll() is not None:
+            self.unexpected_exits.append((host, process.returncode))
+        process.kill()
+        process.wait()
+
     async def restart(self, host, down_s):
         """Kills the keeper on a host and starts it again without records."""
-        self.processes[host].kill()
-        self.processes[host].wait()
+        self._end(host, self.processes[host])
+        self.processes[host] = None
         await asyncio.sleep(down_s)
-        self.start(host)
+        if host in self.processes:  # The host has not gone meanwhile.
+            self.start(host)
+
+    async def pause(self, host, duration_s):
+        process = self.processes[host]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(duration_s)
+        process.send_signal(signal.SIGCONT)
+
+    def pick(self, picker):
+        """Returns a host, or None: a record survives the loss of one keeper.
+
+        Until its copies have been made again, no other one may be lost.
+        """
+        now = asyncio.get_running_loop().time()
+        if self.disturbed or not self.processes or \
+                now < self.undisturbed_since + RECOVERY_S:
+            return None
+        return picker.choice(sorted(self.processes))
+
+    async def disturb(self, host, disturbance):
+        self.disturbed = host
+        await disturbance
+        self.disturbed = None
+        self.undisturbed_since = asyncio.get_running_loop().time()
 
     def terminate(self):
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
+        for host in list(self.processes):
+            self.stop(host)
 
 
 class Entry:
@@ -76,10 +144,12 @@
         self.incarnation = 0
         self.last_disturbance_end = 0.0  # When the last unplanned one ended.
         self.disturbance_count = 0
+        self.begun_disturbances = 0  # All of the run.
+        self.started_at = 0.0
         self.is_stopping = False
-        self.unexpected_exits = []  # Exit codes.
+        self.unexpected_exits = []  # Exit codes, and when.
 
-    def write_settings(self, is_truncated=False):
+    def write_settings(self, is_truncated=False, replaced=("", "")):
         text = f"""node_name = "{self.name}"
 zone = "{self.zone}"
 region = "r"
@@ -107,9 +177,23 @@
 [platform]
 address = "{self.store_proxy.address}"
 """
+        text = text.replace(*replaced) if replaced[0] else text
         with open(self.path, "w", encoding="utf-8") as file:
             file.write(text[:len(text) // 2] if is_truncated else text)
 
+    def disturb_settings(self, picker):
+        """Writes other settings, or none; a process that starts needs them."""
+        if asyncio.get_running_loop().time() < self.started_at + 1 or \
+                not self.has_begun():
+            return
+        how = picker.choice(("whole", "truncated", "missing", "absurd"))
+        replaced = picker.choice(ABSURD_SETTINGS) if how == "absurd" \
+            else ("budget_slack = 100",
+                  f"budget_slack = {100 + picker.random()}")
+        self.write_settings(how == "truncated", replaced)
+        if how == "missing":
+            os.remove(self.path)
+
     async def open(self):
         """Starts the process and the proxies for its store and its peers."""
         await self.store_proxy.start()
@@ -118,6 +202,7 @@
 
     def start(self):
         self.write_settings()
+        self.started_at = asyncio.get_running_loop().time()
         log = open(self.log_path, "a", encoding="utf-8")
         self.process = subprocess.Popen(
             [self.program], stdout=log, stderr=log,
@@ -129,12 +214,35 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def has_begun(self):
+        """Whether the program's own code runs: it has read its settings."""
+        if not self.is_running():
+            return False
+        try:
+            read = os.stat(self.path)
+        except FileNotFoundError:  # See disturb_settings.
+            return True
+        return read.st_atime_ns > read.st_mtime_ns or \
+            asyncio.get_running_loop().time() > self.started_at + 0.5
+
+    async def is_ready(self):
+        host, port = self.readiness.rsplit(":", 1)
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            status_line = await asyncio.wait_for(reader.readline(), 1)
+            writer.close()
+            return b" 200 " in status_line
+        except (OSError, asyncio.TimeoutError):
+            return False
+
     def send_signal(self, signal_number):
         if self.is_running():
             self.process.send_signal(signal_number)
 
     def begin_disturbance(self):
         self.disturbance_count += 1
+        self.begun_disturbances += 1
 
     def end_disturbance(self):
         self.disturbance_count -= 1
@@ -177,19 +285,30 @@
             faults.append(f"{self.name}: still running after its grace period")
             self.send_signal(signal.SIGKILL)
             await self.wait_exit(2)
+        elif self.process.returncode != 0:
+            self.note_unexpected_exit()
         self.begin_disturbance()
         self.start()
         await asyncio.sleep(1.5)
         self.end_disturbance()
 
+    def restart_if_exited(self):
+        """Records an unexpected exit and restarts the process."""
+        if not self.is_running():
+            self.note_unexpected_exit()
+            self.start()
+
+    def note_unexpected_exit(self):
+        age_s = asyncio.get_running_loop().time() - self.started_at
+        self.unexpected_exits.append(
+            f"{self.process.returncode}, {age_s:.1f} s after its start at "
+            f"most{', stopping' * self.is_stopping}")
+
     async def restart_on_exit(self):
-        """Records unexpected exits and restarts the process."""
         while True:
             await asyncio.sleep(0.1)
-            if self.is_running() or self.disturbance_count or self.is_stopping:
-                continue
-            self.unexpected_exits.append(self.process.returncode)
-            self.start()
+            if not self.disturbance_count and not self.is_stopping:
+                self.restart_if_exited()
 
     def terminate(self):
         if self.is_running():
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -23,6 +23,7 @@
 
 MIN_BUSY_REQUESTS = 40  # To judge an entry that gets most connections.
 MIN_TAKE_UPS = 12  # Of streams that must go on, to judge their share.
+MAX_ANSWER_S = 2.5  # Of answers that no time limit can have cut.
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\w+)\.(\d+)\.(\w+)\n\n")
 
 
@@ -69,6 +70,7 @@
         self.kind = kind
         self.entry = entry
         self.incarnation = entry.incarnation
+        self.take_up_cause = ""  # Why its stream had to be taken up.
         self.sent_at = sent_at
         self.status = 0  # 0: no complete response head.
         self.is_complete = False
@@ -100,6 +102,28 @@
             (self.ended_at is None or at < self.ended_at)
 
 
+class TotalLoss:
+    """A loss of all entries, and their states when all were ready again."""
+
+    def __init__(self, kind, began_at):
+        self.kind = kind
+        self.began_at = began_at
+        self.ready_at = None
+        self.states = {}  # By entry.
+
+    def end(self, fleet, at):
+        self.ready_at = at
+        self.states = {entry: self._state(entry) for entry in fleet}
+
+    @staticmethod
+    def _state(entry):
+        return (entry.incarnation, entry.begun_disturbances,
+                entry.is_stopping)
+
+    def is_last_disturbance_of(self, entry):
+        return self.states.get(entry) == self._state(entry)
+
+
 # Judges a run: collects the observations and lists broken promises.
 class Oracle:
     def __init__(self, log, fleet):
@@ -120,6 +144,7 @@
         self.outcome_counts = {}
         self.take_ups = []  # Requests whose streams must go on.
         self.count_serving_engines = None  # By version; set by the owner.
+        self.loss = None  # The last TotalLoss.
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -173,33 +198,83 @@
             self.faults.append(
                 f"{sent.request_id}: {sent.kind} got {sent.body!r}")
 
-    def note_take_up(self, sent):
-        """Notes that a stream is about to be taken up."""
-        version = min(sent.stream.versions)
-        if self.is_undisturbed(sent.entry, sent.sent_at) and \
-                self.count_serving_engines(version) >= 2:
-            self.take_ups.append(sent)
+    def begin_loss(self, kind):
+        self.loss = TotalLoss(kind, self.now())
+
+    def end_loss(self):
+        self.loss.end(self.fleet, self.now())
+
+    def is_loss_in_progress(self):
+        return self.loss is not None and self.loss.ready_at is None
 
-    def count_continued(self):
-        return sum(sent.event_count > 0 for sent in self.take_ups)
+    async def wait_loss_end(self, timeout_s):
+        until = self.now() + timeout_s
+        while self.is_loss_in_progress() and self.now() < until:
+            await asyncio.sleep(0.02)
+
+    def note_take_up(self, sent, first):
+        """Notes that the stream of a first request is about to be taken up."""
+        version = min(sent.stream.versions)
+        if self.count_serving_engines(version) < 2:
+            return
+        if self._is_after_loss(sent, first):
+            sent.take_up_cause = self.loss.kind
+        elif self.is_undisturbed(sent.entry, sent.sent_at):
+            sent.take_up_cause = "other"
+        else:
+            return
+        self.take_ups.append(sent)
+
+    def _is_after_loss(self, sent, first):
+        """Whether the loss of all entries is all that disturbed a stream."""
+        loss = self.loss
+        return loss is not None and loss.ready_at is not None and \
+            first.sent_at < loss.ready_at and \
+            loss.is_last_disturbance_of(sent.entry) and \
+            not sent.entry.is_stopping and \
+            self.store_undisturbed_since < loss.began_at and \
+            self.stalled_at < loss.ready_at
+
+    def take_up_shares(self):
+        """Returns the taken-up streams by cause: how many, and went on."""
+        shares = {}
+        for sent in self.take_ups:
+            count, gone_on = shares.get(sent.take_up_cause, (0, 0))
+            shares[sent.take_up_cause] = (
+                count + 1, gone_on + (sent.event_count > 0))
+        return shares
 
     def _check_take_ups(self):
         """Checks that streams go on while targets of their version serve."""
         first = [sent for sent in self.requests.values()
                  if sent.kind == "chat" and not sent.disconnected_at
                  and sent not in self.take_ups]
-        if len(self.take_ups) < MIN_TAKE_UPS or not first:
+        self._check_share_gone_on("", self.take_ups, first)
+        # Requests meanwhile that reached no entry say nothing of new streams.
+        answered = [sent for sent in first if sent.status]
+        self._check_share_gone_on(
+            " after losses of all entries",
+            [sent for sent in self.take_ups if sent.take_up_cause != "other"],
+            answered)
+        self._check_share_gone_on(
+            " after other breaks",
+            [sent for sent in self.take_ups if sent.take_up_cause == "other"],
+            first)
+
+    def _check_share_gone_on(self, when, take_ups, first):
+        if len(take_ups) < MIN_TAKE_UPS or not first:
             return
-        gone_on = self.count_continued()
+        gone_on = sum(sent.event_count > 0 for sent in take_ups)
         begun = sum(sent.event_count > 0 for sent in first)
-        if gone_on / len(self.take_ups) < 0.5 * begun / len(first):
+        if gone_on / len(take_ups) < 0.5 * begun / len(first):
             self.faults.append(
-                f"only {gone_on} of {len(self.take_ups)} streams went on, "
+                f"only {gone_on} of {len(take_ups)} streams went on{when}, "
                 f"while {begun} of {len(first)} new ones began")
 
     def _check_response_loss(self, sent):
         """Checks that no undisturbed request loses its response."""
         if sent.kind == "note" or sent.status == 200:
+            self._check_cut(sent)
             return  # The target may have broken off the response.
         if not self.log.runs.get(sent.request_id):
             return  # The entry may have closed the connection unread.
@@ -210,6 +285,16 @@
                                f"{sent.entry.name}, stopping "
                                f"{sent.entry.is_stopping}")
 
+    def _check_cut(self, sent):
+        """Checks that no entry cuts an answer that all targets complete."""
+        if sent.status == 200 and self.targets_undisturbed_since == 0 and \
+                sent.ended_at < sent.sent_at + MAX_ANSWER_S and \
+                self.is_undisturbed(sent.entry, sent.sent_at) and \
+                sent.incarnation == sent.entry.incarnation:
+            self.faults.append(f"{sent.request_id}: answer cut by "
+                               f"{sent.entry.name}, stopping "
+                               f"{sent.entry.is_stopping}")
+
     def check_probe(self, sent, version):
         """Checks which configuration version an entry has in force."""
         key = (sent.entry.name, sent.incarnation)
--- a/tests/soak/platform_run.py
+++ b/tests/soak/platform_run.py
@@ -4,8 +4,7 @@
 import asyncio
 import tempfile
 
-from fleet import Entry
-from soak import wait_ready
+from fleet import Entry, wait_ready
 from world import PlatformStandin
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,35 +7,15 @@
 import tempfile
 
 from callers import Caller, REQUEST_KINDS
-from disorder import DisturbanceInjector
-from fleet import Entry
+from disorder import LOSS_KINDS, DisturbanceInjector
+from fleet import Entry, RecordKeepers, wait_ready
 from oracle import Oracle
 from world import WARM_UP, PlatformStandin
 
+LONG_STREAMS_SHARE = 0.5  # In runs in which all entries are lost.
 SETTLE_S = 4  # After the last disturbance, until all requests must be served.
 
 
-async def wait_ready(fleet):
-    for _ in range(200):
-        await asyncio.sleep(0.1)
-        are_ready = [await is_ready(entry) for entry in fleet]
-        if all(are_ready):
-            return
-    raise SystemExit("the entries did not become ready")
-
-
-async def is_ready(entry):
-    host, port = entry.readiness.rsplit(":", 1)
-    try:
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        status_line = await asyncio.wait_for(reader.readline(), 1)
-        writer.close()
-        return b" 200 " in status_line
-    except (OSError, asyncio.TimeoutError):
-        return False
-
-
 async def check_recovery(oracle, seed):
     """Checks that requests of each kind are served after all disturbances."""
     caller = Caller(oracle, seed, abandoned_share=0)
@@ -57,6 +37,11 @@
     if options.only and "cold" in options.only:
         platform.warm_up = WARM_UP
     platform.has_bursts = "uneven" in (options.only or ())
+    if set(LOSS_KINDS) & set(options.only or ()):
+        # Streams are in progress at each loss, and outlast it.
+        platform.log.long_streams_share = LONG_STREAMS_SHARE
+    platform.keepers = RecordKeepers(options.program, options.base + 999,
+                                     folder, options.seed)
     await platform.start(options.copies)
     # As Entry numbers its ports.
     first_peer_port = 1002 if options.direct else 1004
@@ -69,6 +54,7 @@
              for number in range(options.entries)]
     for entry in fleet:
         entry.is_direct = options.direct
+        entry.keeper_port = platform.keepers.port
     oracle = Oracle(platform.log, fleet)
     oracle.published[1] = oracle.now()
     oracle.count_serving_engines = platform.count_serving_engines
@@ -96,7 +82,11 @@
             task.cancel()
         for entry in fleet:
             entry.terminate()
+        platform.keepers.terminate()
     oracle.check_run()
+    for host, exit_code in platform.keepers.unexpected_exits:
+        oracle.faults.append(
+            f"the record keeper on {host} exited: {exit_code}")
     return oracle, injector
 
 
@@ -112,13 +102,14 @@
     if shares := oracle.refused_shares():
         print(f"  refused: {shares[0]:.3f} of the most urgent route, "
               f"{shares[1]:.3f} of the least urgent one")
-    print(f"  taken up: {len(oracle.take_ups)} streams that could go on, "
-          f"{oracle.count_continued()} did")
     for fault in oracle.faults[:20]:
         print(f"FAULT {fault}")
     state = "clean" if not oracle.faults else f"{len(oracle.faults)} faults"
+    shares = [f"{gone_on} of {count} ({cause})" for cause, (count, gone_on)
+              in sorted(oracle.take_up_shares().items())]
     print(f"seed {options.seed}: {state}, {len(oracle.requests)} requests, "
-          f"{len(injector.history)} disturbances")
+          f"{len(injector.history)} disturbances; streams that could go on "
+          f"and did: {', '.join(shares) or 'none'}")
 
 
 def main():
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -12,6 +12,7 @@
 
 EVENT_COUNT = 6  # In a complete stream.
 EVENT_INTERVAL_S = 0.02  # Between events.
+LONG_EVENT_INTERVAL_S = 0.2  # In long streams.
 PIECES_CALL_S = 0.03  # The duration of a call of pieces.
 # From the start of a poison request to the crash of its target.
 POISON_CRASH_DELAY_S = 0.03
@@ -36,6 +37,7 @@
         self.poison_crashes = collections.defaultdict(list)  # Poison -> times
         self.stage_poisons = {}  # Request whose pieces crash targets -> poison
         self.crash_target = None  # Crashes a target; set by World.
+        self.long_streams_share = 0  # Of the streams.
         self.faults = []
 
     def add_fault(self, text):
@@ -237,6 +239,7 @@
         request_id = message.field("x-mangofold-request-id")
         first_event = int(message.field("last-event-id") or 0) + 1
         is_framed = random.random() >= UNFRAMED_SHARE
+        is_long = random.random() < self.log.long_streams_share
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         if is_framed:
             head.append("Transfer-Encoding: chunked")
@@ -245,6 +248,7 @@
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
         for number in range(first_event, EVENT_COUNT + 1):
             await asyncio.sleep(0.3 if self.mode == "slow" else
+                                LONG_EVENT_INTERVAL_S if is_long else
                                 self.duration(EVENT_INTERVAL_S))
             event = (f"id: {number}\n"
                      f"data: {request_id}.{number}.{self.version}\n\n").encode()
--- a/tests/soak/total_loss.py
+++ b/tests/soak/total_loss.py
@@ -9,9 +9,8 @@
 import tempfile
 
 from callers import Caller, Connection, REQUEST_KINDS
-from fleet import Entry, RecordKeepers
+from fleet import Entry, RecordKeepers, wait_ready
 from oracle import Oracle
-from soak import wait_ready
 from targets import EVENT_COUNT
 from world import PlatformStandin
 
@@ -58,22 +57,42 @@
         await wait_ready(self.oracle.fleet)
         return kills
 
-    async def run(self, gap_s):
-        for target in self.platform.targets:
-            if target.service == "models":
-                target.mode = "slow"
+    async def restart_keeper(self):
+        keepers = self.platform.keepers
+        await keepers.restart(self.random.choice(sorted(keepers.processes)), 0)
+
+    def crash_engine(self):
+        """Crashes an engine; its version is not judged while one is left."""
+        engine = self.random.choice(self.engines())
+        engine.mode = "gone"
+        return asyncio.create_task(self.platform.crash(engine, 0.5))
+
+    def engines(self):
+        return [target for target in self.platform.targets
+                if target.service == "models"]
+
+    async def run(self, gap_s, restarts_keeper, crashes_engine):
+        for engine in self.engines():
+            engine.mode = "slow"
         self.incarnations = {entry: entry.incarnation
                              for entry in self.oracle.fleet}
         streams = [asyncio.create_task(self.send()) for _ in range(STREAMS)]
         await asyncio.sleep(BEGIN_S)
-        kills = await self.lose_all(gap_s)
-        for target in self.platform.targets:
-            target.mode = "ok"
+        if restarts_keeper:
+            await self.restart_keeper()
+        disturbances = [self.crash_engine()] if crashes_engine else []
+        disturbances += await self.lose_all(gap_s)
+        for engine in self.engines():
+            if engine.mode == "slow":
+                engine.mode = "ok"
+        serving = [version for version in ("v1", "v2")
+                   if self.platform.count_serving_engines(version) >= 2]
         broken = [sent for sent in await asyncio.gather(*streams)
-                  if sent.stream.last_event not in (0, EVENT_COUNT)]
+                  if sent.stream.last_event not in (0, EVENT_COUNT)
+                  and min(sent.stream.versions) in serving]
         self.taken_up += await asyncio.gather(*map(self.send, broken))
         self.begun += await asyncio.gather(*(self.send() for _ in broken))
-        await asyncio.gather(*kills)
+        await asyncio.gather(*disturbances)
 
     def check(self):
         gone_on = sum(sent.event_count > 0 for sent in self.taken_up)
@@ -106,7 +125,8 @@
         await wait_ready(fleet)
         await asyncio.sleep(1)
         for gap_s in options.gaps:
-            await loss.run(gap_s)
+            await loss.run(gap_s, options.restart_keeper,
+                           options.crash_engine)
     finally:
         for entry in fleet:
             entry.terminate()
@@ -124,6 +144,10 @@
     parser.add_argument("--base", type=int, default=26000)
     parser.add_argument("--gaps", type=float, nargs="+", default=[0, 0, 0.1],
                         help="seconds between the kills of each loss")
+    parser.add_argument("--restart-keeper", action="store_true",
+                        help="restart a record keeper before each loss")
+    parser.add_argument("--crash-engine", action="store_true",
+                        help="crash an engine at each loss")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         faults = asyncio.run(run(options, folder))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -98,7 +98,7 @@
         return f"127.0.0.1:{self._next_port}"
 
     def new_engine_address(self, address):
-        """Returns the address on a host of its own, with a record keeper."""
+        """Returns the address on a host of its own."""
         self._engine_hosts += 1
         host = f"127.0.1.{self._engine_hosts}"
         if self.keepers:
@@ -236,6 +236,8 @@
         draining[target.id] = asyncio.get_running_loop().time()
         await asyncio.sleep(DRAIN_S * 4)
         self.remove_target(target)
+        if self.keepers:
+            self.keepers.stop(target.address.rsplit(":", 1)[0])
 
     def publish(self, published):
         self.version += 1
