Soak: streams are taken up as soon as all entries are ready

total_loss.py waited up to 0.1 s after the last entry was ready, and so passed over the first moments of an entry.

Found: an entry refuses streams as stream_unknown from the moment at which it has read the list of targets until it next notes where record keepers run, up to 0.1 s later.

--- a/tests/soak/total_loss.py
+++ b/tests/soak/total_loss.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import os
 import random
 import sys
 import tempfile
@@ -54,7 +55,10 @@
         for entry in self.oracle.fleet:
             while entry.incarnation == self.incarnations[entry]:
                 await asyncio.sleep(0.02)
-        await wait_ready(self.oracle.fleet)
+        # Callers come as soon as they can, not when all is known again.
+        while not all([await entry.is_ready()
+                       for entry in self.oracle.fleet]):
+            await asyncio.sleep(0.005)
         return kills
 
     async def restart_keeper(self):
@@ -148,8 +152,11 @@
                         help="restart a record keeper before each loss")
     parser.add_argument("--crash-engine", action="store_true",
                         help="crash an engine at each loss")
+    parser.add_argument("--logs", help="folder for the processes' logs")
     options = parser.parse_args()
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory() as temporary_folder:
+        folder = options.logs or temporary_folder
+        os.makedirs(folder, exist_ok=True)
         faults = asyncio.run(run(options, folder))
     for fault in faults[:20]:
         print(f"FAULT {fault}")
