Soak: mutants of record keepers, and runs without them

- Five mutants for streams that go on after a loss of all entries and stay at their version; total_loss.py exposes three of them.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -37,14 +37,17 @@
 class RecordKeepers:
     """The record keepers: one process on the host of each engine.
 
-    With a seed, some hosts have none.
+    One of so many hosts has none, the seed says which one.
     """
 
-    def __init__(self, entry_program, port, folder, seed=None):
+    def __init__(self, entry_program, port, folder, hosts_per_gap=None,
+                 seed=0):
         self.program = os.path.join(os.path.dirname(entry_program),
                                     "mangofold-platform-keeper")
         self.port = port
         self.folder = folder
+        # None: all hosts have one; 0: none has.
+        self.hosts_per_gap = hosts_per_gap
         self.seed = seed
         self.processes = {}  # By host; None while it is down.
         self.disturbed = None  # Host whose keeper is disturbed.
@@ -52,8 +55,10 @@
         self.unexpected_exits = []  # Hosts and exit codes.
 
     def has_keeper(self, host):
+        if not self.hosts_per_gap:
+            return self.hosts_per_gap is None
         number = int(host.rsplit(".", 1)[1])
-        return self.seed is None or (number + self.seed) % HOSTS_PER_GAP != 0
+        return (number + self.seed) % self.hosts_per_gap != 0
 
     def start(self, host):
         if not self.has_keeper(host):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -11,7 +11,10 @@
 import sys
 
 # Name, file, source text, its replacement, kinds of disturbances that expose
-# the mutant, and further arguments of the soak.
+# the mutant, and further arguments of the soak; without kinds, total_loss.py
+# exposes it, and the arguments are its own.
+TOTAL_LOSS = None
+LOSSES = ["kill_all", "loss_series", "break_streams", "keeper"]
 NARROW = ["--entries", "6", "--narrow", "3"]
 MUTANTS = [
     ("non-repeatable requests are sent again",
@@ -124,7 +127,37 @@
      "packages/serving/stream_registry.cpp",
      "            m_records.note(read_stream_key(received), *known);",
      "            (void)known;", ["kill", "break_streams"],
-     ["--callers", "40", "--copies", "5", "--seconds", "25"]),
+     ["--callers", "40", "--copies", "5", "--seconds", "25",
+      "--without-keepers"]),
+    ("records are not sent to record keepers",
+     "packages/serving/stream_registry.cpp",
+     "m_channel.send(holder, frame);\n}\n",
+     "if (!m_channel.is_record_keeper(holder))\n"
+     "            m_channel.send(holder, frame);\n}\n", TOTAL_LOSS),
+    ("record keepers are not asked for records",
+     "packages/serving/stream_registry.cpp",
+     "            if (!sent_to.insert(holder).second)",
+     "            if (m_channel.is_record_keeper(holder) ||\n"
+     "                !sent_to.insert(holder).second)", TOTAL_LOSS),
+    ("a record keeper forgets its records",
+     "packages/serving/records/record_keeper.cpp",
+     "        note_stream_origins(frame.stream_origins(), now, m_records);\n",
+     "", LOSSES, ["--entries", "5", "--copies", "5", "--seconds", "20"]),
+    ("a stream whose version is not known goes on at any",
+     "packages/serving/exchange_streams.cpp",
+     "    if (!is_of_route)\n    {",
+     "    if (!is_of_route)\n        co_return true;\n"
+     "    if (false)\n    {",
+     LOSSES, ["--entries", "5", "--copies", "5", "--seconds", "20"]),
+    ("a record keeper answers with one version for all streams",
+     "packages/serving/records/record_keeper.cpp",
+     "    answer_from_records(question, m_records, m_time.now(),\n"
+     "                        *frame.mutable_stream_answer());\n",
+     "    answer_from_records(question, m_records, m_time.now(),\n"
+     "                        *frame.mutable_stream_answer());\n"
+     "    if (frame.stream_answer().has_origin())\n"
+     "        frame.mutable_stream_answer()->mutable_origin()->set_version(\n"
+     "            \"v1\");\n", TOTAL_LOSS),
     ("the ranks of routes are reversed", "platform/catalog_reader.cpp",
      'route.priority = value.value("priority", 0U);',
      'route.priority = 9U - value.value("priority", 0U);',
@@ -159,12 +192,13 @@
 def find_fault(folder, kinds, options, extra_arguments=()):
     """Returns the first seed that shows a fault, and the fault."""
     for seed in range(1, options.seeds + 1):
-        result = run([sys.executable, "tests/soak/soak.py",
+        program = "total_loss.py" if kinds is TOTAL_LOSS else "soak.py"
+        arguments = ["--seed", str(seed), "--base", str(options.base)]
+        if kinds is not TOTAL_LOSS:
+            arguments += ["--seconds", str(options.seconds), "--only", *kinds]
+        result = run([sys.executable, f"tests/soak/{program}",
                       "build/bin/mangofold-platform-entry",
-                      "--seed", str(seed),
-                      "--seconds", str(options.seconds),
-                      "--base", str(options.base), *extra_arguments,
-                      "--only", *kinds], folder)
+                      *arguments, *extra_arguments], folder)
         fault = re.search("^FAULT (.*)", result.stdout, re.MULTILINE)
         if fault:
             return seed, fault[1]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -8,7 +8,7 @@
 
 from callers import Caller, REQUEST_KINDS
 from disorder import LOSS_KINDS, DisturbanceInjector
-from fleet import Entry, RecordKeepers, wait_ready
+from fleet import HOSTS_PER_GAP, Entry, RecordKeepers, wait_ready
 from oracle import Oracle
 from world import WARM_UP, PlatformStandin
 
@@ -40,8 +40,9 @@
     if set(LOSS_KINDS) & set(options.only or ()):
         # Streams are in progress at each loss, and outlast it.
         platform.log.long_streams_share = LONG_STREAMS_SHARE
-    platform.keepers = RecordKeepers(options.program, options.base + 999,
-                                     folder, options.seed)
+    platform.keepers = RecordKeepers(
+        options.program, options.base + 999, folder,
+        0 if options.without_keepers else HOSTS_PER_GAP, options.seed)
     await platform.start(options.copies)
     # As Entry numbers its ports.
     first_peer_port = 1002 if options.direct else 1004
@@ -125,6 +126,8 @@
                         help="first port, below the ephemeral port range")
     parser.add_argument("--direct", action="store_true",
                         help="no proxies between entries; for large fleets")
+    parser.add_argument("--without-keepers", action="store_true",
+                        help="no record keepers; entries keep the records")
     parser.add_argument("--narrow", type=int, default=0,
                         help="number of entries with a narrow link")
     parser.add_argument("--narrow-rate", type=float, default=8e5,
--- a/tests/soak/total_loss.py
+++ b/tests/soak/total_loss.py
@@ -103,8 +103,9 @@
         begun = sum(sent.event_count > 0 for sent in self.begun)
         print(f"{gone_on} of {len(self.taken_up)} streams went on, "
               f"{begun} of {len(self.begun)} new ones began")
-        if len(self.taken_up) < STREAMS or \
-                gone_on / len(self.taken_up) < \
+        if len(self.taken_up) < STREAMS:
+            self.oracle.faults.append("too few streams were in progress")
+        elif gone_on / len(self.taken_up) < \
                 MIN_SHARE * begun / len(self.begun):
             self.oracle.faults.append("streams ended with the entries")
 
