--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -12,6 +12,7 @@
 
 EVENT_COUNT = 6  # In a complete stream.
 EVENT_INTERVAL_S = 0.02  # Between events.
+LONG_EVENT_INTERVAL_S = 0.2  # In long streams.
 PIECES_CALL_S = 0.03  # The duration of a call of pieces.
 # From the start of a poison request to the crash of its target.
 POISON_CRASH_DELAY_S = 0.03
@@ -39,6 +40,7 @@
         self.poison_crashes = collections.defaultdict(list)  # Poison -> times
         self.stage_poisons = {}  # Request whose pieces crash targets -> poison
         self.crash_target = None  # Crashes a target; set by World.
+        self.long_streams_share = 0  # Of the streams.
         self.faults = []
 
     def add_fault(self, text):
@@ -250,6 +252,7 @@
     def write_head(self, message, writer, is_sealed=True):
         """Begins a stream; returns whether it has chunks."""
         is_framed = random.random() >= UNFRAMED_SHARE
+        is_long = random.random() < self.log.long_streams_share
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         if is_framed:
             head.append("Transfer-Encoding: chunked")
@@ -265,6 +268,7 @@
         is_framed = self.write_head(message, writer)
         for number in range(first_event, EVENT_COUNT + 1):
             await asyncio.sleep(0.3 if self.mode == "slow" else
+                                LONG_EVENT_INTERVAL_S if is_long else
                                 self.duration(EVENT_INTERVAL_S))
             event = (f"id: {number}\n"
                      f"data: {request_id}.{number}.{self.version}\n\n").encode()
