--- a/packages/decision/streams/keeper_roster.hpp
+++ b/packages/decision/streams/keeper_roster.hpp
@@ -51,6 +51,13 @@
         return m_keepers.contains(address);
     }
 
+    /// Whether the keeper at \a address has ever replied.
+    bool has_replied(const std::string& address) const
+    {
+        const auto found = m_keepers.find(address);
+        return found != m_keepers.end() && found->second.born;
+    }
+
     /// Notes that the message \a number, which calls for a reply, was sent.
     void note_sent(const std::string& address, std::uint64_t number,
                    instant now);
--- a/packages/serving/records/keeper_client.cpp
+++ b/packages/serving/records/keeper_client.cpp
@@ -108,11 +108,14 @@
 
 void keeper_client::note_lost(const std::string& address, std::string_view why)
 {
-    m_context.count("record_keepers_lost", "why", why);
-    runtime::event("record_keeper_lost")
-        .with("keeper", address)
-        .with("why", why)
-        .info();
+    if (m_roster.has_replied(address))
+    {
+        m_context.count("record_keepers_lost", "why", why);
+        runtime::event("record_keeper_lost")
+            .with("keeper", address)
+            .with("why", why)
+            .info();
+    }
     if (m_context.streams != nullptr)
         m_context.streams->note_lost(address);
 }
