Streams: a record counts more than what another entry saw

The record of a stream was not used if an entry whose list lags had answered before that it had seen one version only, another one: the caller got a 503. Two records that differ, or an ambiguous one, still end the stream; so do differing answers without a record. "a record counts more than what an entry saw" failed on the code before.

--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -280,7 +280,7 @@
             are_holders_known ? answer_timeout : discovery_timeout;
         const duration left = started_at + timeout - now;
         const bool is_found =
-            asked->is_contradicted ||
+            asked->is_ambiguous ||
             (asked->answer && asked->answer->from != source::history);
         const bool are_all_asked =
             are_holders_known && asked->unanswered.empty();
@@ -298,9 +298,11 @@
         co_await asked->is_changed.wait(step);
     }
     m_questions.erase(number);
-    if (asked->is_contradicted)
-        co_return finding{};
-    co_return asked->answer.value_or(finding{});
+    finding answer = asked->answer.value_or(finding{});
+    const bool is_doubtful =
+        asked->is_ambiguous ||
+        (answer.from == source::history && asked->is_history_doubtful);
+    co_return is_doubtful ? finding{} : answer;
 }
 
 void stream_registry::handle_origins(const peer::StreamOrigins& message)
@@ -344,11 +346,16 @@
     const auto known = read_stream_origin(message.origin(), now);
     if (!known)
         return;
-    const bool is_other_version =
+    const bool is_record = message.source() == peer::StreamAnswer::RECORD;
+    const bool has_record =
+        asked.answer && asked.answer->from != source::history;
+    const bool is_other_origin =
         asked.answer && asked.answer->origin != known->origin;
-    if (known->is_ambiguous || is_other_version)
-        asked.is_contradicted = true;
-    else if (message.source() == peer::StreamAnswer::RECORD)
+    if (known->is_ambiguous || (is_record && has_record && is_other_origin))
+        asked.is_ambiguous = true;
+    else if (!is_record && !has_record && is_other_origin)
+        asked.is_history_doubtful = true;
+    else if (is_record)
         asked.answer = {m_channel.is_record_keeper(address) ? source::keeper
                                                             : source::entry,
                         known->origin, now - known->began_at};
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -133,9 +133,8 @@
         std::set<std::string> sent_to;    ///< Entries and record keepers.
         std::set<std::string> unanswered; ///< Of these.
         std::optional<finding> answer;
-        /// The caller used a request id twice, or entries saw different
-        /// versions: the origin is in doubt.
-        bool is_contradicted = false;
+        bool is_ambiguous = false; ///< The caller used a request id twice.
+        bool is_history_doubtful = false; ///< Entries saw different versions.
         auto_reset_event is_changed;
     };
 
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -206,6 +206,23 @@
             beside_engines.try_emplace(address, time, 1);
     }
 
+    /// Has \a entry follow the list of targets.
+    void serve_for(versioned_entry& entry, int seconds)
+    {
+        entry.context->directory.set_source_available(true, entry.time.now());
+        entry.context->versions.note_gap(entry.time.now());
+        for (int second = 0; second < seconds; ++second)
+        {
+            entry.context->versions.note_versions(
+                entry.context->directory.take_seen_versions(),
+                entry.time.now());
+            entry.context->list_current_at = entry.time.now();
+            entry.streams.maintain();
+            entry.time.advance(1s);
+            time.advance(1s);
+        }
+    }
+
     runtime::paused_clock time;
     keeper_map beside_engines;
 };
@@ -554,21 +571,6 @@
 TEST_CASE_FIXTURE(keepers_test,
                   "record keepers tell a new entry which versions have served")
 {
-    const auto serve_for = [this](versioned_entry& entry, int seconds)
-    {
-        entry.context->directory.set_source_available(true, entry.time.now());
-        entry.context->versions.note_gap(entry.time.now());
-        for (int second = 0; second < seconds; ++second)
-        {
-            entry.context->versions.note_versions(
-                entry.context->directory.take_seen_versions(),
-                entry.time.now());
-            entry.context->list_current_at = entry.time.now();
-            entry.streams.maintain();
-            entry.time.advance(1s);
-            time.advance(1s);
-        }
-    };
     const std::string unnamed = "After: 2\r\n";
     {
         versioned_entry entry(nullptr, "a", &beside_engines);
@@ -592,3 +594,27 @@
     serve_for(last, 1);
     CHECK(contains(last.stream("r5", unnamed), "stream_unknown"));
 }
+
+// Guards against a stream that is refused although its record is found: another
+// entry, whose list lags, has seen one version only.
+TEST_CASE_FIXTURE(keepers_test, "a record counts more than what an entry saw")
+{
+    fleet entries;
+    versioned_entry lagging(&entries, "b", &beside_engines);
+    lagging.add_engine("v1");
+    serve_for(lagging, 20);
+    lagging.is_silent = true;
+    {
+        versioned_entry lost(&entries, "c", &beside_engines);
+        lost.add_engine("v2", action::hang);
+        lost.begin_stream();
+    }
+    lagging.is_silent = false;
+    versioned_entry restarted(&entries, "a", &beside_engines);
+    restarted.add_engine("v1");
+    restarted.add_engine("v2");
+    // Without a record, the lagging entry is not believed.
+    CHECK(contains(restarted.stream("r3", "After: 2\r\nResumes: r9\r\n"),
+                   "stream_unknown"));
+    CHECK(contains(restarted.stream("r2", resumes_r1), "data: v2"));
+}
