--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -252,7 +252,6 @@
     def write_head(self, message, writer, is_sealed=True):
         """Begins a stream; returns whether it has chunks."""
         is_framed = random.random() >= UNFRAMED_SHARE
-        is_long = random.random() < self.log.long_streams_share
         head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         if is_framed:
             head.append("Transfer-Encoding: chunked")
@@ -266,6 +265,7 @@
         request_id = message.field("x-mangofold-request-id")
         first_event = int(message.field("last-event-id") or 0) + 1
         is_framed = self.write_head(message, writer)
+        is_long = random.random() < self.log.long_streams_share
         for number in range(first_event, EVENT_COUNT + 1):
             await asyncio.sleep(0.3 if self.mode == "slow" else
                                 LONG_EVENT_INTERVAL_S if is_long else
