--- a/packages/serving/records/keeper_client.cpp
+++ b/packages/serving/records/keeper_client.cpp
@@ -8,6 +8,13 @@
 
 using asio::ip::udp;
 
+namespace
+{
+
+constexpr duration probe_interval = std::chrono::milliseconds(200);
+
+} // namespace
+
 // Without a socket, copies are placed at entries only.
 keeper_client::keeper_client(entry_context& context)
     : m_context(context), m_socket(context.loop)
@@ -19,6 +26,9 @@
             udp::endpoint(
                 asio::ip::make_address(context.settings.peer_address.host), 0),
             fault);
+    // A datagram that would have to wait is as one that is lost.
+    if (!fault)
+        m_socket.non_blocking(true, fault);
     if (!fault)
         return;
     runtime::event("record_keepers_unreachable")
@@ -27,9 +37,14 @@
     m_socket.close(fault);
 }
 
-std::vector<std::string> keeper_client::responding() const
+std::vector<std::string> keeper_client::candidates() const
+{
+    return m_roster.candidates(m_context.now());
+}
+
+std::set<std::string> keeper_client::confirmed() const
 {
-    return m_roster.responding(m_context.now());
+    return m_roster.confirmed(m_context.now());
 }
 
 // A record keeper runs on the host of a target. Those of services that generate
@@ -72,8 +87,9 @@
 
 void keeper_client::send(const std::string& address, const peer::Frame& frame)
 {
-    const bool needs_reply =
-        frame.has_stream_origins() || frame.has_version_observation();
+    const bool needs_reply = frame.has_stream_origins() ||
+                             frame.has_version_observation() ||
+                             frame.has_ends();
     if (!needs_reply)
         return transmit(address, frame);
     const std::uint64_t number = ++m_last_number;
@@ -82,6 +98,8 @@
             .first->second.frame;
     if (sent.has_stream_origins())
         sent.mutable_stream_origins()->set_number(number);
+    else if (sent.has_ends())
+        sent.mutable_ends()->set_number(number);
     else
         sent.mutable_version_observation()->set_number(number);
     m_roster.note_sent(address, number, m_context.now());
@@ -90,11 +108,14 @@
 
 void keeper_client::note_lost(const std::string& address, std::string_view why)
 {
-    m_context.count("record_keepers_lost", "why", why);
-    runtime::event("record_keeper_lost")
-        .with("keeper", address)
-        .with("why", why)
-        .info();
+    if (m_roster.has_replied(address))
+    {
+        m_context.count("record_keepers_lost", "why", why);
+        runtime::event("record_keeper_lost")
+            .with("keeper", address)
+            .with("why", why)
+            .info();
+    }
     if (m_context.streams != nullptr)
         m_context.streams->note_lost(address);
 }
@@ -110,23 +131,45 @@
         m_sent.erase(number);
     for (const std::string& address : overdue.silent)
         note_lost(address, "silent");
+    probe();
+}
+
+// A restart of a keeper that is sent nothing would go unnoticed, and its copies
+// would be missing.
+void keeper_client::probe()
+{
+    const instant now = m_context.now();
+    if (m_probed_at && now < *m_probed_at + probe_interval)
+        return;
+    m_probed_at = now;
+    const auto address = m_roster.next_probe(now);
+    if (!address)
+        return;
+    peer::Frame frame;
+    frame.mutable_stream_origins();
+    send(*address, frame);
 }
 
 void keeper_client::handle(const std::string& address, const peer::Frame& frame)
 {
     if (frame.has_kept())
     {
-        m_sent.erase(frame.kept().number());
+        const auto sent = m_sent.find(frame.kept().number());
+        if (sent != m_sent.end() && sent->second.to == address)
+            m_sent.erase(sent);
         if (m_roster.note_reply(address, frame.kept().number(),
-                                frame.kept().born()))
+                                frame.kept().born(), m_context.now()))
             note_lost(address, "restarted");
     }
+    if (m_handler)
+        m_handler(address, frame);
     if (m_context.streams == nullptr)
         return;
     if (frame.has_stream_answer())
         m_context.streams->handle_answer(address, frame.stream_answer());
     if (frame.has_version_observation())
-        m_context.streams->handle_observation(frame.version_observation());
+        m_context.streams->handle_observation(address,
+                                              frame.version_observation());
 }
 
 awaitable<void> keeper_client::run()
