Serving: logs say why a stopping entry took a request, and what its exit cut

Callers saw a stream that was cut by the exit of an entry that had taken it while stopping. The log had only the end. Whether the estimate of its duration was too short, the engines had become slower, or another branch had taken it could not be told apart.

request_while_stopping has the inputs of the decision, answer_cut the requests that the exit cuts off. No change of what is decided.

--- a/packages/serving/asio.hpp
+++ b/packages/serving/asio.hpp
@@ -56,11 +56,13 @@
     return std::max(deadline - now, duration::zero());
 }
 
-/// Returns \a time in whole milliseconds, for logs.
+/// Returns \a time in whole milliseconds, for logs; 0 if it is negative.
 inline std::uint64_t whole_milliseconds(duration time)
 {
     return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::max(time, duration::zero()))
+            .count());
 }
 
 } // namespace mangofold::serving
--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -75,6 +75,7 @@
         m_is_handling = false;
         m_on_disconnect = nullptr;
         m_on_shutdown = nullptr;
+        m_on_exit = nullptr;
         m_closes_after_response =
             m_closes_after_response || m_handler.is_stopping();
     }
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -78,13 +78,26 @@
         m_on_shutdown = std::move(callback);
     }
 
-    /// Runs the callback for the end of this process.
+    /// Runs the callback for the time shortly before the end of this process.
     void note_shutdown()
     {
         if (m_on_shutdown)
             std::exchange(m_on_shutdown, nullptr)();
     }
 
+    /// Sets the callback that runs when this process ends; may be empty.
+    void set_on_exit(std::function<void()> callback)
+    {
+        m_on_exit = std::move(callback);
+    }
+
+    /// Runs the callback for the end of this process.
+    void note_exit()
+    {
+        if (m_on_exit)
+            std::exchange(m_on_exit, nullptr)();
+    }
+
     /// Closes the connection after the current response.
     void close_after_response() { m_closes_after_response = true; }
 
@@ -128,6 +141,7 @@
     http_request m_request;
     std::function<void()> m_on_disconnect;
     std::function<void()> m_on_shutdown;
+    std::function<void()> m_on_exit;
     bool m_is_read_closed = false; ///< The caller sends no more data.
     bool m_has_disconnected = false;
     bool m_closes_after_response = false;
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -118,6 +118,7 @@
         timer.expires_after(drain_check_interval);
         co_await timer.async_wait(store_error_in(ignored));
     }
+    m_requests.log_cut_answers();
     runtime::event("stopped")
         .with("requests", m_requests.requests_in_progress())
         .info();
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -53,6 +53,7 @@
 {
     m_session->set_on_disconnect(nullptr);
     m_session->set_on_shutdown(nullptr);
+    m_session->set_on_exit(nullptr);
 }
 
 std::uint32_t exchange::max_output_tokens() const
@@ -94,6 +95,7 @@
                 m_stages->abort();
         });
     m_session->set_on_shutdown([this] { prepare_for_shutdown(); });
+    m_session->set_on_exit([this] { log_cut_answer(); });
     co_await wait_for_catalog();
     if (admit())
     {
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -91,6 +91,11 @@
     bool admit();
     void apply_budget();
     bool is_declined_while_draining();
+    void log_admission_while_draining(
+        const decision::drain::request_duration& expected, bool has_peers,
+        bool is_accepted);
+    /// Logs that the end of this process cuts off the answer.
+    void log_cut_answer() const;
     decision::drain::request_duration expected_request_time() const;
     duration longest_answer_time() const;
     void prepare_for_shutdown();
--- a/packages/serving/exchange_admission.cpp
+++ b/packages/serving/exchange_admission.cpp
@@ -123,8 +123,33 @@
     const instant now = m_context.now();
     if (m_context.drain->is_out_of_rotation(now))
         m_process_end = m_context.drain->request_deadline();
-    return !m_context.drain->accepts(now, expected_request_time(),
-                                     m_context.has_remaining_peers());
+    const auto expected = expected_request_time();
+    const bool has_peers = m_context.has_remaining_peers();
+    const bool is_accepted = m_context.drain->accepts(now, expected, has_peers);
+    log_admission_while_draining(expected, has_peers, is_accepted);
+    return !is_accepted;
+}
+
+void exchange::log_admission_while_draining(
+    const decision::drain::request_duration& expected, bool has_peers,
+    bool is_accepted)
+{
+    const instant now = m_context.now();
+    m_context.count("requests_while_stopping", "accepted",
+                    is_accepted ? "yes" : "no");
+    runtime::event("request_while_stopping")
+        .with("request", m_metadata.id)
+        .with("route", m_route->name)
+        .with("accepted", is_accepted ? 1 : 0)
+        .with("since_stop_ms",
+              whole_milliseconds(now - m_context.drain->started_at()))
+        .with("typical_ms", whole_milliseconds(expected.typical))
+        .with("longest_ms", whole_milliseconds(expected.longest))
+        .with("deadline_ms", whole_milliseconds(remaining_time()))
+        .with("left_ms",
+              whole_milliseconds(m_context.drain->request_deadline() - now))
+        .with("remaining_peers", has_peers ? 1 : 0)
+        .info();
 }
 
 decision::drain::request_duration exchange::expected_request_time() const
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -162,6 +162,20 @@
         .info();
 }
 
+void exchange::log_cut_answer() const
+{
+    const instant stop = m_context.drain->started_at();
+    runtime::event("answer_cut")
+        .with("request", m_metadata.id)
+        .with("route", m_route == nullptr ? "" : m_route->name)
+        .with("target", m_last_target.id)
+        .with("taken", m_started_at < stop ? "before_stop" : "while_stopping")
+        .with("age_ms", whole_milliseconds(m_context.now() - m_started_at))
+        .with("sends", m_sends ? m_sends->sends() : 0)
+        .with("has_events", m_last_event_id ? 1 : 0)
+        .warn();
+}
+
 duration exchange::time_with_events() const
 {
     return m_is_prompt_read ? m_context.now() - m_first_event_at
--- a/packages/serving/request_server.cpp
+++ b/packages/serving/request_server.cpp
@@ -130,6 +130,13 @@
             session->note_shutdown();
 }
 
+void request_server::log_cut_answers()
+{
+    for (const auto& weak : m_sessions)
+        if (const auto session = weak.lock())
+            session->note_exit();
+}
+
 void request_server::close_idle_connections()
 {
     for (const auto& weak : m_sessions)
--- a/packages/serving/request_server.hpp
+++ b/packages/serving/request_server.hpp
@@ -48,6 +48,9 @@
     /// process is about to end.
     void reject_unsent();
 
+    /// Logs the requests whose answers the end of this process cuts off.
+    void log_cut_answers();
+
 private:
     decision::connection_admission::load load() const;
     /// Whether to take a connection that was just accepted.
