Draining: a stopping entry takes only what its own deadline bounds

Callers saw a stream that an entry took 3.3 s after it was told to stop, and cut 7.7 s after it.

Cause: when all entries stop, a request was taken if 1.5 times the longest recent answer of its route ended before the process did. The longest answers are those that still run, so an entry that has run for some seconds has not seen them; and lengths, engines and waits change. An estimate decided about a promise.

After the balancer has noticed, a request is taken only if its own deadline (time budget, route's time limit) comes before the last answers of the process. Then nothing that it waits for can outlast the process. The mean duration still chooses whether other entries are better placed. The reserve for last answers has moved into drain, since the decision counts on it.

--- a/packages/decision/drain.cpp
+++ b/packages/decision/drain.cpp
@@ -11,6 +11,10 @@
 /// The part of the grace period that is reserved for the exit of the process.
 constexpr duration exit_reserve = std::chrono::milliseconds(300);
 
+/// The part of the remaining time in which a stopping process sends the answers
+/// of requests that no target has.
+constexpr duration last_answers_time = std::chrono::milliseconds(200);
+
 /// A load balancer that sends no readiness checks is assumed to have noticed
 /// the shutdown after this time: one that watches connections or the list of
 /// instances notices within two seconds.
@@ -55,21 +59,25 @@
     return m_started_at + m_grace - exit_reserve;
 }
 
+instant drain::last_answers_at() const
+{
+    return request_deadline() - last_answers_time;
+}
+
 // A caller that is refused before the load balancer has noticed would be sent
-// to this process again. After that, a long request delays the exit and so the
-// restart of this instance; other entries take the request if enough of them
-// run. If all entries stop, no other would: then a late request is accepted if
-// its longest expected duration ends before the process must.
+// to this process again. After that, a request is accepted only if it can't
+// outlast the process: expected durations leave out the requests that still
+// run, the longest ones. A long request delays the exit and so the restart of
+// this instance; other entries take it if enough of them run.
 bool drain::accepts(instant now, const request_duration& time,
                     bool has_remaining_peers) const
 {
     if (!is_out_of_rotation(now))
         return true;
+    const bool ends_in_time = now + time.bound <= last_answers_at();
     if (has_remaining_peers)
-        return time.typical <= max_short_request &&
-               now + time.longest <= request_deadline();
-    return now < m_started_at + max_removal_delay ||
-           now + time.longest <= request_deadline();
+        return ends_in_time && time.typical <= max_short_request;
+    return ends_in_time || now < m_started_at + max_removal_delay;
 }
 
 bool drain::may_exit(instant now, bool is_idle) const
--- a/packages/decision/drain.hpp
+++ b/packages/decision/drain.hpp
@@ -27,11 +27,15 @@
     /// Returns the time by which every request must have ended.
     instant request_deadline() const;
 
-    /// The expected duration of a request.
+    /// Returns the time from which the requests that no target has are
+    /// rejected, so that their callers get an answer before the process ends.
+    instant last_answers_at() const;
+
+    /// How long a request takes.
     struct request_duration
     {
-        duration typical{};
-        duration longest{};
+        duration typical{}; ///< An estimate.
+        duration bound{};   ///< After this time it has ended in any case.
 
         friend bool operator==(const request_duration&,
                                const request_duration&) = default;
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -18,10 +18,6 @@
 /// the source doesn't answer, callers are better served by another entry.
 constexpr duration first_catalog_wait = std::chrono::milliseconds(500);
 
-/// How long before its exit a stopping process rejects the requests that still
-/// wait, so that their callers can retry at another entry.
-constexpr duration final_answers_time = std::chrono::milliseconds(200);
-
 constexpr duration maintenance_interval = std::chrono::seconds(1);
 
 /// How often buffered log lines are written, with one call for all of them.
@@ -110,7 +106,7 @@
             m_requests.close_idle_connections();
         const bool is_idle =
             m_requests.connections() == 0 && m_batcher.job_count() == 0;
-        if (now + final_answers_time >= m_context.drain->request_deadline())
+        if (now >= m_context.drain->last_answers_at())
             m_requests.reject_unsent();
         if (m_context.drain->may_exit(now, is_idle))
             break;
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -26,12 +26,14 @@
 {
 }
 
-// A request sent after this time would be cut off by the end of the process.
+// A request sent after this time would probably be cut off by the end of the
+// process.
 instant exchange::latest_send_time() const
 {
     return m_process_end == instant::max()
                ? m_process_end
-               : m_process_end - longest_answer_time();
+               : m_process_end -
+                     std::min(remaining_time(), longest_answer_time());
 }
 
 // A request that has not been sent yet would end without an answer, so its
--- a/packages/serving/exchange_admission.cpp
+++ b/packages/serving/exchange_admission.cpp
@@ -144,10 +144,9 @@
         .with("since_stop_ms",
               whole_milliseconds(now - m_context.drain->started_at()))
         .with("typical_ms", whole_milliseconds(expected.typical))
-        .with("longest_ms", whole_milliseconds(expected.longest))
-        .with("deadline_ms", whole_milliseconds(remaining_time()))
+        .with("bound_ms", whole_milliseconds(expected.bound))
         .with("left_ms",
-              whole_milliseconds(m_context.drain->request_deadline() - now))
+              whole_milliseconds(m_context.drain->last_answers_at() - now))
         .with("remaining_peers", has_peers ? 1 : 0)
         .info();
 }
@@ -158,11 +157,10 @@
     if (known == m_context.times_by_route.end())
         return {remaining_time(), remaining_time()};
     const entry_context::route_times& times = known->second;
-    const duration answer = times.time_to_first_event.mean() +
-                            times.time_per_token.mean() * max_output_tokens();
-    return {times.time_to_send.mean() + answer,
-            std::min(remaining_time(),
-                     times.time_to_send.mean_plus(1) + longest_answer_time())};
+    const duration typical = times.time_to_send.mean() +
+                             times.time_to_first_event.mean() +
+                             times.time_per_token.mean() * max_output_tokens();
+    return {typical, remaining_time()};
 }
 
 // 1.5 times the longest recent answer: answer times of one route differ by a
--- a/tests/decision/drain_test.cpp
+++ b/tests/decision/drain_test.cpp
@@ -60,6 +60,21 @@
     CHECK_FALSE(draining.accepts(start + 2400ms, long_request, true));
 }
 
+// Guards against a request that was accepted since others were short, and is
+// cut off by the exit.
+TEST_CASE("a late request is accepted only if its deadline ends in time")
+{
+    const drain draining = drain_noticed_after(1s);
+    constexpr drain::request_duration open_ended{50ms, 15s};
+    CHECK(draining.accepts(start + 1100ms, open_ended, false));
+    CHECK(draining.accepts(start + 2400ms, open_ended, false));
+    CHECK_FALSE(draining.accepts(start + 2500ms, open_ended, false));
+    CHECK_FALSE(draining.accepts(start + 2400ms, open_ended, true));
+    CHECK(draining.accepts(start + 4500ms, long_request, false));
+    CHECK_FALSE(draining.accepts(start + 4501ms, long_request, false));
+    CHECK_FALSE(draining.accepts(start + 7400ms, short_request, true));
+}
+
 // Guards against an instance that stays out of service longer than its work
 // takes.
 TEST_CASE("a stopping entry exits once the balancer has noticed and it is idle")
