Serving: a stopping entry answers the requests that it has read

Callers who sent a request right behind another on the same connection got no answer for it when the entry was told to stop: the connection was closed after the first one.

Cause: the close was decided after each answer by whether the process stops, also where the answer's head had announced none, as that of a stream that began before the stop, and where the next request had already been read.

A stopping process now announces the close only if it has read nothing further, and closes only after the answer that announced it.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -76,8 +76,7 @@
         m_on_disconnect = nullptr;
         m_on_shutdown = nullptr;
         m_on_exit = nullptr;
-        m_closes_after_response =
-            m_closes_after_response || m_handler.is_stopping();
+        m_closes_after_response = !stays_open();
     }
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     m_socket.close(ignored);
@@ -276,14 +275,22 @@
                                               std::string body)
 {
     fields.set(http::field::content_length, std::to_string(body.size()));
-    if (!stays_open())
-        fields.set(http::field::connection, "close");
+    announce_close(fields);
     std::string bytes = serialize_head(status, fields);
     bytes += body;
     if (!co_await send(std::move(bytes)))
         close_after_response();
 }
 
+// No request that arrives after the announcement is handled.
+void caller_session::announce_close(http_fields& fields)
+{
+    if (stays_open())
+        return;
+    close_after_response();
+    fields.set(http::field::connection, "close");
+}
+
 void caller_session::reset_connection()
 {
     error_code ignored; // Closing a broken socket may fail.
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -98,6 +98,10 @@
             std::exchange(m_on_exit, nullptr)();
     }
 
+    /// Adds to \a fields of a response that the connection will be closed after
+    /// it, if so.
+    void announce_close(http_fields& fields);
+
     /// Closes the connection after the current response.
     void close_after_response() { m_closes_after_response = true; }
 
@@ -108,10 +112,12 @@
     /// Closes the connection if no request is being read or handled.
     void close_if_idle();
 
-    /// Whether the connection stays open after the current response.
+    /// Whether the connection stays open after the current response. A
+    /// stopping process first answers the requests that it has read.
     bool stays_open() const
     {
-        return !m_closes_after_response && !m_handler.is_stopping();
+        return !m_closes_after_response &&
+               (!m_handler.is_stopping() || !m_received.empty());
     }
 
 private:
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -104,8 +104,7 @@
     {
         http_fields fields = m_context.protocol.returned_fields(call.head());
         fields.set(http::field::transfer_encoding, "chunked");
-        if (!m_session->stays_open())
-            fields.set(http::field::connection, "close");
+        m_session->announce_close(fields);
         bytes = serialize_head(call.head().result_int(), fields);
         m_is_head_sent = true;
     }
