Draining: of stopping entries, those that were told last batch for the fleet

Cause: while all entries stop, any of them batched pieces for the others, and an entry with jobs is not idle.

Now the later half of those that stop does. The first ones end when their own callers are answered, and take work again sooner.

A test had two entries that stop, with signals an hour apart at one and together at the other: it now tells both the same time, and checks as much as before.

--- a/packages/decision/entry_roster.cpp
+++ b/packages/decision/entry_roster.cpp
@@ -202,6 +202,29 @@
     m_services = std::move(services);
 }
 
+instant entry_roster::stopping_since(const std::string& address) const
+{
+    const auto other = m_others_stopping_since.find(address);
+    return other == m_others_stopping_since.end() ? m_stopping_since
+                                                  : other->second;
+}
+
+// Work for others delays the exit. Entries that were told to stop first end
+// as soon as their own callers are answered, and so serve again soonest.
+void entry_roster::keep_latest_to_stop(
+    std::vector<std::pair<std::string, double>>& entries) const
+{
+    std::vector<instant> times;
+    for (const auto& [address, cores] : entries)
+        times.push_back(stopping_since(address));
+    const auto median =
+        times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), median, times.end());
+    const instant earliest = *median - simultaneous_stop_window;
+    std::erase_if(entries, [&](const auto& entry)
+                  { return stopping_since(entry.first) < earliest; });
+}
+
 // A stopping entry batches only if no other entry can. In a restart of the
 // whole fleet that is quicker than its entries end, all entries are stopping,
 // and if each batched for itself, no call would be filled. An entry that has
@@ -223,6 +246,9 @@
         if (other == best)
             eligible.emplace_back(address, status.cores);
     }
+    const bool are_all_stopping = !best.second;
+    if (are_all_stopping)
+        keep_latest_to_stop(eligible);
     return eligible;
 }
 
--- a/packages/decision/entry_roster.hpp
+++ b/packages/decision/entry_roster.hpp
@@ -116,6 +116,12 @@
     duration scaled_short_interval() const;
     void clear_elections() { m_elected.clear(); }
     std::vector<std::pair<std::string, double>> eligible_entries() const;
+    /// Returns when a stopping entry, this one or another, was told to stop.
+    instant stopping_since(const std::string& address) const;
+    /// Removes from stopping \a entries those that were told to stop earlier
+    /// than half of them.
+    void keep_latest_to_stop(
+        std::vector<std::pair<std::string, double>>& entries) const;
     bool is_batching(const std::string& address) const;
 
     std::string m_own_address;
