Refusals: callers of a stopping fleet return when half of it is back

Callers that all stopping entries refuse have one more try. They were told to come back when the process ends, which is more than half a second before it runs again, and were refused again.

An entry knows when each other one was told to stop. An entry that is lost while it stops counts until two seconds after it was due.

--- a/packages/decision/entry_roster.cpp
+++ b/packages/decision/entry_roster.cpp
@@ -62,6 +62,13 @@
 /// left for that.
 constexpr double min_remaining_share = 0.75;
 
+/// Entries that were told to stop longer ago are forgotten once they are lost.
+constexpr duration max_stop_time = std::chrono::minutes(1);
+
+/// How long after its expected return an entry that was told to stop is waited
+/// for.
+constexpr duration max_return_delay = std::chrono::seconds(2);
+
 /// How many other entries are listed in an answer, and how many if the receiver
 /// knows less than half of them: 4 KB at most.
 constexpr std::size_t sample_size = 8;
@@ -155,6 +162,9 @@
     const auto [position, is_new] = m_others.try_emplace(address, status);
     if (is_new)
         m_newest_at = now;
+    m_lost_stopping_since.erase(address);
+    std::erase_if(m_lost_stopping_since, [now](const auto& lost)
+                  { return lost.second + max_stop_time < now; });
     const entry_status before = std::exchange(position->second, status);
     if (status.is_stopping)
         m_others_stopping_since.try_emplace(address, now - status.stopping_for);
@@ -190,9 +200,30 @@
            min_remaining_share * static_cast<double>(size());
 }
 
+instant entry_roster::half_back_at(duration stop_time, instant now) const
+{
+    std::vector<instant> returns{m_stopping_since + stop_time};
+    for (const auto& [address, status] : m_others)
+        returns.push_back(
+            status.is_stopping ? stopping_since(address) + stop_time : now);
+    // One that has been due for longer may not come back.
+    for (const auto& [address, since] : m_lost_stopping_since)
+        if (since + stop_time + max_return_delay >= now)
+            returns.push_back(since + stop_time);
+    const auto half =
+        returns.begin() + static_cast<std::ptrdiff_t>((returns.size() - 1) / 2);
+    std::nth_element(returns.begin(), half, returns.end());
+    return std::max(*half, now);
+}
+
 void entry_roster::note_lost(const std::string& address)
 {
-    m_others_stopping_since.erase(address);
+    const auto stopping = m_others_stopping_since.find(address);
+    if (stopping != m_others_stopping_since.end())
+    {
+        m_lost_stopping_since[address] = stopping->second;
+        m_others_stopping_since.erase(stopping);
+    }
     if (m_others.erase(address) > 0)
         clear_elections();
 }
--- a/packages/decision/entry_roster.hpp
+++ b/packages/decision/entry_roster.hpp
@@ -70,6 +70,10 @@
     /// are not stopping, or were told to stop later.
     bool has_remaining_peers() const;
 
+    /// Returns by when half of the fleet serves again, if entries do so
+    /// \a stop_time after they were told to stop; \a now if half serves.
+    instant half_back_at(duration stop_time, instant now) const;
+
     /// Sets the services whose pieces are batched.
     void set_services(std::vector<std::string> services);
 
@@ -131,6 +135,8 @@
     instant m_stopping_since{};
     std::map<std::string, entry_status> m_others; ///< The live ones.
     std::map<std::string, instant> m_others_stopping_since;
+    /// When the entries that are lost were told to stop.
+    std::map<std::string, instant> m_lost_stopping_since;
     std::vector<std::string> m_seeds; ///< Without this entry.
     instant m_started_at{};
     instant m_newest_at{}; ///< When an entry last answered for the first time.
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -200,6 +200,11 @@
     /// one to serve its callers.
     std::function<bool()> has_remaining_peers = [] { return false; };
 
+    /// Returns by when half of the fleet serves again, if entries do so some
+    /// time after they were told to stop.
+    std::function<instant(duration)> half_back_at = [this](duration stop_time)
+    { return drain ? drain->started_at() + stop_time : now(); };
+
     bool is_stopping() const { return drain.has_value(); }
 };
 
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -61,6 +61,8 @@
     m_context.is_fleet_size_known = [this] { return m_mesh.is_settled(); };
     m_context.has_remaining_peers = [this]
     { return m_mesh.has_remaining_peers(); };
+    m_context.half_back_at = [this](duration stop_time)
+    { return m_mesh.half_back_at(stop_time); };
     m_keepers.set_handler(
         [this](const std::string& address, const peer::Frame& frame)
         { m_crash_copies.handle(address, frame); });
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -222,6 +222,9 @@
     awaitable<void> send_refusal();
     unsigned refusal_status() const;
     std::string retry_after() const;
+    /// Returns the time until half of the entries serve, after they were told
+    /// to stop.
+    duration time_to_other_entries() const;
     void log_refusal(unsigned status) const;
     void log_answer() const;
     void log_lost_attempt(const decision::target_incarnation& target) const;
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -55,9 +55,8 @@
 
 // Quarantined content: the time of the next trial, before which the request
 // would be refused again. This entry stops: no delay if other entries go on,
-// since those take the request at once; if all entries stop, at most until the
-// end of this process, by when some have restarted. Otherwise: as soon as a
-// target may have capacity.
+// since those take the request at once; otherwise until half of the entries
+// are back. Otherwise: as soon as a target may have capacity.
 std::string exchange::retry_after() const
 {
     using seconds = std::chrono::duration<double>;
@@ -103,16 +102,29 @@
         return std::to_string(
                    std::max(min_delay_s, remaining_s * retry_after_share))
             .substr(0, 5);
-    const double max_delay_s =
-        m_refusal == refusal::stopping && m_context.drain
-            ? seconds(m_context.drain->request_deadline() - m_context.now())
-                  .count()
-            : 1.0;
+    const double max_delay_s = m_refusal == refusal::stopping
+                                   ? seconds(time_to_other_entries()).count()
+                                   : 1.0;
     const double delay_s = std::max(
         min_delay_s, std::min(remaining_s * retry_after_share, max_delay_s));
     return std::to_string(delay_s).substr(0, 5);
 }
 
+// A caller that returns too soon is refused again and has no try left, so this
+// is when entries are back at the latest. Callers that were refused at
+// different times return at the same one, and spread over half a second.
+duration exchange::time_to_other_entries() const
+{
+    constexpr duration restart_time = std::chrono::milliseconds(500);
+    constexpr std::uint64_t spread_ns = 500'000'000;
+    const instant back_at =
+        m_context.half_back_at(m_context.settings.grace + restart_time);
+    const instant now = m_context.now();
+    return back_at <= now
+               ? duration::zero()
+               : back_at - now + duration(m_context.random.below(spread_ns));
+}
+
 awaitable<void> exchange::send_refusal()
 {
     if (m_is_head_sent)
--- a/packages/serving/peer_mesh.hpp
+++ b/packages/serving/peer_mesh.hpp
@@ -63,6 +63,12 @@
     /// over its callers.
     bool has_remaining_peers() const { return m_roster.has_remaining_peers(); }
 
+    /// See entry_roster::half_back_at.
+    instant half_back_at(duration stop_time) const
+    {
+        return m_roster.half_back_at(stop_time, m_context.now());
+    }
+
     /// Handles the state that the entry at \a address sent with a ping.
     void handle_ping(const std::string& address,
                      const peer::Holding& peer_state);
--- a/tests/decision/entry_roster_test.cpp
+++ b/tests/decision/entry_roster_test.cpp
@@ -115,6 +115,46 @@
     CHECK(roster.batching_entry("rerank") == address(1));
 }
 
+// Guards against callers who return before entries are back, are refused again
+// and have no try left.
+TEST_CASE("refused callers return when half of the entries are back")
+{
+    constexpr int count = 6;
+    constexpr duration stop_time = 8500ms;
+    constexpr instant stop{1h};
+    entry_roster roster = roster_in_fleet(0, count);
+    roster.set_stopping(stop);
+    CHECK(roster.half_back_at(stop_time, stop) == stop);
+    for (int other = 1; other < count; ++other)
+        roster.note_answer(address(other), settled_status(1, true),
+                           stop + other * 700ms);
+    // The third of them, this one included, is back then.
+    const instant third_back = stop + 2 * 700ms + stop_time;
+    CHECK(roster.half_back_at(stop_time, stop + 4s) == third_back);
+    // Entries that have ended are on their way back.
+    roster.note_lost(address(1));
+    roster.note_lost(address(2));
+    CHECK(roster.half_back_at(stop_time, stop + 8s) == third_back);
+    // Those that come back sooner serve.
+    for (int other = 1; other < 4; ++other)
+        roster.note_answer(address(other), settled_status(1), stop + 8s);
+    CHECK(roster.half_back_at(stop_time, stop + 8s) == stop + 8s);
+}
+
+// Guards against waiting for entries that do not come back.
+TEST_CASE("an entry that was removed is not waited for")
+{
+    constexpr duration stop_time = 8500ms;
+    constexpr instant stop{1h};
+    entry_roster roster = roster_in_fleet(0, 3);
+    roster.note_answer(address(1), settled_status(1, true), stop);
+    roster.note_answer(address(2), settled_status(1, true), stop);
+    roster.note_lost(address(1));
+    roster.note_lost(address(2));
+    roster.set_stopping(stop + 20s);
+    CHECK(roster.half_back_at(stop_time, stop + 20s) == stop + 20s + stop_time);
+}
+
 // A batching entry that crashes holds pieces of many requests with a latency
 // goal of a second or two, so its loss must be detected soon. Probing all
 // entries that often took a small entry of a fleet of 23 most of its processor
