Tests: a stream is refused while an entry reads the list of targets, which fails

Cause, to be mended next: the list arrives page by page. A new stream waits for the first target of its service (wait_for_known_target); a stream that is taken up is judged as soon as its origin is known, so that a page which names another version only ends it, although targets of its version serve.

build/bin/test_stream_take_ups: "a stream waits for its version while the list of targets arrives" fails (version_gone at once); the two cases that bound the wait pass.

--- /dev/null
+++ b/tests/serving/stream_take_ups_test.cpp
@@ -0,0 +1,122 @@
+#include "serving/stream_registry.hpp"
+#include "support/complete_responses.hpp"
+#include "support/serving_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold;
+using namespace mangofold::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string completed = "0\r\n\r\n";
+const std::string resumes_r1 = "After: 2\r\nResumes: r1\r\n";
+
+/// An entry that has just started and knows no other one. It has not read the
+/// whole list of targets.
+class starting_entry : public serving_fixture, public serving::stream_channel
+{
+public:
+    starting_entry()
+    {
+        context->streams = &streams;
+        context->startup_wait_end = time.now() + 500ms;
+    }
+
+    std::vector<std::string> stream_keepers() const override { return {}; }
+    bool is_fleet_known() const override { return true; }
+    void send(const std::string&, const peer::Frame&) override {}
+    using serving_fixture::send;
+
+    void add_engine(const std::string& version)
+    {
+        add_target(
+            "events",
+            [version](const std::string& request, std::size_t)
+            {
+                const std::string event = "id: 3\ndata: " + version + "\n\n";
+                return scripted_target::response{
+                    "HTTP/1.1 200 OK\r\nId: " + request_id_of(request) +
+                        "\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n10"
+                        "\r\n" +
+                        event + "\r\n" + completed,
+                    scripted_target::response::connection_action::keep};
+            },
+            "a", version);
+    }
+
+    /// Records that the stream of the request "r1" began at \a origin.
+    void record(const decision::stream_origin& origin)
+    {
+        streams.record(
+            decision::make_stream_key("club", "h", "/events/r1", "r1"), origin,
+            5s);
+    }
+
+    /// Sends a request that takes up this stream.
+    std::shared_ptr<caller> take_up()
+    {
+        auto connection = connect();
+        send(*connection, request_text("/events/r1", "r2", resumes_r1));
+        settle();
+        return connection;
+    }
+
+    std::string answer_to(caller& connection)
+    {
+        run_until(
+            [&]
+            {
+                time.advance(1ms);
+                return connection.is_ended ||
+                       contains(connection.received, completed) ||
+                       contains(connection.received, "{\"error\"");
+            });
+        return connection.received;
+    }
+
+    serving::stream_registry streams{*context, *this};
+};
+
+} // namespace
+
+// Guards against streams that are refused at an entry that has just started,
+// while new ones begin: targets of another version are listed first.
+TEST_CASE("a stream waits for its version while the list of targets arrives")
+{
+    starting_entry entry;
+    entry.add_engine("v2");
+    entry.record({"events", "v1"});
+    const auto connection = entry.take_up();
+    CHECK(connection->received.empty());
+    entry.add_engine("v1");
+    CHECK(contains(entry.answer_to(*connection), "data: v1"));
+}
+
+// Guards against a caller that waits in vain: the whole list is there.
+TEST_CASE("a stream does not wait for a version that no target has")
+{
+    starting_entry entry;
+    entry.add_engine("v2");
+    entry.record({"events", "v1"});
+    const auto connection = entry.take_up();
+    entry.context->has_all_targets = true;
+    const auto before = entry.time.now();
+    CHECK(contains(entry.answer_to(*connection), "version_gone"));
+    CHECK(entry.time.now() - before < 50ms);
+}
+
+// Guards against a caller that waits until its time is over: the store does not
+// answer.
+TEST_CASE("a stream waits for its version half a second at most")
+{
+    starting_entry entry;
+    entry.add_engine("v2");
+    entry.record({"events", "v1"});
+    const auto before = entry.time.now();
+    const auto connection = entry.take_up();
+    CHECK(contains(entry.answer_to(*connection), "version_gone"));
+    CHECK(entry.time.now() - before < 550ms);
+}
