Streams: a take-up at a starting entry waits for a target of its version

A request that takes up a stream now waits for its version as a new one waits for its service: until the whole list is read, or half a second after the start.

--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -63,6 +63,9 @@
     m_origin = std::move(found.origin);
     if (!m_metadata.resumed_request.empty())
         m_taken_up_key = key;
+    // Targets of other versions may be listed first.
+    co_await wait_during_startup(
+        [this] { return m_context.has_all_targets || !is_version_gone(); });
     co_return true;
 }
 
