Tests: a keeper that is listed late is not asked for its record, which fails

Cause, to be mended next: an entry that has just started waits up to half a second for its fleet and the list. In the moment in which it knows them, the limit becomes a tenth of a second from the question's start; if that is over, or if all asked so far have answered, the question ends before those that have just become known were asked.

build/bin/test_stream_take_ups: "a record keeper that becomes known late is asked for its record" fails with stream_unknown; the other three cases pass.

--- a/tests/serving/stream_take_ups_test.cpp
+++ b/tests/serving/stream_take_ups_test.cpp
@@ -1,3 +1,4 @@
+#include "serving/records/record_keeper.hpp"
 #include "serving/stream_registry.hpp"
 #include "support/complete_responses.hpp"
 #include "support/serving_fixture.hpp"
@@ -27,7 +28,24 @@
 
     std::vector<std::string> stream_keepers() const override { return {}; }
     bool is_fleet_known() const override { return true; }
-    void send(const std::string&, const peer::Frame&) override {}
+    std::vector<std::string> record_keepers() const override
+    {
+        return keeper == nullptr ? std::vector<std::string>()
+                                 : std::vector<std::string>{"k1"};
+    }
+
+    bool is_record_keeper(const std::string& address) const override
+    {
+        return address == "k1";
+    }
+
+    void send(const std::string& address, const peer::Frame& frame) override
+    {
+        const auto reply = keeper->handle(frame);
+        if (reply->has_stream_answer())
+            streams.handle_answer(address, reply->stream_answer());
+    }
+
     using serving_fixture::send;
 
     void add_engine(const std::string& version)
@@ -78,6 +96,7 @@
     }
 
     serving::stream_registry streams{*context, *this};
+    serving::record_keeper* keeper = nullptr; ///< Null: it is not known yet.
 };
 
 } // namespace
@@ -120,3 +139,31 @@
     CHECK(contains(entry.answer_to(*connection), "version_gone"));
     CHECK(entry.time.now() - before < 550ms);
 }
+
+// Guards against streams that are refused although their record is kept: the
+// keeper was listed last, later than a known one may take to answer.
+TEST_CASE("a record keeper that becomes known late is asked for its record")
+{
+    const runtime::paused_clock time;
+    serving::record_keeper keeper(time, 1);
+    {
+        starting_entry lost;
+        lost.keeper = &keeper;
+        lost.record({"events", "v1"});
+    }
+    starting_entry entry;
+    entry.add_engine("v2");
+    entry.add_engine("v1");
+    const auto listed_at = entry.time.now() + 200ms;
+    const auto connection = entry.take_up();
+    entry.run_until(
+        [&]
+        {
+            entry.time.advance(1ms);
+            return entry.time.now() >= listed_at;
+        });
+    CHECK(connection->received.empty());
+    entry.keeper = &keeper;
+    entry.context->has_all_targets = true;
+    CHECK(contains(entry.answer_to(*connection), "data: v1"));
+}
