--- /dev/null
+++ b/tests/serving/stream_take_ups_test.cpp
@@ -0,0 +1,169 @@
+#include "serving/records/record_keeper.hpp"
+#include "serving/stream_registry.hpp"
+#include "support/complete_responses.hpp"
+#include "support/serving_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold;
+using namespace mangofold::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string completed = "0\r\n\r\n";
+const std::string resumes_r1 = "After: 2\r\nResumes: r1\r\n";
+
+/// An entry that has just started and knows no other one. It has not read the
+/// whole list of targets.
+class starting_entry : public serving_fixture, public serving::stream_channel
+{
+public:
+    starting_entry()
+    {
+        context->streams = &streams;
+        context->startup_wait_end = time.now() + 500ms;
+    }
+
+    std::vector<std::string> stream_keepers() const override { return {}; }
+    bool is_fleet_known() const override { return true; }
+    std::vector<std::string> record_keepers() const override
+    {
+        return keeper == nullptr ? std::vector<std::string>()
+                                 : std::vector<std::string>{"k1"};
+    }
+
+    bool is_record_keeper(const std::string& address) const override
+    {
+        return address == "k1";
+    }
+
+    void send(const std::string& address, const peer::Frame& frame) override
+    {
+        const auto reply = keeper->handle(frame);
+        if (reply->has_stream_answer())
+            streams.handle_answer(address, reply->stream_answer());
+    }
+
+    using serving_fixture::send;
+
+    void add_engine(const std::string& version)
+    {
+        add_target(
+            "events",
+            [version](const std::string& request, std::size_t)
+            {
+                const std::string event = "id: 3\ndata: " + version + "\n\n";
+                return scripted_target::response{
+                    "HTTP/1.1 200 OK\r\nId: " + request_id_of(request) +
+                        "\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n10"
+                        "\r\n" +
+                        event + "\r\n" + completed,
+                    scripted_target::response::connection_action::keep};
+            },
+            "a", version);
+    }
+
+    /// Records that the stream of the request "r1" began at \a origin.
+    void record(const decision::stream_origin& origin)
+    {
+        streams.record(
+            decision::make_stream_key("club", "h", "/events/r1", "r1"), origin,
+            5s);
+    }
+
+    /// Sends a request that takes up this stream.
+    std::shared_ptr<caller> take_up()
+    {
+        auto connection = connect();
+        send(*connection, request_text("/events/r1", "r2", resumes_r1));
+        settle();
+        return connection;
+    }
+
+    std::string answer_to(caller& connection)
+    {
+        run_until(
+            [&]
+            {
+                time.advance(1ms);
+                return connection.is_ended ||
+                       contains(connection.received, completed) ||
+                       contains(connection.received, "{\"error\"");
+            });
+        return connection.received;
+    }
+
+    serving::stream_registry streams{*context, *this};
+    serving::record_keeper* keeper = nullptr; ///< Null: it is not known yet.
+};
+
+} // namespace
+
+// Guards against streams that are refused at an entry that has just started,
+// while new ones begin: targets of another version are listed first.
+TEST_CASE("a stream waits for its version while the list of targets arrives")
+{
+    starting_entry entry;
+    entry.add_engine("v2");
+    entry.record({"events", "v1"});
+    const auto connection = entry.take_up();
+    CHECK(connection->received.empty());
+    entry.add_engine("v1");
+    CHECK(contains(entry.answer_to(*connection), "data: v1"));
+}
+
+// Guards against a caller that waits in vain: the whole list is there.
+TEST_CASE("a stream does not wait for a version that no target has")
+{
+    starting_entry entry;
+    entry.add_engine("v2");
+    entry.record({"events", "v1"});
+    const auto connection = entry.take_up();
+    entry.context->has_all_targets = true;
+    const auto before = entry.time.now();
+    CHECK(contains(entry.answer_to(*connection), "version_gone"));
+    CHECK(entry.time.now() - before < 50ms);
+}
+
+// Guards against a caller that waits until its time is over: the store does not
+// answer.
+TEST_CASE("a stream waits for its version half a second at most")
+{
+    starting_entry entry;
+    entry.add_engine("v2");
+    entry.record({"events", "v1"});
+    const auto before = entry.time.now();
+    const auto connection = entry.take_up();
+    CHECK(contains(entry.answer_to(*connection), "version_gone"));
+    CHECK(entry.time.now() - before < 550ms);
+}
+
+// Guards against streams that are refused although their record is kept: the
+// keeper was listed last, later than a known one may take to answer.
+TEST_CASE("a record keeper that becomes known late is asked for its record")
+{
+    const runtime::paused_clock time;
+    serving::record_keeper keeper(time, 1);
+    {
+        starting_entry lost;
+        lost.keeper = &keeper;
+        lost.record({"events", "v1"});
+    }
+    starting_entry entry;
+    entry.add_engine("v2");
+    entry.add_engine("v1");
+    const auto listed_at = entry.time.now() + 200ms;
+    const auto connection = entry.take_up();
+    entry.run_until(
+        [&]
+        {
+            entry.time.advance(1ms);
+            return entry.time.now() >= listed_at;
+        });
+    CHECK(connection->received.empty());
+    entry.keeper = &keeper;
+    entry.context->has_all_targets = true;
+    CHECK(contains(entry.answer_to(*connection), "data: v1"));
+}
