Tests: targets that send bytes without end

A target may send bytes that are no answer without end, in a head or a body.

A request with a deadline of 1 s still waited after 3 s with an open connection: header bytes or interim answers every 50 ms, interim answers or answers to other requests without end, a chunk size line or a trailer without end, chunks of one byte without end, an event without end. Of 20 requests that may be repeated, 19 got no answer, though a sound target was there, and the endless one got 19 of them. A call of pieces and a release of results were still held after 5 s and 2 s.

Peak of allocated bytes with 100 targets that send 4 MiB each: body 401 MiB, chunk size line 805 MiB, trailer 805 MiB, event 135 MiB; with 100 that announce a body of 30 MB and send none: 2,862 MiB.

A head without end that arrives at once was refused already (8 KiB).

--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -40,6 +40,19 @@
     if (!reply.bytes.empty())
         co_await asio::async_write(socket, asio::buffer(reply.bytes),
                                    store_error_in(fault));
+    for (std::size_t sent = 0; sent < reply.repeats && !reply.repeated.empty();
+         ++sent)
+    {
+        if (reply.interval > duration::zero())
+        {
+            loop_timer timer(loop, reply.interval);
+            co_await timer.async_wait(store_error_in(fault));
+        }
+        co_await asio::async_write(socket, asio::buffer(reply.repeated),
+                                   store_error_in(fault));
+        if (fault)
+            co_return;
+    }
     if (reply.action_delay > duration::zero())
     {
         loop_timer timer(loop, reply.action_delay);
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -30,6 +30,11 @@
         serving::duration delay{}; ///< Before the bytes are sent.
         /// Between the bytes and what happens to the connection.
         serving::duration action_delay{};
+        /// Sent after the bytes, again and again, \a repeats times or until the
+        /// caller closes the connection.
+        std::string repeated{};
+        std::size_t repeats = static_cast<std::size_t>(-1);
+        serving::duration interval{}; ///< Before each repetition.
     };
     /// Called with the bytes of each request, including its head, and its
     /// number from 0.
