Serving: time limits of target calls hold when bytes keep arriving

Callers waited past their deadline when a target sent header bytes or interim answers now and then, and without end when its next bytes were always there. Each read began the time limit anew, and a read that finds bytes completes before its timer. A call of pieces and a release were held in the same way.

The head now has one limit, from the call to its last byte; a read without time left times out whether there are bytes or not, which bounds the relay loops that pass the time left; answers to stage calls and releases have one limit for their bodies, too.

--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -213,8 +213,8 @@
     if (state == target_call::outcome::ok && sent_call->metadata().load)
         queue.planner.note_load(plan.target, *sent_call->metadata().load,
                                 m_context.now());
-    while (state == target_call::outcome::ok && !sent_call->is_complete())
-        state = co_await sent_call->read_more(timeout);
+    if (state == target_call::outcome::ok)
+        state = co_await sent_call->read_rest(timeout);
     const instant now = m_context.now();
     constexpr unsigned ok = 200;
     if (state == target_call::outcome::ok &&
--- a/packages/serving/piece_batcher_targets.cpp
+++ b/packages/serving/piece_batcher_targets.cpp
@@ -114,8 +114,8 @@
             release_timeout);
         if (state == target_call::outcome::ok)
             record_target_statements(m_context, *sent_call, now);
-        while (state == target_call::outcome::ok && !sent_call->is_complete())
-            state = co_await sent_call->read_more(release_timeout);
+        if (state == target_call::outcome::ok)
+            state = co_await sent_call->read_rest(release_timeout);
         if (state != target_call::outcome::ok)
             m_context.count("releases", "how", "lost");
         for (const std::string& handle : handles)
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -59,6 +59,7 @@
                           duration timeout)
 {
     const auto self = shared_from_this();
+    const instant deadline = loop_clock::now() + timeout;
     m_id = std::move(id);
     m_has_no_body = request.method() == http::verb::head;
     if (co_await connect(timeout) != outcome::ok)
@@ -67,10 +68,10 @@
         co_return outcome::not_sent;
     m_connection->send(serialize(request, m_target.address.text()));
     reset_parser();
-    co_return co_await read_head(timeout);
+    co_return co_await read_head(deadline);
 }
 
-awaitable<target_call::outcome> target_call::read_head(duration timeout)
+awaitable<target_call::outcome> target_call::read_head(instant deadline)
 {
     for (;;)
     {
@@ -80,7 +81,8 @@
                 co_return outcome::invalid_answer;
             if (m_parser->is_header_done())
                 break;
-            const auto result = co_await m_connection->read(timeout);
+            const auto result =
+                co_await m_connection->read(deadline - loop_clock::now());
             if (result != connection_outcome::ok)
                 co_return to_call_outcome(result);
         }
@@ -92,7 +94,7 @@
         m_metadata = m_dialect.parse_response(m_parser->get());
         if (!is_stray_answer())
             co_return outcome::ok;
-        const outcome passed = co_await skip_stray_answer(timeout);
+        const outcome passed = co_await skip_stray_answer(deadline);
         if (passed != outcome::ok)
             co_return passed;
     }
@@ -106,16 +108,12 @@
     return !m_id.empty() && !m_metadata.id.empty() && m_metadata.id != m_id;
 }
 
-awaitable<target_call::outcome> target_call::skip_stray_answer(duration timeout)
+awaitable<target_call::outcome> target_call::skip_stray_answer(instant deadline)
 {
-    while (!m_parser->is_done())
-    {
-        const outcome result = co_await read_more(timeout);
-        if (result != outcome::ok)
-            co_return result;
-    }
-    reset_parser();
-    co_return outcome::ok;
+    const outcome result = co_await read_rest(deadline - loop_clock::now());
+    if (result == outcome::ok)
+        reset_parser();
+    co_return result;
 }
 
 target_call::outcome target_call::parse()
@@ -159,6 +157,15 @@
     co_return parse();
 }
 
+awaitable<target_call::outcome> target_call::read_rest(duration timeout)
+{
+    const instant deadline = loop_clock::now() + timeout;
+    auto result = outcome::ok;
+    while (result == outcome::ok && !m_parser->is_done())
+        result = co_await read_more(deadline - loop_clock::now());
+    co_return result;
+}
+
 std::string target_call::take_body()
 {
     return std::exchange(m_parser->get().body(), {});
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -50,9 +50,8 @@
         m_may_send = std::move(may_send);
     }
 
-    /// Sends \a request and reads the head of its answer. Each wait for the
-    /// target is limited to \a timeout. Answers that carry an id other than
-    /// \a id are skipped.
+    /// Sends \a request and reads the head of its answer, both within
+    /// \a timeout. Answers that carry an id other than \a id are skipped.
     awaitable<outcome> send_request(const http_request& request, std::string id,
                                     duration timeout);
 
@@ -60,6 +59,9 @@
     /// \a timeout.
     awaitable<outcome> read_more(duration timeout);
 
+    /// Reads the rest of the answer's body within \a timeout.
+    awaitable<outcome> read_rest(duration timeout);
+
     const http_response_head& head() const { return m_parser->get(); }
     const response_metadata& metadata() const { return m_metadata; }
 
@@ -104,8 +106,8 @@
     using parser = http::response_parser<http::string_body>;
 
     awaitable<outcome> connect(duration timeout);
-    awaitable<outcome> read_head(duration timeout);
-    awaitable<outcome> skip_stray_answer(duration timeout);
+    awaitable<outcome> read_head(instant deadline);
+    awaitable<outcome> skip_stray_answer(instant deadline);
     outcome parse();
     outcome parse_end();
     duration idle_time() const;
--- a/packages/serving/target_connection.cpp
+++ b/packages/serving/target_connection.cpp
@@ -74,6 +74,14 @@
 awaitable<target_connection::outcome> target_connection::read(duration timeout)
 {
     const auto self = shared_from_this();
+    // A read that finds bytes completes before the timer, so without this a
+    // target that sends without end would never time out.
+    if (timeout <= duration::zero())
+    {
+        m_is_timed_out = true;
+        close();
+        co_return outcome::timed_out;
+    }
     error_code fault;
     start_timeout(timeout);
     const std::size_t count = co_await m_socket.async_read_some(
--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -36,7 +36,8 @@
     /// Whether all bytes were passed to the kernel.
     bool is_sent() const { return !m_is_sending; }
 
-    /// Waits at most \a timeout for bytes and appends them to received().
+    /// Waits at most \a timeout for bytes and appends them to received(). Times
+    /// out at once if no time is left, even if there are bytes.
     awaitable<outcome> read(duration timeout);
 
     /// Returns the received bytes that were not consumed yet.
