Serving: bounds for chunk size lines, trailers and answers without use

A chunk size line or a trailer without end was stored whole, as the parser limits heads only; interim answers and answers to other requests were skipped without end. Callers waited until the deadline and longer, and 100 such targets took 805 MiB for 4 MiB sent by each.

What the parser cannot consume is now limited to 8 KiB, as heads are, and the number of skipped answers to 100. Both end as an invalid answer: the connection is closed, the caller gets 502 or another target, and the target counts as one that gave no answer, so it is avoided.

--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -17,10 +17,16 @@
 /// How long any connection is kept idle at most.
 constexpr duration max_idle_time = std::chrono::seconds(5);
 
-/// Largest body of an answer. Bodies are read in parts, so only a body that
-/// arrives as a whole can take this much memory.
+/// Largest body of an answer, also of one that is passed on in parts.
 constexpr std::uint64_t max_body_bytes = 64ULL << 20U;
 
+/// Largest head, chunk size line or trailer. The parser limits heads only.
+constexpr std::size_t max_unparsed_bytes = 8192;
+
+/// Largest number of answers without use, interim ones or answers to other
+/// requests, before the answer to a request.
+constexpr int max_skipped_answers = 100;
+
 using connection_outcome = target_connection::outcome;
 
 target_call::outcome to_call_outcome(connection_outcome value)
@@ -73,7 +79,7 @@
 
 awaitable<target_call::outcome> target_call::read_head(instant deadline)
 {
-    for (;;)
+    for (int skipped = 0; skipped <= max_skipped_answers; ++skipped)
     {
         while (!m_parser->is_header_done())
         {
@@ -98,6 +104,7 @@
         if (passed != outcome::ok)
             co_return passed;
     }
+    co_return outcome::invalid_answer;
 }
 
 // A target may answer an earlier request twice. Without this check the second
@@ -124,12 +131,11 @@
         error_code fault;
         const std::size_t used = m_parser->put(asio::buffer(bytes), fault);
         bytes.erase(0, used);
-        if (fault == http::error::need_more)
-            return outcome::ok;
-        if (fault)
+        const bool needs_more = fault == http::error::need_more;
+        if (needs_more ? bytes.size() > max_unparsed_bytes : bool(fault))
             return outcome::invalid_answer;
-        if (used == 0)
-            return outcome::ok;
+        if (needs_more || used == 0)
+            break;
     }
     return outcome::ok;
 }
