Serving: the bodies of all answers together take bounded memory

Each answer could take 64 MiB, so five targets that send bodies without end took more than the memory of a small machine; a body that was only announced had its whole length set aside.

An answer that finds no room ends as an invalid one. Memory is taken only for bytes that arrived.

--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -137,7 +137,9 @@
         if (needs_more || used == 0)
             break;
     }
-    return outcome::ok;
+    return m_body_share.resize(m_parser->get().body().capacity())
+               ? outcome::ok
+               : outcome::invalid_answer;
 }
 
 target_call::outcome target_call::parse_end()
@@ -174,6 +176,7 @@
 
 std::string target_call::take_body()
 {
+    m_body_share.resize(0);
     return std::exchange(m_parser->get().body(), {});
 }
 
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.hpp"
 #include "serving/dialect.hpp"
+#include "serving/received_body.hpp"
 #include "serving/target_connection_pool.hpp"
 
 #include <functional>
@@ -39,7 +40,8 @@
 
     target_call(target_connection_pool& pool, const dialect& used_dialect,
                 call_destination target)
-        : m_pool(pool), m_dialect(used_dialect), m_target(std::move(target))
+        : m_pool(pool), m_dialect(used_dialect), m_target(std::move(target)),
+          m_body_share(pool.bodies())
     {
     }
 
@@ -103,7 +105,7 @@
     }
 
 private:
-    using parser = http::response_parser<http::string_body>;
+    using parser = http::response_parser<received_body>;
 
     awaitable<outcome> connect(duration timeout);
     awaitable<outcome> read_head(instant deadline);
@@ -119,6 +121,7 @@
     call_destination m_target;
     connection_ptr m_connection;
     std::optional<parser> m_parser;
+    body_memory::share m_body_share;
     response_metadata m_metadata;
     std::string m_id;
     std::function<bool()> m_may_send;
--- a/packages/serving/target_connection_pool.hpp
+++ b/packages/serving/target_connection_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/target_incarnation.hpp"
 #include "runtime/clock.hpp"
+#include "serving/body_memory.hpp"
 #include "serving/target_connection.hpp"
 
 #include <string>
@@ -44,9 +45,13 @@
     /// Closes the connections whose idle time has ended.
     void close_expired();
 
+    /// The memory for the bodies of all answers that are being received.
+    const body_memory& bodies() const { return m_bodies; }
+
 private:
     asio::io_context& m_loop;
     const runtime::clock& m_clock;
+    body_memory m_bodies;
     std::unordered_map<decision::target_incarnation,
                        std::vector<connection_ptr>>
         m_idle;
