Serving: an event has a largest size and is searched once

An event without end was stored up to 64 MiB, and each part that arrived was searched from the event's start, which takes time in the square of its length.

--- a/packages/serving/event_stream.cpp
+++ b/packages/serving/event_stream.cpp
@@ -5,36 +5,32 @@
 namespace mangofold::serving
 {
 
-namespace
+// An empty line outside an event counts too, so that an extra one at the end of
+// a stream is not taken for an incomplete event. Bytes are searched once: an
+// event that arrives in small parts would otherwise take time in the square of
+// its length.
+std::size_t event_stream::next_event_end()
 {
-
-/// Returns the position after the first empty line at or after \a from, which
-/// is the start of a line, or npos. An empty line outside an event counts too,
-/// so that an extra one at the end of a stream is not taken for an incomplete
-/// event.
-std::size_t event_end(std::string_view text, std::size_t from)
-{
-    std::size_t line_start = from;
-    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
-         at = text.find('\n', line_start))
+    for (std::size_t at = m_incomplete.find('\n', m_searched);
+         at != std::string::npos; at = m_incomplete.find('\n', m_searched))
     {
         const std::string_view content =
-            text.substr(line_start, at - line_start);
-        line_start = at + 1;
+            std::string_view(m_incomplete)
+                .substr(m_line_start, at - m_line_start);
+        m_line_start = m_searched = at + 1;
         if (content.empty() || content == "\r")
-            return line_start;
+            return m_line_start;
     }
-    return std::string_view::npos;
+    m_searched = m_incomplete.size();
+    return std::string::npos;
 }
 
-} // namespace
-
 std::string event_stream::add(std::string_view bytes)
 {
     m_incomplete.append(bytes);
     std::size_t end = 0;
-    for (std::size_t next = event_end(m_incomplete, 0);
-         next != std::string_view::npos; next = event_end(m_incomplete, end))
+    for (std::size_t next = next_event_end(); next != std::string::npos;
+         next = next_event_end())
     {
         check_id(std::string_view(m_incomplete).substr(end, next - end));
         end = next;
@@ -43,6 +39,8 @@
     }
     std::string events = m_incomplete.substr(0, end);
     m_incomplete.erase(0, end);
+    m_line_start -= end;
+    m_searched -= end;
     return events;
 }
 
--- a/packages/serving/event_stream.hpp
+++ b/packages/serving/event_stream.hpp
@@ -21,6 +21,9 @@
     {
     }
 
+    /// Largest event; the targets' events hold a few tokens each.
+    static constexpr std::size_t max_event_bytes = 256U << 10U;
+
     /// Appends \a bytes to the stream. Returns the events that are complete
     /// now, or nothing if one of them is out of order.
     std::string add(std::string_view bytes);
@@ -32,14 +35,22 @@
     /// received twice.
     bool is_out_of_order() const { return m_is_out_of_order; }
 
+    /// Whether the incomplete event is longer than any event may be.
+    bool is_too_long() const { return m_incomplete.size() > max_event_bytes; }
+
     /// Returns the id of the last complete event that has one, if any.
     std::optional<std::uint64_t> last_id() const { return m_last_id; }
 
 private:
+    /// Returns the position after the next complete event, or npos.
+    std::size_t next_event_end();
+
     /// Checks the id of \a event against the id of its predecessor.
     void check_id(std::string_view event);
 
     std::string m_incomplete;
+    std::size_t m_line_start = 0; ///< Of the last line of m_incomplete.
+    std::size_t m_searched = 0;   ///< Where no line ends after that.
     std::optional<std::uint64_t> m_last_id;
     bool m_is_out_of_order = false;
 };
