Serving: a stream whose event is too long ends as an invalid answer

The line in the relay loop that asks event_stream::is_too_long(): the caller gets 502, another target or the end of its stream at once, and the target counts as one that gave no answer.

--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -134,6 +134,10 @@
             m_refusal = refusal::answer_spoiled;
             co_return attempt_outcome::retry;
         }
+        if (events.is_too_long())
+            co_return handle_failed_attempt(
+                target_call::outcome::invalid_answer,
+                call.target().incarnation);
         if (!complete_events.empty())
         {
             if (!m_is_prompt_read)
