Serving: the source's answers have connections and memory of their own

With the limit that all bodies share, targets that send bodies without end could have left the store's lists without memory, so that no configuration came into force. The source reader has its own connections, and so its own limit.

--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -41,7 +41,8 @@
 
 source_reader::source_reader(entry_context& context,
                              const source_dialect& dialect)
-    : m_context(context), m_dialect(dialect)
+    : m_context(context), m_dialect(dialect),
+      m_connections(context.loop, context.time)
 {
 }
 
@@ -113,8 +114,11 @@
                                                            unsigned& status)
 {
     status = 0;
+    m_connections.close_expired();
+    // Not the pool of the targets: bodies of theirs must not leave the source's
+    // answers without memory.
     const auto sent = std::make_shared<target_call>(
-        m_context.connection_pool, m_context.protocol,
+        m_connections, m_context.protocol,
         call_destination{"source", m_context.settings.source_address});
     m_current_call = sent;
     const instant started_at = m_context.now();
--- a/packages/serving/source_reader.hpp
+++ b/packages/serving/source_reader.hpp
@@ -82,6 +82,7 @@
 
     entry_context& m_context;
     const source_dialect& m_dialect;
+    target_connection_pool m_connections; ///< To the source.
     partial_list m_list;
     std::shared_ptr<const std::string> m_catalog_text;
     std::optional<instant> m_received_at; ///< Last data of an answer in
