--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -17,10 +17,16 @@
 /// How long any connection is kept idle at most.
 constexpr duration max_idle_time = std::chrono::seconds(5);
 
-/// Largest body of an answer. Bodies are read in parts, so only a body that
-/// arrives as a whole can take this much memory.
+/// Largest body of an answer, also of one that is passed on in parts.
 constexpr std::uint64_t max_body_bytes = 64ULL << 20U;
 
+/// Largest head, chunk size line or trailer. The parser limits heads only.
+constexpr std::size_t max_unparsed_bytes = 8192;
+
+/// Largest number of answers without use, interim ones or answers to other
+/// requests, before the answer to a request.
+constexpr int max_skipped_answers = 100;
+
 using connection_outcome = target_connection::outcome;
 
 target_call::outcome to_call_outcome(connection_outcome value)
@@ -59,6 +65,7 @@
                           duration timeout)
 {
     const auto self = shared_from_this();
+    const instant deadline = loop_clock::now() + timeout;
     m_id = std::move(id);
     m_has_no_body = request.method() == http::verb::head;
     if (co_await connect(timeout) != outcome::ok)
@@ -67,12 +74,12 @@
         co_return outcome::not_sent;
     m_connection->send(serialize(request, m_target.address.text()));
     reset_parser();
-    co_return co_await read_head(timeout);
+    co_return co_await read_head(deadline);
 }
 
-awaitable<target_call::outcome> target_call::read_head(duration timeout)
+awaitable<target_call::outcome> target_call::read_head(instant deadline)
 {
-    for (;;)
+    for (int skipped = 0; skipped <= max_skipped_answers; ++skipped)
     {
         while (!m_parser->is_header_done())
         {
@@ -80,7 +87,8 @@
                 co_return outcome::invalid_answer;
             if (m_parser->is_header_done())
                 break;
-            const auto result = co_await m_connection->read(timeout);
+            const auto result =
+                co_await m_connection->read(deadline - loop_clock::now());
             if (result != connection_outcome::ok)
                 co_return to_call_outcome(result);
         }
@@ -92,10 +100,11 @@
         m_metadata = m_dialect.parse_response(m_parser->get());
         if (!is_stray_answer())
             co_return outcome::ok;
-        const outcome passed = co_await skip_stray_answer(timeout);
+        const outcome passed = co_await skip_stray_answer(deadline);
         if (passed != outcome::ok)
             co_return passed;
     }
+    co_return outcome::invalid_answer;
 }
 
 // A target may answer an earlier request twice. Without this check the second
@@ -106,16 +115,12 @@
     return !m_id.empty() && !m_metadata.id.empty() && m_metadata.id != m_id;
 }
 
-awaitable<target_call::outcome> target_call::skip_stray_answer(duration timeout)
+awaitable<target_call::outcome> target_call::skip_stray_answer(instant deadline)
 {
-    while (!m_parser->is_done())
-    {
-        const outcome result = co_await read_more(timeout);
-        if (result != outcome::ok)
-            co_return result;
-    }
-    reset_parser();
-    co_return outcome::ok;
+    const outcome result = co_await read_rest(deadline - loop_clock::now());
+    if (result == outcome::ok)
+        reset_parser();
+    co_return result;
 }
 
 target_call::outcome target_call::parse()
@@ -126,14 +131,15 @@
         error_code fault;
         const std::size_t used = m_parser->put(asio::buffer(bytes), fault);
         bytes.erase(0, used);
-        if (fault == http::error::need_more)
-            return outcome::ok;
-        if (fault)
+        const bool needs_more = fault == http::error::need_more;
+        if (needs_more ? bytes.size() > max_unparsed_bytes : bool(fault))
             return outcome::invalid_answer;
-        if (used == 0)
-            return outcome::ok;
+        if (needs_more || used == 0)
+            break;
     }
-    return outcome::ok;
+    return m_body_share.resize(m_parser->get().body().capacity())
+               ? outcome::ok
+               : outcome::invalid_answer;
 }
 
 target_call::outcome target_call::parse_end()
@@ -159,8 +165,18 @@
     co_return parse();
 }
 
+awaitable<target_call::outcome> target_call::read_rest(duration timeout)
+{
+    const instant deadline = loop_clock::now() + timeout;
+    auto result = outcome::ok;
+    while (result == outcome::ok && !m_parser->is_done())
+        result = co_await read_more(deadline - loop_clock::now());
+    co_return result;
+}
+
 std::string target_call::take_body()
 {
+    m_body_share.resize(0);
     return std::exchange(m_parser->get().body(), {});
 }
 
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.hpp"
 #include "serving/dialect.hpp"
+#include "serving/received_body.hpp"
 #include "serving/target_connection_pool.hpp"
 
 #include <functional>
@@ -39,7 +40,8 @@
 
     target_call(target_connection_pool& pool, const dialect& used_dialect,
                 call_destination target)
-        : m_pool(pool), m_dialect(used_dialect), m_target(std::move(target))
+        : m_pool(pool), m_dialect(used_dialect), m_target(std::move(target)),
+          m_body_share(pool.bodies())
     {
     }
 
@@ -50,9 +52,8 @@
         m_may_send = std::move(may_send);
     }
 
-    /// Sends \a request and reads the head of its answer. Each wait for the
-    /// target is limited to \a timeout. Answers that carry an id other than
-    /// \a id are skipped.
+    /// Sends \a request and reads the head of its answer, both within
+    /// \a timeout. Answers that carry an id other than \a id are skipped.
     awaitable<outcome> send_request(const http_request& request, std::string id,
                                     duration timeout);
 
@@ -60,6 +61,9 @@
     /// \a timeout.
     awaitable<outcome> read_more(duration timeout);
 
+    /// Reads the rest of the answer's body within \a timeout.
+    awaitable<outcome> read_rest(duration timeout);
+
     const http_response_head& head() const { return m_parser->get(); }
     const response_metadata& metadata() const { return m_metadata; }
 
@@ -101,11 +105,11 @@
     }
 
 private:
-    using parser = http::response_parser<http::string_body>;
+    using parser = http::response_parser<received_body>;
 
     awaitable<outcome> connect(duration timeout);
-    awaitable<outcome> read_head(duration timeout);
-    awaitable<outcome> skip_stray_answer(duration timeout);
+    awaitable<outcome> read_head(instant deadline);
+    awaitable<outcome> skip_stray_answer(instant deadline);
     outcome parse();
     outcome parse_end();
     duration idle_time() const;
@@ -117,6 +121,7 @@
     call_destination m_target;
     connection_ptr m_connection;
     std::optional<parser> m_parser;
+    body_memory::share m_body_share;
     response_metadata m_metadata;
     std::string m_id;
     std::function<bool()> m_may_send;
