--- a/tests/decision/stops/figures.cpp
+++ b/tests/decision/stops/figures.cpp
@@ -1,4 +1,4 @@
-#include "decision/stops/world.hpp"
+#include "world.hpp"
 
 #include <cstdio>
 #include <cstdlib>
--- a/tests/decision/stops/traffic.hpp
+++ b/tests/decision/stops/traffic.hpp
@@ -23,6 +23,18 @@
 inline constexpr duration first_event_time = 100ms;
 inline constexpr duration exit_time = 250ms;
 
+/// How entries are told to stop and come back.
+struct roll
+{
+    int entries = 6;
+    int stopped = 6;
+    duration gap = 670ms;
+    duration grace = 8s;
+    duration restart = 600ms; ///< From the exit to the first readiness.
+    bool exits_when_idle = true;
+    bool has_checks = true; ///< Whether the balancer checks readiness.
+};
+
 enum class outcome
 {
     in_time,
--- a/tests/decision/stops/world.hpp
+++ b/tests/decision/stops/world.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
+#include "balancer.hpp"
 #include "decision/decaying_max.hpp"
 #include "decision/entry_roster.hpp"
 #include "decision/moving_mean.hpp"
-#include "decision/stops/policies.hpp"
-#include "decision/stops/traffic.hpp"
+#include "policies.hpp"
+#include "traffic.hpp"
 
-#include <array>
+#include <algorithm>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -17,19 +17,6 @@
 namespace mangofold::test
 {
 
-/// How entries are told to stop and come back.
-struct roll
-{
-    int entries = 6;
-    int stopped = 6;
-    duration gap = 670ms;
-    duration grace = 8s;
-    duration restart = 600ms; ///< From the exit to the first readiness.
-    bool exits_when_idle = true;
-    bool has_checks = true; ///< Whether the balancer checks readiness.
-    duration stop_time = 8300ms;
-};
-
 /// Entries in three zones behind a balancer that are told to stop one after
 /// the other, and callers that return once after a refusal.
 template<admission_policy Admission, return_policy Return>
@@ -38,8 +25,9 @@
 public:
     stops_world(const roll& plan, const traffic& load, Admission admission,
                 Return returns)
-        : m_plan(plan), m_load(load), m_admission(admission),
-          m_returns(returns), m_connections(load.connections)
+        : taken_late(plan.entries, 0), m_plan(plan), m_load(load),
+          m_admission(admission), m_returns(returns),
+          m_connections(load.connections), m_balancer(plan.entries)
     {
         for (int number = 0; number < plan.entries; ++number)
             m_entries.emplace_back(number);
@@ -71,9 +59,12 @@
 
     /// By the second of the first try, counted from the first stop.
     std::map<int, outcome_counts> outcomes;
-    int cut_although_late = 0; ///< Taken later than 3 s after the signal.
-    int taken_late = 0;        ///< Taken later than 3 s after the signal.
-    int late_exits = 0;        ///< Processes that the grace ended.
+    int cut_although_late = 0;   ///< Taken later than 3 s after the signal.
+    std::vector<int> taken_late; ///< By entry, later than 3 s after its signal.
+    /// By stopping entries to which the balancer still sends.
+    int refused_before_noticed = 0;
+    int refused_while_running = 0;
+    int late_exits = 0; ///< Processes that the grace ended.
     std::vector<duration> stop_times;
 
 private:
@@ -87,22 +78,15 @@
 
     struct entry
     {
-        explicit entry(int number)
-            : zone(number % zone_count), name("e" + std::to_string(number))
-        {
-        }
-        int zone;
+        explicit entry(int number) : name("e" + std::to_string(number)) {}
         std::string name;
         bool is_up = true;
-        bool is_in_rotation = true;
-        int misses = 0;
         int incarnation = 0;
         std::optional<instant> stopped_at{}; ///< Until it has restarted.
         std::optional<drain> draining{};
         std::optional<entry_roster> roster{};
         std::vector<moving_mean> typical{};
         std::vector<decaying_max> longest{};
-        std::vector<bool> has_answered{};
         std::map<std::uint64_t, running_request> running{};
     };
 
@@ -135,7 +119,6 @@
         const std::size_t routes = m_load.routes.size();
         self.typical.assign(routes, moving_mean(duration::zero()));
         self.longest.assign(routes, {});
-        self.has_answered.assign(routes, false);
         self.roster.emplace(self.name, 1.0);
         for (entry& other : m_entries)
             if (&other != &self && other.is_up && other.roster)
@@ -200,46 +183,11 @@
         if (self.draining)
             self.draining->note_unready_reply(m_now);
         const bool is_ready = self.is_up && !self.draining;
-        self.misses = is_ready ? 0 : self.misses + 1;
-        self.is_in_rotation =
-            is_ready || (self.is_in_rotation && self.misses < 2);
+        m_balancer.note_check(number, is_ready);
         if (m_now < m_load.end + 20s)
             at(m_now + 1s, [this, number] { check(number); });
     }
 
-    /// The entries that the balancer uses for callers in \a zone.
-    std::vector<int> used_entries(int zone) const
-    {
-        std::vector<int> own;
-        for (int step = 0; step < zone_count; ++step)
-        {
-            std::vector<int> all;
-            std::vector<int> in_rotation;
-            for (int number = 0; number < m_plan.entries; ++number)
-                if (m_entries[number].zone == (zone + step) % zone_count)
-                {
-                    all.push_back(number);
-                    if (m_entries[number].is_in_rotation)
-                        in_rotation.push_back(number);
-                }
-            if (!in_rotation.empty())
-                return 2 * in_rotation.size() < all.size() ? all : in_rotation;
-            if (own.empty())
-                own = all;
-        }
-        return own;
-    }
-
-    int balanced(const request& sent, std::optional<int> refused_by) const
-    {
-        std::vector<int> used = used_entries(sent.zone);
-        if (refused_by && used.size() > 1)
-            std::erase(used, *refused_by);
-        const double choice = refused_by ? sent.second_choice : sent.choice;
-        return used[static_cast<std::size_t>(choice *
-                                             static_cast<double>(used.size()))];
-    }
-
     /// Whether the caller's open connection still leads to its entry.
     bool is_open(const connection& line) const
     {
@@ -255,14 +203,16 @@
     void arrive(std::size_t number, std::optional<int> refused_by)
     {
         const request& sent = m_load.requests[number];
+        const double choice = refused_by ? sent.second_choice : sent.choice;
         connection* line = sent.connection && !refused_by
                                ? &m_connections[*sent.connection]
                                : nullptr;
         if (line != nullptr && line->is_busy)
             line = nullptr;
-        const int chosen = line != nullptr && is_open(*line)
-                               ? line->entry
-                               : balanced(sent, refused_by);
+        const int chosen =
+            line != nullptr && is_open(*line)
+                ? line->entry
+                : m_balancer.choose(sent.zone, choice, refused_by);
         entry& self = m_entries[chosen];
         if (!self.is_up)
             return refuse(number, chosen, refused_by.has_value());
@@ -282,7 +232,7 @@
     bool is_accepted(const entry& self, std::size_t route, duration bound)
     {
         const duration longest = self.longest[route].value();
-        const bool is_known = self.has_answered[route];
+        const bool is_known = longest > 0s;
         return m_admission.accepts(
             {*self.draining, m_now,
              is_known ? self.typical[route].mean() : bound,
@@ -303,7 +253,7 @@
         const instant answered_at =
             std::min(ended_at, m_now + bound) + sent.relay_lag;
         if (self.draining && m_now > *self.stopped_at + 3s)
-            ++taken_late;
+            ++taken_late[chosen];
         if (line != nullptr)
             line->is_busy = true;
         const std::uint64_t id = m_next_id++;
@@ -321,7 +271,6 @@
                const std::size_t route = m_load.requests[number].route;
                taker.typical[route].add(answered_at - sent_at + sent.wait);
                taker.longest[route].add(answered_at - sent_at);
-               taker.has_answered[route] = true;
                finish(number,
                       is_late || is_overrun ? outcome::late : outcome::in_time);
            });
@@ -345,6 +294,11 @@
     void refuse(std::size_t number, int refused_by, bool is_return)
     {
         const request& sent = m_load.requests[number];
+        const std::optional<instant> stopped = m_entries[refused_by].stopped_at;
+        if (m_balancer.is_in_rotation(refused_by) && stopped &&
+            m_now < *stopped + 2500ms)
+            ++refused_before_noticed;
+        refused_while_running += m_entries[refused_by].is_up ? 1 : 0;
         if (is_return)
             return finish(number, outcome::refused);
         const duration left =
@@ -388,6 +342,7 @@
     std::multimap<instant, std::function<void()>> m_events;
     std::vector<entry> m_entries;
     std::vector<connection> m_connections;
+    balancer m_balancer;
     std::uint64_t m_next_id = 0;
 };
 
