Draining: last answers get a turn of the loop, and the grace counts from the signal

Callers whose requests no target had could get no answer from a stopping entry whose event loop ran late: if one turn came after both the last answers' time and the end, the answers and the exit fell into it. And the end was counted from the turn that handled the signal, so that a loop that was 0.3 s late outlived its grace.

Found by the review by reading, not seen in a run. The process now exits a turn after the last answers at the earliest, and the grace begins at the signal, up to the lag of the loop before its handling.

--- a/packages/decision/drain.cpp
+++ b/packages/decision/drain.cpp
@@ -80,9 +80,18 @@
     return ends_in_time || now < m_started_at + max_removal_delay;
 }
 
+void drain::note_last_answers(instant now)
+{
+    if (!m_last_answers_began_at)
+        m_last_answers_began_at = now;
+}
+
+// After a late turn of the event loop, the last answers begin when the process
+// must end. They are sent in the turns after that.
 bool drain::may_exit(instant now, bool is_idle) const
 {
-    return now >= request_deadline() || (is_idle && is_out_of_rotation(now));
+    return (now >= request_deadline() && m_last_answers_began_at != now) ||
+           (is_idle && is_out_of_rotation(now));
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/drain.hpp
+++ b/packages/decision/drain.hpp
@@ -2,6 +2,8 @@
 
 #include "decision/time.hpp"
 
+#include <optional>
+
 namespace mangofold::decision
 {
 
@@ -47,6 +49,10 @@
     bool accepts(instant now, const request_duration& time,
                  bool has_remaining_peers) const;
 
+    /// Records that the requests that no target has are rejected at \a now,
+    /// the first time.
+    void note_last_answers(instant now);
+
     /// Whether the process may exit; \a is_idle tells whether no work is left.
     bool may_exit(instant now, bool is_idle) const;
 
@@ -57,6 +63,7 @@
     duration m_grace;
     int m_replies_left;
     instant m_last_reply_at{}; ///< Time of the last required reply.
+    std::optional<instant> m_last_answers_began_at;
 };
 
 } // namespace mangofold::decision
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -94,7 +94,10 @@
 // answer from now on tells its caller to close the connection.
 awaitable<void> entry_process::stop()
 {
-    m_context.drain.emplace(m_context.now(), m_context.settings.grace,
+    // The grace began when the signal came, up to the lag of the loop ago.
+    const instant handled_at = m_context.now();
+    m_context.drain.emplace(handled_at - m_context.loop_lag.lag(handled_at),
+                            m_context.settings.grace,
                             m_context.settings.min_unready_replies);
     m_mesh.set_stopping();
     runtime::event("stopping")
@@ -109,7 +112,10 @@
         const bool is_idle =
             m_requests.connections() == 0 && m_batcher.job_count() == 0;
         if (now >= m_context.drain->last_answers_at())
+        {
             m_requests.reject_unsent();
+            m_context.drain->note_last_answers(now);
+        }
         if (m_context.drain->may_exit(now, is_idle))
             break;
         error_code ignored; // The timer is never cancelled.
--- a/tests/decision/drain_test.cpp
+++ b/tests/decision/drain_test.cpp
@@ -60,6 +60,17 @@
     CHECK_FALSE(draining.accepts(start + 2400ms, long_request, true));
 }
 
+// Guards against callers whose last answers are never sent, as the event loop
+// ran so late that the process had to end in the same turn.
+TEST_CASE("a stopping entry exits a turn after its last answers")
+{
+    drain draining(start, grace, required_replies);
+    draining.note_last_answers(start + 7900ms);
+    CHECK_FALSE(draining.may_exit(start + 7900ms, false));
+    draining.note_last_answers(start + 7950ms);
+    CHECK(draining.may_exit(start + 7950ms, false));
+}
+
 // Guards against a request that was accepted since others were short, and is
 // cut off by the exit.
 TEST_CASE("a late request is accepted only if its deadline ends in time")
