Streams: requests that take up a stream are counted by how they ended

An operator could not see which share of the streams that callers took up went on, nor why the others did not: refusals were counted for all requests together.

streams_taken_up_ended has the outcome: went_on, caller_left, answered, or the reason of the refusal.

--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -105,14 +105,15 @@
         co_await serve();
     }
     release_stages();
+    if (m_is_aborted_by_shutdown && m_answer_status == 0)
+        m_refusal = refusal::stopping;
+    count_take_up();
     if (m_session->has_disconnected())
     {
         m_context.count("requests_left", "kind", "caller");
         m_session->close_after_response();
         co_return;
     }
-    if (m_is_aborted_by_shutdown && m_answer_status == 0)
-        m_refusal = refusal::stopping;
     if (m_refusal != refusal::none)
         co_await send_refusal();
     else if (m_answer_status != 0)
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -219,6 +219,8 @@
     /// Logs and counts an \a event of the stream, whose newest target has
     /// \a version.
     void note_stream(std::string_view event, const std::string& version);
+    /// Counts how a request that takes up a stream ended.
+    void count_take_up();
     awaitable<void> send_refusal();
     unsigned refusal_status() const;
     std::string retry_after() const;
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -125,6 +125,21 @@
     return true;
 }
 
+// A stream that goes on may break again; its next request counts by itself.
+void exchange::count_take_up()
+{
+    if (m_route == nullptr || !is_taking_up_stream())
+        return;
+    std::string_view outcome = "answered";
+    if (m_is_head_sent)
+        outcome = "went_on";
+    else if (m_session->has_disconnected())
+        outcome = "caller_left";
+    else if (m_refusal != refusal::none)
+        outcome = to_string(m_refusal);
+    m_context.count("streams_taken_up_ended", "outcome", outcome);
+}
+
 void exchange::note_stream(std::string_view event, const std::string& version)
 {
     m_context.count("streams", "event", event);
--- a/tests/serving/stream_take_ups_test.cpp
+++ b/tests/serving/stream_take_ups_test.cpp
@@ -167,3 +167,32 @@
     entry.context->has_all_targets = true;
     CHECK(contains(entry.answer_to(*connection), "data: v1"));
 }
+
+// Guards against streams that end unseen: the share that went on is not known,
+// nor why the others were refused.
+TEST_CASE("requests that take up a stream are counted by how they ended")
+{
+    starting_entry entry;
+    entry.context->has_all_targets = true;
+    const auto count = [&entry](const char* outcome)
+    {
+        return entry.context->metrics
+            .count(
+                {"streams_taken_up_ended", runtime::label("outcome", outcome)})
+            .load();
+    };
+    entry.add_engine("v2");
+    entry.answer_to(*entry.take_up());
+    CHECK(count("stream_unknown") == 1);
+    entry.record({"events", "v1"});
+    entry.answer_to(*entry.take_up());
+    CHECK(count("version_gone") == 1);
+    entry.add_engine("v1");
+    entry.answer_to(*entry.take_up());
+    CHECK(count("went_on") == 1);
+    const auto connection = entry.connect();
+    entry.send(*connection, request_text("/events/r3", "r3"));
+    entry.answer_to(*connection);
+    CHECK(count("went_on") == 1);
+    CHECK(count("answered") == 0);
+}
