--- a/tests/decision/stops/figures.cpp
+++ b/tests/decision/stops/figures.cpp
@@ -87,6 +87,10 @@
 {
     print_row(plan, "estimate", play(plan, estimate_policy(), until_own_end()));
     print_row(plan, "deadline", play(plan, deadline_policy(), until_own_end()));
+    print_row(plan, "deadline, any until 2.9 s",
+              play(plan, excused_policy(), until_own_end()));
+    print_row(plan, "deadline, half back",
+              play(plan, deadline_policy(), until_share_is_back{0.5, 8500ms}));
     print_row(plan, "short only",
               play(plan, short_only_policy(), until_own_end()));
 }
--- a/tests/decision/stops/policies.hpp
+++ b/tests/decision/stops/policies.hpp
@@ -60,6 +60,18 @@
     }
 };
 
+/// Without others, any request until shortly before callers lose the excuse
+/// that they sent it within 3 s after the signal.
+struct excused_policy
+{
+    bool accepts(const arrival_at_stopping& arrival) const
+    {
+        return deadline_policy().accepts(arrival) ||
+               (!arrival.has_remaining_peers &&
+                arrival.now < arrival.draining.started_at() + 2900ms);
+    }
+};
+
 /// No long request from the signal on.
 struct short_only_policy
 {
