Soak: targets that send bytes without end

The kind endless, drawn only by name so that existing seeds replay unchanged: a target sends a head, interim answers, a chunk size line, a trailer or chunks of one byte without end, until its caller closes.

--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -13,7 +13,8 @@
 # Not drawn by default, so that existing seeds replay unchanged.
 OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven",
                 "kill_all", "break_streams", "bad_part", "busy_entry",
-                "loss_series", "hangups", "keeper", "keeper_pause", "leave")
+                "loss_series", "hangups", "keeper", "keeper_pause", "leave",
+                "endless")
 LOSS_KINDS = ("kill_all", "loss_series")
 MAX_START_S = 10  # Of all entries, after they were lost.
 MAX_RESERVE_S = 6  # Until no entry is stopping, which takes GRACE_S at most.
@@ -298,6 +299,14 @@
         await self._disturb_target(
             disturb, lambda target: setattr(target, "mode", "ok"))
 
+    async def do_endless(self):
+        """Has a target send bytes without end for a while."""
+        def disturb(target):
+            self.log(f"{target.service} {target.id} sends without end")
+            target.mode = "endless"
+        await self._disturb_target(
+            disturb, lambda target: setattr(target, "mode", "ok"))
+
     async def do_break_streams(self):
         """Has an engine break off its streams for a while."""
         def disturb(target):
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -22,6 +22,7 @@
 POISON_PATTERN = re.compile(r"/poison-\d+")
 # A part of prompts that crashes each engine that starts a request with it.
 BAD_PART_PATTERN = re.compile(r"\bbad\d+(?=:)")
+ENDLESS_PART_INTERVAL_S = 0.005  # Between parts of an answer without end.
 UNFRAMED_SHARE = 0.2  # Of the streams, which end with their connections.
 # A slow plain target takes longer than work may outlast its caller.
 SLOW_RESPONSE_S = 1.2
@@ -169,6 +170,22 @@
             self.log.poison_crashes[poison].append(now)
             self.log.crash_target(self)
 
+    async def send_endlessly(self, writer):
+        """Sends bytes that are no answer until the caller closes."""
+        head = b"HTTP/1.1 200 OK\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        filler = b"a" * 4096
+        first, part = random.choice((
+            (head + b"X: ", b"a"), (head, b"X: " + filler + b"\r\n"),
+            (b"", b"HTTP/1.1 102 X\r\n\r\n"), (chunked + b"1;", filler),
+            (chunked + b"0\r\nX: ", filler), (chunked, b"1\r\na\r\n")))
+        writer.write(first)
+        while not writer.is_closing() and not writer.peer_has_closed():
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PART_INTERVAL_S)
+        writer.close()
+
     def record_finished_work(self, request_id, writer):
         """Records the end of a request whose client is still connected."""
         if not writer.is_closing() and not writer.peer_has_closed():
@@ -191,6 +208,9 @@
         if self.mode == "lost":
             wire.reset(writer)
             return
+        if self.mode == "endless":
+            await self.send_endlessly(writer)
+            return
         body = f"answer {request_id} {message.start_line.split()[1]}".encode()
         response = wire.serialize_response(200, body,
                                            **self.response_fields(message))
@@ -262,6 +282,9 @@
         return is_framed
 
     async def stream(self, message, writer):
+        if self.mode == "endless":
+            await self.send_endlessly(writer)
+            return
         request_id = message.field("x-mangofold-request-id")
         first_event = int(message.field("last-event-id") or 0) + 1
         is_framed = self.write_head(message, writer)
@@ -323,6 +346,9 @@
         if self.mode == "lost":
             wire.reset(writer)
             return
+        if self.mode == "endless":
+            await self.send_endlessly(writer)
+            return
         items = [self.make_result(item) if is_present else {"why": "gone"}
                  for item, is_present in zip(body["items"], are_present)]
         writer.write(wire.serialize_response(
