--- a/tests/platform/untrusted_response_test.cpp
+++ b/tests/platform/untrusted_response_test.cpp
@@ -1,6 +1,8 @@
 #include "platform/request_dialect.hpp"
+#include "serving/event_stream.hpp"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 using namespace mangofold;
 
@@ -114,3 +116,49 @@
         CHECK(metadata.is_load_unreadable);
     }
 }
+
+// Guards against events that are lost, joined or held back because of where the
+// bytes of a stream were split on their way.
+TEST_CASE("any bytes in any parts make the same events")
+{
+    const auto bytes = rc::gen::container<std::string>(
+        rc::gen::elementOf(std::string("\n\n\r:ad ")));
+    CHECK(rc::check(
+        [&]
+        {
+            const auto parts =
+                *rc::gen::container<std::vector<std::string>>(bytes);
+            serving::event_stream split;
+            serving::event_stream whole;
+            std::string all;
+            std::string events;
+            for (const std::string& part : parts)
+            {
+                all += part;
+                events += split.add(part);
+            }
+            RC_ASSERT(events == whole.add(all));
+            RC_ASSERT(split.is_between_events() == (events == all));
+            RC_ASSERT(whole.is_between_events() == (events == all));
+        }));
+}
+
+// Guards against an event without end that is stored, in whatever parts it
+// arrives.
+TEST_CASE("an event that is too long is noticed in any parts")
+{
+    CHECK(rc::check(
+        []
+        {
+            const auto size = *rc::gen::inRange<std::size_t>(1, 8192);
+            constexpr auto max = serving::event_stream::max_event_bytes;
+            serving::event_stream stream;
+            std::size_t added = 0;
+            while (!stream.is_too_long() && added <= 2 * max)
+            {
+                RC_ASSERT(stream.add(std::string(size, 'a')).empty());
+                added += size;
+            }
+            RC_ASSERT(added > max && added <= max + size);
+        }));
+}
