Serving: a request that is being read is no idle connection

Cause: once the balancer has noticed the stop, idle connections are closed. Whether one was idle was judged by the bytes that were not parsed yet. With a head parsed and its body on the way there are none, so that the connection was marked to be closed after that request, and the one behind it was dropped, though it had been read before any close was announced.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -227,6 +227,7 @@
             has_sent_continue = true;
             co_await send("HTTP/1.1 100 Continue\r\n\r\n");
         }
+        m_has_part_of_request = parser.got_some();
         const bool has_new_data =
             co_await wait_for_data(has_started && !parser.is_header_done()
                                        ? &catalog::caller_limits::header_time
@@ -239,6 +240,7 @@
             co_await reject(408);
         co_return false;
     }
+    m_has_part_of_request = false;
     m_request = parser.release();
     if (!m_request.keep_alive())
         m_closes_after_response = true;
@@ -302,7 +304,7 @@
 
 void caller_session::close_if_idle()
 {
-    if (m_is_handling || !m_received.empty())
+    if (m_is_handling || m_has_part_of_request || !m_received.empty())
         return;
     m_closes_after_response = true;
     m_data_received.set();
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -152,6 +152,7 @@
     bool m_has_disconnected = false;
     bool m_closes_after_response = false;
     bool m_is_handling = false;
+    bool m_has_part_of_request = false; ///< That was parsed already.
 };
 
 } // namespace mangofold::serving
--- a/tests/serving/stopping_entry_test.cpp
+++ b/tests/serving/stopping_entry_test.cpp
@@ -92,3 +92,27 @@
         { return caller->is_ended || contains(caller->received, "whole"); });
     CHECK(contains(caller->received, "whole"));
 }
+
+// Guards against a request that was read and ends without an answer: it came
+// behind one whose last byte came after the balancer had noticed the stop.
+TEST_CASE("a stopping entry answers the request behind a slow one")
+{
+    serving_fixture entry;
+    entry.add_target("plain", complete_response);
+    const auto caller = entry.connect();
+    entry.send(*caller,
+               request_text("/again/", "r1", "Content-Length: 2\r\n") + "h");
+    entry.settle();
+    entry.context->drain.emplace(entry.time.now() - 2s, grace,
+                                 required_replies);
+    entry.server->close_idle_connections();
+    entry.send(*caller, "i" + request_text("/again/", "r2"));
+    const auto has_both = [&]
+    {
+        const std::size_t first = caller->received.find("whole");
+        return first != std::string::npos &&
+               caller->received.find("whole", first + 1) != std::string::npos;
+    };
+    entry.run_until([&] { return caller->is_ended || has_both(); });
+    CHECK(has_both());
+}
