--- a/packages/decision/entry_roster.cpp
+++ b/packages/decision/entry_roster.cpp
@@ -277,8 +277,8 @@
         if (other == best)
             eligible.emplace_back(address, status.cores);
     }
-    const bool are_all_stopping = !best.second;
-    if (are_all_stopping)
+    const bool are_stopping = !best.second;
+    if (are_stopping)
         keep_latest_to_stop(eligible);
     return eligible;
 }
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -110,8 +110,8 @@
     return std::to_string(delay_s).substr(0, 5);
 }
 
-// A caller that returns too soon is refused again and has no try left, so this
-// is when entries are back at the latest. Callers that were refused at
+// A caller that returns too soon is refused again and has no try left, so
+// entries are taken to use their whole grace. Callers that were refused at
 // different times return at the same one, and spread over half a second.
 duration exchange::time_to_other_entries() const
 {
