--- a/tests/mutants/stops.py
+++ b/tests/mutants/stops.py
@@ -49,7 +49,7 @@
      "max_short_request = std::chrono::milliseconds(300)",
      "max_short_request = std::chrono::milliseconds(0)"),
     ("entries stay until the grace ends", DRAIN,
-     "|| (is_idle && is_out_of_rotation(now))", "|| (is_idle && false)"),
+     "(is_idle && is_out_of_rotation(now))", "(is_idle && false)"),
     ("an entry exits although it has work", DRAIN,
      "(is_idle && is_out_of_rotation(now))", "is_out_of_rotation(now)"),
     ("an entry exits before the balancer has noticed", DRAIN,
