--- a/packages/decision/entry_roster.cpp
+++ b/packages/decision/entry_roster.cpp
@@ -246,6 +246,7 @@
     std::vector<std::pair<std::string, double>>& entries) const
 {
     std::vector<instant> times;
+    times.reserve(entries.size());
     for (const auto& [address, cores] : entries)
         times.push_back(stopping_since(address));
     const auto median =
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -55,8 +55,8 @@
 
 // Quarantined content: the time of the next trial, before which the request
 // would be refused again. This entry stops: no delay if other entries go on,
-// since those take the request at once; otherwise until half of the entries
-// are back. Otherwise: as soon as a target may have capacity.
+// since those take the request at once; if they stop, too, until half of the
+// entries are back. Any other reason: as soon as a target may have capacity.
 std::string exchange::retry_after() const
 {
     using seconds = std::chrono::duration<double>;
@@ -111,8 +111,8 @@
 }
 
 // A caller that returns too soon is refused again and has no try left, so
-// entries are taken to use their whole grace. Callers that were refused at
-// different times return at the same one, and spread over half a second.
+// entries are assumed to use their whole grace. Callers that were refused at
+// different times would all return at this one, so it is spread.
 duration exchange::time_to_other_entries() const
 {
     constexpr duration restart_time = std::chrono::milliseconds(500);
