Sessions: what follows a request in progress stays unread

Cause: a session reads whatever arrives, also while a request is in progress. Such a request can't be answered before the one in front of it.

Now it stays in the socket until the request in front is answered, and is handled then, by a stopping process too. The end of the process resets a connection with unread data, which tells the caller that it has not been read. The close of a caller behind unread data is looked for each 50 ms.

test_pipelined_requests: "a request behind one in progress is not read" failed before (end of stream instead of a reset).

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/socket_base.hpp>
 
+#include <poll.h>
+
 namespace mangofold::serving
 {
 
@@ -26,6 +28,30 @@
 /// the caller's close.
 constexpr duration max_disconnect_delay = std::chrono::milliseconds(500);
 
+/// How often the end of a connection is looked for while its data stays unread.
+constexpr duration close_check_interval = std::chrono::milliseconds(50);
+
+/// Returns how many bytes, one at most, can be read now: 0 at the end of the
+/// connection, none if a read would wait.
+std::optional<std::size_t> peek(tcp::socket& socket)
+{
+    error_code fault;
+    socket.non_blocking(true, fault);
+    char byte = 0;
+    const std::size_t count = socket.receive(asio::buffer(&byte, 1),
+                                             tcp::socket::message_peek, fault);
+    if (fault == asio::error::would_block || fault == asio::error::try_again)
+        return std::nullopt;
+    return count;
+}
+
+/// Whether the peer closed its sending side, also behind unread data.
+bool has_peer_closed(tcp::socket& socket)
+{
+    pollfd state{socket.native_handle(), POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0;
+}
+
 unsigned status_of(const error_code& fault)
 {
     if (fault == http::error::header_limit)
@@ -53,7 +79,7 @@
 caller_session::caller_session(asio::io_context& loop, tcp::socket socket,
                                request_handler& handler)
     : m_loop(loop), m_socket(std::move(socket)), m_write_timer(loop),
-      m_handler(handler), m_data_received(loop), m_space_available(loop)
+      m_handler(handler), m_data_received(loop), m_may_read(loop)
 {
 }
 
@@ -73,6 +99,7 @@
         m_is_handling = true;
         co_await m_handler.handle(self, std::move(m_request));
         m_is_handling = false;
+        m_may_read.set();
         m_on_disconnect = nullptr;
         m_on_shutdown = nullptr;
         m_on_exit = nullptr;
@@ -80,7 +107,7 @@
     }
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     m_socket.close(ignored);
-    m_space_available.set();
+    m_may_read.set();
 }
 
 awaitable<void> caller_session::receive()
@@ -89,6 +116,7 @@
     for (;;)
     {
         error_code fault;
+        co_await wait_until_wanted();
         const std::size_t count = co_await m_socket.async_read_some(
             asio::buffer(m_chunk), store_error_in(fault));
         if (fault)
@@ -96,13 +124,30 @@
             co_await handle_read_end(fault == asio::error::eof);
             co_return;
         }
+        m_has_unread_data = false;
         m_received.append(m_chunk.data(), count);
         m_data_received.set();
         while (m_received.size() > max_read_ahead && m_socket.is_open())
-            co_await m_space_available.wait(std::chrono::seconds(1));
+            co_await m_may_read.wait(std::chrono::seconds(1));
     }
 }
 
+// A request that was read has to be answered, but one behind a request that the
+// end of this process cuts off can't be. Its caller sees the reset of a
+// connection with unread data.
+awaitable<void> caller_session::wait_until_wanted()
+{
+    error_code ignored; // The read after it reports the fault.
+    co_await m_socket.async_wait(tcp::socket::wait_read,
+                                 store_error_in(ignored));
+    // After a reset, peeking would take the error that the read reports.
+    m_has_unread_data = m_is_handling && m_socket.is_open() &&
+                        !has_peer_closed(m_socket) && peek(m_socket) > 0U;
+    while (m_has_unread_data && m_is_handling && m_socket.is_open() &&
+           !has_peer_closed(m_socket))
+        co_await m_may_read.wait(close_check_interval);
+}
+
 awaitable<void> caller_session::handle_read_end(bool is_orderly)
 {
     m_is_read_closed = true;
@@ -137,14 +182,7 @@
 {
     if (m_has_disconnected || m_handler.loop_lag() < max_disconnect_delay)
         return m_has_disconnected;
-    error_code fault;
-    m_socket.non_blocking(true, fault);
-    char byte = 0;
-    const std::size_t count = m_socket.receive(
-        asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
-    const bool has_no_data =
-        fault == asio::error::would_block || fault == asio::error::try_again;
-    if (!has_no_data && count == 0)
+    if (peek(m_socket) == 0U)
         note_disconnect();
     return m_has_disconnected;
 }
@@ -157,7 +195,7 @@
         const std::size_t consumed =
             parser.put(asio::buffer(m_received), fault);
         m_received.erase(0, consumed);
-        m_space_available.set();
+        m_may_read.set();
         if (fault == http::error::need_more)
             return 0;
         if (fault)
@@ -304,7 +342,7 @@
 
 void caller_session::close_if_idle()
 {
-    if (m_is_handling || m_has_part_of_request || !m_received.empty())
+    if (m_is_handling || m_has_part_of_request || has_further_data())
         return;
     m_closes_after_response = true;
     m_data_received.set();
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -113,17 +113,25 @@
     void close_if_idle();
 
     /// Whether the connection stays open after the current response. A
-    /// stopping process first answers the requests that it has read.
+    /// stopping process first answers the requests that have arrived.
     bool stays_open() const
     {
         return !m_closes_after_response &&
-               (!m_handler.is_stopping() || !m_received.empty());
+               (!m_handler.is_stopping() || has_further_data());
     }
 
 private:
     using request_parser = http::request_parser<http::string_body>;
 
     awaitable<void> receive();
+    /// Waits for data. While a request is in progress, what follows it stays
+    /// unread, unless the caller has closed the connection.
+    awaitable<void> wait_until_wanted();
+    /// Whether data of a further request has arrived.
+    bool has_further_data() const
+    {
+        return m_has_unread_data || !m_received.empty();
+    }
     /// Handles the end of the caller's data: a close if \a is_orderly, else a
     /// reset or another error.
     awaitable<void> handle_read_end(bool is_orderly);
@@ -141,7 +149,7 @@
     loop_timer m_write_timer;
     request_handler& m_handler;
     auto_reset_event m_data_received;
-    auto_reset_event m_space_available;
+    auto_reset_event m_may_read;
     std::string m_received;
     std::array<char, 4096> m_chunk{};
     http_request m_request;
@@ -152,6 +160,7 @@
     bool m_has_disconnected = false;
     bool m_closes_after_response = false;
     bool m_is_handling = false;
+    bool m_has_unread_data = false;     ///< Behind the request in progress.
     bool m_has_part_of_request = false; ///< That was parsed already.
 };
 
