Serving: an answer without an id is refused once its target has sent ids

Callers could get the answer of another caller: on a kept connection, a late answer without an id counted as the answer to the present request, also from a target that repeats ids in its answers.

Whose answer has arrived is decided in decision/answer_match.hpp, by the id that was sent, the one that is stated, whether the target has stated ids before, and whether the request is the first of its connection: before it, nothing can have been answered. An answer that may be another request's ends the connection; the request may have run. Targets that never send ids are served as before.

Failed before: "no answer without an id is passed on once its target has sent ids" (r2 got "late" as 200). Now 502, one connection.

--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -98,8 +98,11 @@
             continue;
         }
         m_metadata = m_dialect.parse_response(m_parser->get());
-        if (!is_stray_answer())
+        const decision::answer_owner owner = answer_owner();
+        if (owner == decision::answer_owner::this_request)
             co_return outcome::ok;
+        if (owner == decision::answer_owner::unknown)
+            break;
         const outcome passed = co_await skip_stray_answer(deadline);
         if (passed != outcome::ok)
             co_return passed;
@@ -110,9 +113,15 @@
 // A target may answer an earlier request twice. Without this check the second
 // answer would be taken for the answer to the present request, and a caller
 // would get the answer of another caller. Targets repeat the request id.
-bool target_call::is_stray_answer() const
-{
-    return !m_id.empty() && !m_metadata.id.empty() && m_metadata.id != m_id;
+decision::answer_owner target_call::answer_owner()
+{
+    const decision::answer_origin origin{
+        m_connection->sent_count() == 1,
+        m_pool.states_ids(m_target.incarnation)};
+    const auto owner = decision::owner_of_answer(m_id, m_metadata.id, origin);
+    if (!m_id.empty() && !m_metadata.id.empty())
+        m_pool.note_stated_id(m_target.incarnation);
+    return owner;
 }
 
 awaitable<target_call::outcome> target_call::skip_stray_answer(instant deadline)
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/answer_match.hpp"
 #include "runtime/address.hpp"
 #include "serving/dialect.hpp"
 #include "serving/received_body.hpp"
@@ -53,7 +54,8 @@
     }
 
     /// Sends \a request and reads the head of its answer, both within
-    /// \a timeout. Answers that carry an id other than \a id are skipped.
+    /// \a timeout. Answers that carry an id other than \a id are skipped. In
+    /// a protocol without ids, \a id is empty.
     awaitable<outcome> send_request(const http_request& request, std::string id,
                                     duration timeout);
 
@@ -114,7 +116,7 @@
     outcome parse_end();
     duration idle_time() const;
     void reset_parser();
-    bool is_stray_answer() const;
+    decision::answer_owner answer_owner();
 
     target_connection_pool& m_pool;
     const dialect& m_dialect;
--- a/packages/serving/target_connection.cpp
+++ b/packages/serving/target_connection.cpp
@@ -61,6 +61,7 @@
 {
     m_to_send = std::move(bytes);
     m_is_sending = true;
+    ++m_sent_count;
     asio::async_write(
         m_socket, asio::buffer(m_to_send),
         [self = shared_from_this()](const error_code& fault, std::size_t)
--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -33,6 +33,9 @@
     /// the target has received all of a long body.
     void send(std::string bytes);
 
+    /// Returns the number of calls of send().
+    std::uint64_t sent_count() const { return m_sent_count; }
+
     /// Whether all bytes were passed to the kernel.
     bool is_sent() const { return !m_is_sending; }
 
@@ -61,6 +64,7 @@
     std::uint64_t m_step = 0;
     bool m_is_timed_out = false;
     bool m_is_sending = false;
+    std::uint64_t m_sent_count = 0;
     std::string m_to_send;
     std::string m_received;
     std::array<char, 4096> m_read_buffer{};
--- a/packages/serving/target_connection_pool.cpp
+++ b/packages/serving/target_connection_pool.cpp
@@ -5,6 +5,15 @@
 namespace mangofold::serving
 {
 
+namespace
+{
+
+/// How long it is known that a target states ids: longer than a request may
+/// last or a connection may be idle.
+constexpr duration stated_ids_memory = std::chrono::minutes(10);
+
+} // namespace
+
 connection_ptr
 target_connection_pool::take_idle(const decision::target_incarnation& target)
 {
@@ -42,6 +51,8 @@
                       { return idle->usable_until <= now; });
         entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
     }
+    std::erase_if(m_stated_ids_at, [now](const auto& stated)
+                  { return stated.second + stated_ids_memory <= now; });
 }
 
 } // namespace mangofold::serving
--- a/packages/serving/target_connection_pool.hpp
+++ b/packages/serving/target_connection_pool.hpp
@@ -45,6 +45,17 @@
     /// Closes the connections whose idle time has ended.
     void close_expired();
 
+    /// Notes that an answer of \a target stated the id of a request.
+    void note_stated_id(const decision::target_incarnation& target)
+    {
+        m_stated_ids_at[target] = m_clock.now();
+    }
+    /// Whether \a target has stated ids in its answers.
+    bool states_ids(const decision::target_incarnation& target) const
+    {
+        return m_stated_ids_at.contains(target);
+    }
+
     /// The memory for the bodies of all answers that are being received.
     const body_memory& bodies() const { return m_bodies; }
 
@@ -55,6 +66,8 @@
     std::unordered_map<decision::target_incarnation,
                        std::vector<connection_ptr>>
         m_idle;
+    /// When each target last stated an id.
+    std::unordered_map<decision::target_incarnation, instant> m_stated_ids_at;
 };
 
 } // namespace mangofold::serving
