Stage calls: an answer that can't be read ends its connection

After an answer that could not be parsed, or that had another number of results than the call had pieces, the connection went back to the pool, and what the target still sent on it counted as the answer to the next call.

--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -222,21 +222,7 @@
     {
         queue.planner.note_call_answered(plan, now - started_at, now);
         record_target_alive(m_context, plan.target, sent_call->opened_at());
-        try
-        {
-            handle_results(
-                queue, plan,
-                m_context.protocol.parse_piece_results(sent_call->take_body()));
-        }
-        catch (const invalid_message& fault)
-        {
-            runtime::event("call_unreadable")
-                .with("target", plan.target.id)
-                .with("fault", fault.what())
-                .warn();
-            handle_lost_call(queue, plan);
-        }
-        sent_call->release_connection();
+        handle_answer(queue, plan, *sent_call);
     }
     else
     {
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -137,6 +137,8 @@
                                           duration after);
     duration fetch_time(const service_queue& queue,
                         const decision::planned_call& plan) const;
+    void handle_answer(service_queue& queue, const decision::planned_call& plan,
+                       target_call& call);
     void handle_results(service_queue& queue,
                         const decision::planned_call& plan,
                         const std::vector<piece_result>& results);
--- a/packages/serving/piece_batcher_results.cpp
+++ b/packages/serving/piece_batcher_results.cpp
@@ -15,16 +15,36 @@
 
 } // namespace
 
+// An answer that can't be used casts doubt on all that the connection brings.
+void piece_batcher::handle_answer(service_queue& queue,
+                                  const decision::planned_call& plan,
+                                  target_call& call)
+{
+    try
+    {
+        const auto results =
+            m_context.protocol.parse_piece_results(call.take_body());
+        if (results.size() != plan.pieces.size())
+            throw invalid_message("wrong number of results");
+        handle_results(queue, plan, results);
+        call.release_connection();
+    }
+    catch (const invalid_message& fault)
+    {
+        runtime::event("call_unreadable")
+            .with("target", plan.target.id)
+            .with("fault", fault.what())
+            .warn();
+        call.abort();
+        handle_lost_call(queue, plan);
+    }
+}
+
 void piece_batcher::handle_results(service_queue& queue,
                                    const decision::planned_call& plan,
                                    const std::vector<piece_result>& results)
 {
     const instant now = m_context.now();
-    if (results.size() != plan.pieces.size())
-    {
-        handle_lost_call(queue, plan);
-        return;
-    }
     for (std::size_t index = 0; index < results.size(); ++index)
     {
         const decision::piece_ref& ref = plan.pieces[index];
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -125,6 +125,8 @@
         {
             const std::size_t end = std::min(body.find('\n'), body.size());
             const std::string line(body.substr(0, end));
+            if (line == "unreadable")
+                throw serving::invalid_message("no result");
             body.remove_prefix(std::min(end + 1, body.size()));
             using status_code = serving::piece_result::status_code;
             if (line == "gone")
