Stage calls: calls and releases carry an id of their own

Calls of pieces and releases of results carried no id, so that on a kept connection any answer counted as the present one's, among them a late second answer to the call or the release before. The number of items was the only check.

Each call and each release now carries an id and its answer is matched by it, as that of a caller's request.

--- a/packages/serving/dialect.hpp
+++ b/packages/serving/dialect.hpp
@@ -42,9 +42,10 @@
     /// Returns the headers that mark a response as one to the request \a id.
     virtual http_fields request_id_fields(const std::string& id) const = 0;
 
-    /// Returns the request that has the target \a target_id execute \a pieces.
+    /// Returns the request \a id that has the target \a target_id execute
+    /// \a pieces.
     virtual http_request
-    make_pieces_request(const std::string& target_id,
+    make_pieces_request(const std::string& id, const std::string& target_id,
                         const std::vector<piece_task>& pieces) const = 0;
 
     /// Returns the results in the \a body of the response to a request of
@@ -53,9 +54,11 @@
     virtual std::vector<piece_result>
     parse_piece_results(std::string_view body) const = 0;
 
-    /// Returns the request that has a target delete the results \a handles.
+    /// Returns the request \a id that has a target delete the results
+    /// \a handles.
     virtual http_request
-    make_release_request(const std::vector<std::string>& handles) const = 0;
+    make_release_request(const std::string& id,
+                         const std::vector<std::string>& handles) const = 0;
 
     /// Returns the address of the target that produced the result \a handle,
     /// "IP:port".
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -20,6 +20,7 @@
 #include "decision/zone_evacuations.hpp"
 #include "runtime/clock.hpp"
 #include "runtime/metrics.hpp"
+#include "serving/call_ids.hpp"
 #include "serving/dialect.hpp"
 #include "serving/job_executor.hpp"
 #include "serving/node_settings.hpp"
@@ -50,8 +51,8 @@
                   node_settings initial_settings, std::uint64_t seed)
         : loop(event_loop), time(process_clock), protocol(target_protocol),
           settings(std::move(initial_settings)), request_limits(seed + 2),
-          connection_pool(event_loop, process_clock), target_health(seed),
-          random(seed + 1)
+          connection_pool(event_loop, process_clock), call_ids(seed),
+          target_health(seed), random(seed + 1)
     {
         request_limits.set_position_source([this](const std::string& target)
                                            { return position_for(target); });
@@ -131,6 +132,7 @@
     /// the requested service.
     instant startup_wait_end{};
     target_connection_pool connection_pool; ///< Idle target connections.
+    serving::call_ids call_ids;             ///< Of this process's own calls.
     decision::target_health target_health;
     decision::engine_selector engines;
     decision::input_release input_release; ///< By the engines' statements.
--- a/packages/serving/piece_batcher_targets.cpp
+++ b/packages/serving/piece_batcher_targets.cpp
@@ -109,8 +109,9 @@
         sent_call->set_send_check(
             [this, producer]
             { return m_context.directory.find(producer) != nullptr; });
+        const std::string call_id = m_context.call_ids.next();
         auto state = co_await sent_call->send_request(
-            m_context.protocol.make_release_request(handles), {},
+            m_context.protocol.make_release_request(call_id, handles), call_id,
             release_timeout);
         if (state == target_call::outcome::ok)
             record_target_statements(m_context, *sent_call, now);
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -193,7 +193,11 @@
 {
     const platform::request_dialect dialect;
     const auto call = dialect.make_pieces_request(
-        "i-9", {{"r1", 0, 2, 900ms, "key", {}}, {"r2", 2, 0, 1s, "", {"a/b"}}});
+        "c1", "i-9",
+        {{"r1", 0, 2, 900ms, "key", {}}, {"r2", 2, 0, 1s, "", {"a/b"}}});
+    CHECK(call["X-Mangofold-Request-Id"] == "c1");
+    CHECK(dialect.make_release_request(
+              "c2", {"a/b"})["X-Mangofold-Request-Id"] == "c2");
     CHECK(call.body() ==
           R"({"items":[{"id":"r1","key":"key","left_ms":900,"piece":2,)"
           R"("stage":0},{"id":"r2","inputs":["a/b"],"left_ms":1000,)"
--- a/tests/serving/matched_answers_test.cpp
+++ b/tests/serving/matched_answers_test.cpp
@@ -1,7 +1,10 @@
+#include "serving/call_ids.hpp"
 #include "support/serving_fixture.hpp"
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 using namespace mangofold;
 using namespace mangofold::test;
 using namespace std::chrono_literals;
@@ -93,8 +96,53 @@
     std::vector<std::string> last_handles;
 };
 
+/// Answers requests; a copy of the answer to the request before comes ahead of
+/// the answer to each request that \a is_doubled chooses.
+scripted_target::script
+repeating_script(std::function<bool(std::size_t)> is_doubled)
+{
+    return [before = std::string(), is_doubled](const std::string& request,
+                                                std::size_t number) mutable
+    {
+        const std::string own = answer_to(request);
+        const std::string first = is_doubled(number) ? before : std::string();
+        before = own;
+        scripted_target::response reply{first, end::keep};
+        reply.repeated = own;
+        reply.repeats = 1;
+        reply.interval = 200ms;
+        return reply;
+    };
+}
+
 } // namespace
 
+// Guards against results of one call that are taken for those of the next.
+TEST_CASE("a second answer to a call is not taken for the next call's answer")
+{
+    calling_entry entry(
+        repeating_script([](std::size_t number) { return number > 0; }));
+    for (int job = 0; job < 4; ++job)
+        CHECK(entry.is_served_own_results());
+    CHECK(entry.target.requests().size() == 4);
+    CHECK(entry.target.connections() == 1);
+}
+
+// Guards against results of others after a release was answered twice: its
+// second answer is unreadable as that of a call, whose own is still to come.
+TEST_CASE("a second answer to a release is not taken for a call's answer")
+{
+    calling_entry entry(
+        repeating_script([](std::size_t number) { return number == 2; }));
+    CHECK(entry.is_served_own_results());
+    entry.release_results();
+    entry.advance(300ms);
+    REQUIRE(entry.target.requests().size() == 2);
+    for (int job = 0; job < 3; ++job)
+        CHECK(entry.is_served_own_results());
+    CHECK(entry.target.requests().size() == 5);
+}
+
 // Guards against the next call getting what a target still sends after an
 // answer that could not be used.
 TEST_CASE("after an answer that can't be read a connection is closed")
@@ -115,6 +163,51 @@
     }
 }
 
+// Guards against a late answer without an id, of a target that sends ids, that
+// is taken for the present one.
+TEST_CASE("once a target has sent ids an answer without one is refused")
+{
+    calling_entry entry(
+        [](const std::string& request, std::size_t number)
+        {
+            return scripted_target::response{
+                answer_to(number == 1 ? "POST /make\r\n\r\nr1.0.0\n" : request,
+                          number != 1),
+                end::keep};
+        });
+    CHECK(entry.is_served_own_results());
+    CHECK(entry.is_served_own_results());
+    CHECK(entry.target.requests().size() == 3);
+    CHECK(entry.target.connections() == 2);
+}
+
+// Guards against callers that lose targets which never repeat ids.
+TEST_CASE("targets that send no ids are served on kept connections")
+{
+    calling_entry entry(
+        [](const std::string& request, std::size_t) {
+            return scripted_target::response{answer_to(request, false),
+                                             end::keep};
+        });
+    for (int job = 0; job < 3; ++job)
+        CHECK(entry.is_served_own_results());
+    CHECK(entry.target.connections() == 1);
+}
+
+// Guards against a call whose answer is mistaken since an entry with the same
+// target, or the one before a restart, used the same id.
+TEST_CASE("no two calls of any entry have the same id")
+{
+    serving::call_ids first(7);
+    serving::call_ids restarted(8);
+    std::set<std::string> ids;
+    for (int call = 0; call < 20; ++call)
+    {
+        CHECK(ids.insert(first.next()).second);
+        CHECK(ids.insert(restarted.next()).second);
+    }
+}
+
 // Guards against a caller that gets the answer of another one, as it has no id.
 TEST_CASE("no answer without an id is passed on once its target has sent ids")
 {
@@ -134,3 +227,39 @@
     CHECK(target.requests().size() == 2);
     CHECK(target.connections() == 1);
 }
+
+// Guards against an entry that opens connections in series, or calls again what
+// was done, when a target answers 3 in 100 calls twice.
+TEST_CASE("a late second answer costs a connection only if that was idle")
+{
+    constexpr std::size_t calls = 200;
+    constexpr std::size_t period = 33;
+    calling_entry entry(
+        [&](const std::string& request, std::size_t number)
+        {
+            scripted_target::response reply{answer_to(request), end::keep};
+            if (number % period != period - 1)
+                return reply;
+            reply.repeated = reply.bytes;
+            reply.repeats = 1;
+            reply.interval = 50ms;
+            return reply;
+        });
+    std::size_t served = 0;
+    std::size_t idle = 0;
+    for (std::size_t call = 0; call < calls; ++call)
+    {
+        served += entry.is_served_own_results();
+        const bool is_doubled = call % period == period - 1;
+        if (!is_doubled || call / period % 2 > 0)
+            continue;
+        ++idle;
+        entry.time.advance(60ms);
+        entry.settle();
+    }
+    MESSAGE("connections: ", entry.target.connections(), ", served: ", served,
+            ", calls: ", entry.target.requests().size());
+    CHECK(served == calls);
+    CHECK(entry.target.requests().size() == calls);
+    CHECK(entry.target.connections() == 1 + idle);
+}
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -101,10 +101,11 @@
     }
 
     serving::http_request make_pieces_request(
-        const std::string&,
+        const std::string& id, const std::string&,
         const std::vector<serving::piece_task>& pieces) const override
     {
         serving::http_request call{serving::http::verb::post, "/make", 11};
+        call.set("Id", id);
         for (const auto& piece : pieces)
         {
             call.body() += piece.request_id + "." +
@@ -140,9 +141,11 @@
     }
 
     serving::http_request
-    make_release_request(const std::vector<std::string>& handles) const override
+    make_release_request(const std::string& id,
+                         const std::vector<std::string>& handles) const override
     {
         serving::http_request call{serving::http::verb::post, "/let-go", 11};
+        call.set("Id", id);
         for (const auto& handle : handles)
             call.body() += handle + "\n";
         return call;
