--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -197,13 +197,14 @@
     sent_call->set_send_check(
         [this, id = plan.target]
         { return m_context.directory.find(id) != nullptr; });
+    const std::string call_id = m_context.call_ids.next();
     const http_request request = m_context.protocol.make_pieces_request(
-        plan.target.id, piece_tasks(queue, plan));
+        call_id, plan.target.id, piece_tasks(queue, plan));
     const duration timeout =
         plan.expected_time * timeout_factor + timeout_margin;
     spawn(m_context.loop,
           report_fetched_inputs(service, plan, fetch_time(queue, plan)));
-    auto state = co_await sent_call->send_request(request, {}, timeout);
+    auto state = co_await sent_call->send_request(request, call_id, timeout);
     const bool is_full =
         state == target_call::outcome::ok && sent_call->metadata().has_not_run;
     // A target that refuses a call ahead is busy with the current one. The
@@ -222,21 +223,7 @@
     {
         queue.planner.note_call_answered(plan, now - started_at, now);
         record_target_alive(m_context, plan.target, sent_call->opened_at());
-        try
-        {
-            handle_results(
-                queue, plan,
-                m_context.protocol.parse_piece_results(sent_call->take_body()));
-        }
-        catch (const invalid_message& fault)
-        {
-            runtime::event("call_unreadable")
-                .with("target", plan.target.id)
-                .with("fault", fault.what())
-                .warn();
-            handle_lost_call(queue, plan);
-        }
-        sent_call->release_connection();
+        handle_answer(queue, plan, *sent_call);
     }
     else
     {
