Platform: an item that names nothing hides no other item of a page

An item without a key or revision, or a key that is no UTF-8, made the whole page unreadable, and the entry asked for it again for ever: after a restart it did not follow the store any more. A negative revision was worse: it became the largest one, after which no watch brings a change.

Such items are skipped and counted; bytes and escapes that JSON does not permit are replaced by spaces before a page is parsed a second time.

--- a/packages/serving/source.hpp
+++ b/packages/serving/source.hpp
@@ -52,9 +52,10 @@
 struct source_page
 {
     std::vector<source_change> changes;
-    bool has_more = false;      ///< Whether more pages follow.
-    std::string last_key;       ///< Where the next page continues.
-    std::uint64_t revision = 0; ///< Of the source at the time of the answer.
+    bool has_more = false;         ///< Whether more pages follow.
+    std::string last_key;          ///< Where the next page continues.
+    std::uint64_t revision = 0;    ///< Of the source at the time of the answer.
+    std::size_t skipped_items = 0; ///< That name nothing.
 
     friend bool operator==(const source_page&, const source_page&) = default;
 };
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -176,6 +176,7 @@
     if (!body || status != ok)
         co_return false;
     const source_page page = m_dialect.parse_declarations(*body);
+    report_skipped_items(page);
     if (m_list.zones.complete_as_of == 0)
         m_list.zones.complete_as_of = page.revision;
     for (const source_change& change : page.changes)
@@ -210,6 +211,7 @@
     if (!body || status != ok)
         co_return false;
     const source_page page = m_dialect.parse_targets(*body);
+    report_skipped_items(page);
     // The pages are not a consistent snapshot: the watch starts at the revision
     // of the first page and repeats the changes since.
     if (m_list.pages == 0)
--- a/packages/serving/source_reader.hpp
+++ b/packages/serving/source_reader.hpp
@@ -58,6 +58,7 @@
     void apply_full_list();
     awaitable<bool> watch();
     void apply(const source_page& page);
+    void report_skipped_items(const source_page& page);
     void report_unknown_service(const source_change& change);
     void report_unreadable(const source_change& change);
     void report_removal(const std::string& id, std::uint64_t revision,
--- a/packages/serving/source_reader_changes.cpp
+++ b/packages/serving/source_reader_changes.cpp
@@ -8,6 +8,7 @@
 void source_reader::apply(const source_page& page)
 {
     const instant now = m_context.now();
+    report_skipped_items(page);
     for (const source_change& change : page.changes)
     {
         switch (change.kind)
@@ -46,6 +47,17 @@
     }
 }
 
+void source_reader::report_skipped_items(const source_page& page)
+{
+    if (page.skipped_items == 0)
+        return;
+    m_context.metrics.count({"source_items_skipped", {}}) += page.skipped_items;
+    runtime::event("source_items_skipped")
+        .with("items", page.skipped_items)
+        .with("revision", page.revision)
+        .warn();
+}
+
 // No route uses the target's service now. The target stays in the list, as the
 // next catalog can define the service.
 void source_reader::report_unknown_service(const source_change& change)
--- a/tests/platform/store_pages_test.cpp
+++ b/tests/platform/store_pages_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <nlohmann/json.hpp>
+
 #include <charconv>
 
 using namespace mangofold;
@@ -75,3 +77,84 @@
             RC_ASSERT(decoded(sent) == last_key);
         }));
 }
+
+namespace
+{
+
+/// Generates items of a page that name nothing.
+rc::Gen<std::string> foreign_item()
+{
+    return rc::gen::element<std::string>(
+        "3", "null", "[]", "{}", R"({"rev":1})", R"({"key":3,"rev":1})",
+        R"({"key":"servers/x","rev":-1})", R"({"key":"servers/x","rev":"1"})",
+        R"({"key":"op/config","value":3,"rev":1})",
+        R"({"key":"op/evacuate/","rev":[]})",
+        R"({"key":"servers/x","rev":1,"removed":"no"})");
+}
+
+/// Generates ends of keys that JSON can't hold, as a writer of JSON that does
+/// not check them prints them.
+rc::Gen<std::string> unsound_text()
+{
+    return rc::gen::container<std::string>(rc::gen::oneOf(
+        rc::gen::elementOf(std::string("\x80\xbf\xc3\xe2\xf0\xff\n\t\x01")),
+        rc::gen::just('a')));
+}
+
+/// Returns a page of \a items and the readable target i-1.
+std::string page_of(const std::vector<std::string>& items)
+{
+    std::string text = R"({"items":[)";
+    for (const std::string& item : items)
+        text += item + ",";
+    return text + R"({"key":"servers/i-1","value":"e30=","rev":7}],)"
+                  R"("more_pages":true,"current_rev":9})";
+}
+
+void check_sound_item(const serving::source_page& page)
+{
+    RC_ASSERT(page.has_more);
+    RC_ASSERT(page.revision == 9U);
+    RC_ASSERT(page.last_key == "servers/i-1");
+    RC_ASSERT(!page.changes.empty());
+    RC_ASSERT(page.changes.back().target.incarnation.id == "i-1");
+}
+
+} // namespace
+
+// Guards against an entry that reads a page again for ever because one item in
+// it is not as the store describes items.
+TEST_CASE("items that name nothing are skipped and counted")
+{
+    const platform::store_dialect store;
+    CHECK(rc::check(
+        [&]
+        {
+            const auto items =
+                *rc::gen::container<std::vector<std::string>>(foreign_item());
+            const auto page = store.parse_targets(page_of(items));
+            check_sound_item(page);
+            RC_ASSERT(page.skipped_items == items.size());
+            RC_ASSERT(page.changes.size() == 1U);
+        }));
+}
+
+// Guards against the same because of a key that is no UTF-8.
+TEST_CASE("a key that JSON can't hold affects no other item")
+{
+    const platform::store_dialect store;
+    CHECK(rc::check(
+        [&]
+        {
+            const std::string end = *unsound_text();
+            check_sound_item(store.parse_targets(
+                page_of({R"({"key":"servers/h)" + end + R"(","rev":3})"})));
+        }));
+    for (const char* escape : {"\\udcff", "\\ud800", "\\ud800\\u0041"})
+        CHECK_NOTHROW(store.parse_targets(page_of(
+            {R"({"key":"servers/h)" + std::string(escape) + R"(","rev":3})"})));
+    const auto page = store.parse_targets(
+        "{\"items\":[{\"key\":\"a\\ud83d\\ude00\\\\udcff\xff\",\"rev\":1}],"
+        "\"current_rev\":9}");
+    CHECK(page.last_key == "a\xf0\x9f\x98\x80\\udcff ");
+}
