Serving: bodies of requests draw from one account of the process's memory

Cause: memory_bytes was read and used nowhere. A body was read whole before anything was decided, copied into the forwarded request and once more into the bytes to send.

decision/admission/memory_account shares two thirds of memory_bytes among the bodies of requests and answers; a quarter of that is for answers only. An announced length is taken as a whole before the body is read, so bodies that were begun never wait for each other; chunks take memory as they arrive and are refused if there is none. What doesn't fit waits, the most urgent and then the shortest first, for half a second or a sixth of the caller's time at most, with reading paused; then it is refused with 503 `memory_full`. Too many that wait: the least urgent is refused at once. Bodies above 64 KB, and all that would wait, are judged by their head first (headers, route, key). The rest of a refused body is read and dropped before the close. The body is held once: the exchange and the connection share it, head and body are two buffers. Answers are counted in the same account. Without a limit nothing waits and answers keep their limit of 64 MB.

The test in test_body_memory failed before: 40 callers with 4 MB each took 160 MB in a process that may have 64 MB.

--- a/packages/serving/body_memory.hpp
+++ b/packages/serving/body_memory.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "decision/admission/memory_account.hpp"
+
 #include <algorithm>
 #include <cstddef>
 #include <memory>
@@ -7,22 +9,30 @@
 namespace mangofold::serving
 {
 
-/// Limits the memory that the bodies of all answers take together, so that many
-/// targets that send bodies without end can't use up the memory of a process.
+/// The memory that the bodies of all requests and answers take together, so
+/// that neither callers nor targets can use up the memory of a process.
 class body_memory
 {
 public:
-    /// Bytes that each body may have whatever the others take.
+    /// Bytes that each answer may have whatever the others take.
     static constexpr std::size_t assured_bytes = 256U << 10U;
 
-    /// Bytes beyond the assured ones that all bodies may have together.
-    static constexpr std::size_t shared_bytes = 64U << 20U;
+    using account_ptr = std::shared_ptr<decision::memory_account>;
+
+    explicit body_memory(std::size_t process_bytes = 0)
+        : m_account(std::make_shared<decision::memory_account>(process_bytes))
+    {
+    }
+
+    decision::memory_account& account() const { return *m_account; }
 
-    /// The bytes that one body takes. Gives them back at its end.
+    /// The bytes that the body of one answer takes. Gives them back at its end.
     class share
     {
     public:
-        explicit share(const body_memory& memory) : m_taken(memory.m_taken) {}
+        explicit share(const body_memory& memory) : m_account(memory.m_account)
+        {
+        }
         ~share() { resize(0); }
         share(const share&) = delete;
         share& operator=(const share&) = delete;
@@ -31,21 +41,70 @@
         /// change, if there is no room for it.
         bool resize(std::size_t bytes)
         {
-            const std::size_t needed = bytes - std::min(bytes, assured_bytes);
-            if (*m_taken - m_own + needed > shared_bytes && needed > m_own)
+            if (!m_account->resize_answer(m_own, bytes, beyond_assured(m_own),
+                                          beyond_assured(bytes)))
+                return false;
+            m_own = bytes;
+            return true;
+        }
+
+    private:
+        static std::size_t beyond_assured(std::size_t bytes)
+        {
+            return bytes - std::min(bytes, assured_bytes);
+        }
+
+        account_ptr m_account; ///< Outlives the process's end.
+        std::size_t m_own = 0;
+    };
+
+    /// The bytes that the body of one request has been granted. Gives them back
+    /// at its end.
+    class request_share
+    {
+    public:
+        explicit request_share(const body_memory& memory)
+            : m_account(memory.m_account)
+        {
+        }
+        ~request_share()
+        {
+            if (m_own > 0)
+                m_account->give_back(m_own);
+        }
+        request_share(const request_share&) = delete;
+        request_share& operator=(const request_share&) = delete;
+
+        std::size_t size() const { return m_own; }
+
+        /// Notes that the account has granted \a bytes.
+        void add_granted(std::size_t bytes) { m_own += bytes; }
+
+        /// Whether there is room for the share to grow to \a bytes.
+        bool fits(std::size_t bytes) const
+        {
+            return bytes <= m_own || m_account->fits_request(bytes - m_own);
+        }
+
+        /// Takes more bytes, so that there are \a bytes at least. Returns
+        /// whether there is room.
+        bool grow_to(std::size_t bytes)
+        {
+            if (bytes <= m_own)
+                return true;
+            if (!m_account->grow_request(bytes - m_own))
                 return false;
-            *m_taken += needed - m_own;
-            m_own = needed;
+            m_own = bytes;
             return true;
         }
 
     private:
-        std::shared_ptr<std::size_t> m_taken; ///< Outlives the process's end.
+        account_ptr m_account; ///< Outlives the process's end.
         std::size_t m_own = 0;
     };
 
 private:
-    std::shared_ptr<std::size_t> m_taken = std::make_shared<std::size_t>(0);
+    account_ptr m_account;
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -53,7 +53,8 @@
 caller_session::caller_session(asio::io_context& loop, tcp::socket socket,
                                request_handler& handler)
     : m_loop(loop), m_socket(std::move(socket)), m_write_timer(loop),
-      m_handler(handler), m_data_received(loop), m_space_available(loop)
+      m_handler(handler), m_data_received(loop), m_space_available(loop),
+      m_room_decided(loop)
 {
 }
 
@@ -71,7 +72,8 @@
         if (!has_request)
             break;
         m_is_handling = true;
-        co_await m_handler.handle(self, std::move(m_request));
+        co_await m_handler.handle(self, std::move(m_request),
+                                  std::exchange(m_body, nullptr));
         m_is_handling = false;
         m_on_disconnect = nullptr;
         m_on_shutdown = nullptr;
@@ -79,6 +81,8 @@
         m_closes_after_response = !stays_open();
     }
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    if (m_discards)
+        co_await discard_rest();
     m_socket.close(ignored);
     m_space_available.set();
 }
@@ -96,9 +100,12 @@
             co_await handle_read_end(fault == asio::error::eof);
             co_return;
         }
+        if (m_discards)
+            continue;
         m_received.append(m_chunk.data(), count);
         m_data_received.set();
-        while (m_received.size() > max_read_ahead && m_socket.is_open())
+        while ((m_received.size() > max_read_ahead || m_is_waiting_for_room) &&
+               m_socket.is_open())
             co_await m_space_available.wait(std::chrono::seconds(1));
     }
 }
@@ -151,7 +158,7 @@
 
 unsigned caller_session::parse(request_parser& parser)
 {
-    while (!m_received.empty() && !parser.is_done())
+    while (!m_received.empty() && !parser.is_done() && !is_room_needed(parser))
     {
         error_code fault;
         const std::size_t consumed =
@@ -203,9 +210,9 @@
 {
     const catalog::caller_limits limits = m_handler.limits();
     request_parser parser;
-    parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
+    m_body = std::make_shared<request_body>(m_handler.bodies());
     bool has_sent_continue = false;
     for (;;)
     {
@@ -217,6 +224,13 @@
         }
         if (parser.is_done())
             break;
+        if (is_room_needed(parser))
+        {
+            const bool has_room = co_await make_room(parser);
+            if (!has_room)
+                co_return false;
+            continue;
+        }
         if (m_is_read_closed)
             co_return false;
         const bool expects_continue =
@@ -241,7 +255,8 @@
         co_return false;
     }
     m_has_part_of_request = false;
-    m_request = parser.release();
+    m_body->bytes = std::move(parser.get().body());
+    m_request = http_request(std::move(parser.get().base()));
     if (!m_request.keep_alive())
         m_closes_after_response = true;
     co_return true;
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -2,7 +2,8 @@
 
 #include "catalog/catalog.hpp"
 #include "serving/auto_reset_event.hpp"
-#include "serving/http.hpp"
+#include "serving/received_body.hpp"
+#include "serving/request_body.hpp"
 
 #include <array>
 #include <functional>
@@ -20,9 +21,22 @@
 public:
     virtual ~request_handler() = default;
 
-    /// Handles \a request and sends the response on \a session.
+    /// Handles \a request with \a body and sends the response on \a session.
     virtual awaitable<void> handle(std::shared_ptr<caller_session> session,
-                                   http_request request) = 0;
+                                   http_request request,
+                                   request_body_ptr body) = 0;
+
+    /// Judges a request by its \a head, before its body is read.
+    virtual body_terms judge_head(std::shared_ptr<caller_session> session,
+                                  const http_request& head) = 0;
+
+    /// Sends the refusal of a request whose body will not be read.
+    virtual awaitable<void>
+    refuse_unread(std::shared_ptr<caller_session> session,
+                  http_request head) = 0;
+
+    /// Returns the memory that requests' bodies are read into.
+    virtual const body_memory& bodies() const = 0;
 
     /// Returns the current limits on callers' requests and connections.
     virtual catalog::caller_limits limits() const = 0;
@@ -121,7 +135,7 @@
     }
 
 private:
-    using request_parser = http::request_parser<http::string_body>;
+    using request_parser = http::request_parser<received_body>;
 
     awaitable<void> receive();
     /// Handles the end of the caller's data: a close if \a is_orderly, else a
@@ -134,6 +148,15 @@
     /// Parses the received bytes. Returns the status to reject the request
     /// with, or 0.
     unsigned parse(request_parser& parser);
+    /// Takes memory for what the body needs next. Returns false if the request
+    /// was refused.
+    awaitable<bool> make_room(request_parser& parser);
+    awaitable<bool> wait_for_room(std::size_t bytes, const body_terms& terms);
+    bool is_room_needed(request_parser& parser) const;
+    std::size_t room_needed(request_parser& parser) const;
+    awaitable<void> refuse_unread(http_request head);
+    /// Reads and drops what the caller still sends, for a limited time.
+    awaitable<void> discard_rest();
     awaitable<void> reject(unsigned status);
 
     asio::io_context& m_loop;
@@ -142,9 +165,13 @@
     request_handler& m_handler;
     auto_reset_event m_data_received;
     auto_reset_event m_space_available;
+    auto_reset_event m_room_decided;
     std::string m_received;
     std::array<char, 4096> m_chunk{};
     http_request m_request;
+    std::shared_ptr<request_body> m_body; ///< Of the request being read.
+    bool m_is_waiting_for_room = false;
+    bool m_discards = false; ///< Drops all bytes that arrive.
     std::function<void()> m_on_disconnect;
     std::function<void()> m_on_shutdown;
     std::function<void()> m_on_exit;
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -50,8 +50,9 @@
                   node_settings initial_settings, std::uint64_t seed)
         : loop(event_loop), time(process_clock), protocol(target_protocol),
           settings(std::move(initial_settings)), request_limits(seed + 2),
-          connection_pool(event_loop, process_clock), target_health(seed),
-          random(seed + 1)
+          bodies(settings.memory_bytes),
+          connection_pool(event_loop, process_clock, bodies),
+          target_health(seed), random(seed + 1)
     {
         request_limits.set_position_source([this](const std::string& target)
                                            { return position_for(target); });
@@ -130,6 +131,7 @@
     /// this process has not read yet: the first catalog and a first target of
     /// the requested service.
     instant startup_wait_end{};
+    body_memory bodies; ///< Of the callers' requests and their answers.
     target_connection_pool connection_pool; ///< Idle target connections.
     decision::target_health target_health;
     decision::engine_selector engines;
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -20,9 +20,11 @@
 
 exchange::exchange(entry_context& context,
                    std::shared_ptr<caller_session> session,
-                   http_request request)
+                   http_request request, request_body_ptr body)
     : m_context(context), m_session(std::move(session)),
-      m_request(std::move(request)), m_started_at(context.now())
+      m_request(std::move(request)), m_body(std::move(body)),
+      m_started_at(context.now() -
+                   (m_body ? m_body->time_waited : duration::zero()))
 {
 }
 
@@ -82,7 +84,7 @@
         m_content_digest = decision::digest_of(decision::request_content{
             m_account == nullptr ? std::string_view() : m_account->name,
             view(m_request.method_string()), m_metadata.host,
-            view(m_request.target()), m_request.body()});
+            view(m_request.target()), m_body->bytes});
     return *m_content_digest;
 }
 
@@ -270,7 +272,6 @@
                                             forwarding_metadata_for(*target));
     forwarded_request.method_string(m_request.method_string());
     forwarded_request.target(m_request.target());
-    forwarded_request.body() = m_request.body();
     record_attempt_start(id);
     schedule_early_release(id);
     const instant sent_at = m_context.now();
@@ -278,8 +279,9 @@
     if (!is_retry)
         m_context.times_by_route[m_route->name].time_to_send.add(sent_at -
                                                                  m_started_at);
-    const auto send_result = co_await m_call->send_request(
-        forwarded_request, m_metadata.id, attempt_timeout());
+    const auto send_result =
+        co_await m_call->send_request(forwarded_request, m_metadata.id,
+                                      attempt_timeout(), shared_bytes(m_body));
     if (send_result == target_call::outcome::ok)
     {
         record_target_alive(m_context, id, m_call->opened_at());
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -51,7 +51,8 @@
     overloaded,
     stream_unknown,
     version_gone,
-    part_quarantined
+    part_quarantined,
+    memory_full
 };
 
 /// Returns the name of \a value that answers, metrics and logs show.
@@ -64,7 +65,7 @@
 {
 public:
     exchange(entry_context& context, std::shared_ptr<caller_session> session,
-             http_request request);
+             http_request request, request_body_ptr body);
 
     ~exchange();
     exchange(const exchange&) = delete;
@@ -74,6 +75,13 @@
     /// disconnected.
     awaitable<void> run();
 
+    /// Judges the request by its head alone.
+    body_terms judge_head();
+
+    /// Refuses the request, whose body is not read: for what its head says, or
+    /// else because no memory is left for its body.
+    awaitable<void> refuse_unread();
+
 private:
     enum class attempt_outcome : std::uint8_t
     {
@@ -89,6 +97,8 @@
     awaitable<void> wait_during_startup(std::function<bool()> is_available);
     awaitable<void> wait_poll_interval();
     bool admit();
+    /// Admits the request as far as its head says.
+    bool admit_head();
     void apply_budget();
     bool is_declined_while_draining();
     void log_admission_while_draining(
@@ -243,7 +253,8 @@
 
     entry_context& m_context;
     std::shared_ptr<caller_session> m_session;
-    http_request m_request;
+    http_request m_request;  ///< Without its body.
+    request_body_ptr m_body; ///< Null if it is not read.
     request_metadata m_metadata;
     mutable std::optional<decision::digest> m_content_digest;
     mutable std::optional<decision::request_suspects> m_suspects;
--- a/packages/serving/exchange_admission.cpp
+++ b/packages/serving/exchange_admission.cpp
@@ -48,7 +48,7 @@
     co_await timer.async_wait(store_error_in(ignored));
 }
 
-bool exchange::admit()
+bool exchange::admit_head()
 {
     try
     {
@@ -85,6 +85,13 @@
             return false;
         }
     }
+    return true;
+}
+
+bool exchange::admit()
+{
+    if (!admit_head())
+        return false;
     apply_budget();
     if (is_declined_while_draining())
     {
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -16,13 +16,14 @@
 /// Callers follow a delay of at most a third of it.
 constexpr double retry_after_share = 0.3;
 
-constexpr std::array<std::string_view, 24> refusal_names{
+constexpr std::array<std::string_view, 25> refusal_names{
     "none",          "malformed",      "no_catalog",      "no_route",
     "unknown_key",   "no_target",      "targets_full",    "too_late",
     "stages_late",   "stages_failed",  "retries_spent",   "target_lost",
     "target_silent", "answer_spoiled", "stopping",        "quarantined",
     "evacuated",     "targets_cold",   "targets_limited", "targets_resting",
-    "overloaded",    "stream_unknown", "version_gone",    "part_quarantined"};
+    "overloaded",    "stream_unknown", "version_gone",    "part_quarantined",
+    "memory_full"};
 
 } // namespace
 
--- a/packages/serving/http.cpp
+++ b/packages/serving/http.cpp
@@ -29,10 +29,18 @@
 } // namespace
 
 std::string serialize(const http_request& request, const std::string& host)
+{
+    std::string out = serialize_head(request, host, request.body().size());
+    append(out, request.body());
+    return out;
+}
+
+std::string serialize_head(const http_request& request, const std::string& host,
+                           std::size_t body_bytes)
 {
     std::string out;
     constexpr std::size_t typical_head_size = 1024;
-    out.reserve(typical_head_size + request.body().size());
+    out.reserve(typical_head_size);
     append(out, view(request.method_string()));
     append(out, " ");
     append(out, view(request.target()));
@@ -40,15 +48,13 @@
     append_fields(out, request);
     if (request.count(http::field::host) == 0)
         append(out, "Host: " + host + "\r\n");
-    const bool has_body = !request.body().empty() ||
+    const bool has_body = body_bytes > 0 ||
                           request.method() == http::verb::post ||
                           request.method() == http::verb::put ||
                           request.method() == http::verb::patch;
     if (has_body)
-        append(out, "Content-Length: " + std::to_string(request.body().size()) +
-                        "\r\n");
+        append(out, "Content-Length: " + std::to_string(body_bytes) + "\r\n");
     append(out, "\r\n");
-    append(out, request.body());
     return out;
 }
 
--- a/packages/serving/http.hpp
+++ b/packages/serving/http.hpp
@@ -30,6 +30,11 @@
 /// body. \a host becomes the Host header if the request has none.
 std::string serialize(const http_request& request, const std::string& host);
 
+/// Returns the bytes of the head of \a request, whose body of \a body_bytes
+/// follows separately.
+std::string serialize_head(const http_request& request, const std::string& host,
+                           std::size_t body_bytes);
+
 /// Returns the bytes of a response's status line and header \a fields.
 std::string serialize_head(unsigned status, const http_fields& fields);
 
--- a/packages/serving/received_body.hpp
+++ b/packages/serving/received_body.hpp
@@ -11,7 +11,8 @@
 {
 
 /// Body of a message that is being received, like http::string_body, but takes
-/// memory only for bytes that have arrived, not for an announced length.
+/// memory only for bytes that have arrived, not for an announced length. What
+/// was reserved in the body before stays there.
 struct received_body
 {
     using value_type = std::string;
--- a/packages/serving/request_server.cpp
+++ b/packages/serving/request_server.cpp
@@ -29,6 +29,12 @@
     context.loop_lag.note_timer_run(context.now());
 }
 
+// The sessions that wait for memory end with the event loop, in any order.
+request_server::~request_server()
+{
+    m_context.bodies.account().drop_waiting();
+}
+
 // Each request in progress has a connection to a target, and each other entry
 // one in each direction.
 decision::connection_admission::load request_server::load() const
@@ -99,13 +105,15 @@
 }
 
 awaitable<void> request_server::handle(std::shared_ptr<caller_session> session,
-                                       http_request request)
+                                       http_request request,
+                                       request_body_ptr body)
 {
     ++m_in_progress;
     std::exception_ptr fault;
     try
     {
-        exchange handling(m_context, std::move(session), std::move(request));
+        exchange handling(m_context, std::move(session), std::move(request),
+                          std::move(body));
         co_await handling.run();
     }
     catch (...)
@@ -117,6 +125,20 @@
         std::rethrow_exception(fault);
 }
 
+body_terms request_server::judge_head(std::shared_ptr<caller_session> session,
+                                      const http_request& head)
+{
+    return exchange(m_context, std::move(session), head, nullptr).judge_head();
+}
+
+awaitable<void>
+request_server::refuse_unread(std::shared_ptr<caller_session> session,
+                              http_request head)
+{
+    exchange handling(m_context, std::move(session), std::move(head), nullptr);
+    co_await handling.refuse_unread();
+}
+
 catalog::caller_limits request_server::limits() const
 {
     return m_context.catalog ? m_context.catalog->content().limits
--- a/packages/serving/request_server.hpp
+++ b/packages/serving/request_server.hpp
@@ -16,12 +16,21 @@
 {
 public:
     explicit request_server(entry_context& context);
+    ~request_server() override;
+    request_server(const request_server&) = delete;
+    request_server& operator=(const request_server&) = delete;
 
     /// Accepts connections until the event loop stops.
     awaitable<void> run();
 
     awaitable<void> handle(std::shared_ptr<caller_session> session,
-                           http_request request) override;
+                           http_request request,
+                           request_body_ptr body) override;
+    body_terms judge_head(std::shared_ptr<caller_session> session,
+                          const http_request& head) override;
+    awaitable<void> refuse_unread(std::shared_ptr<caller_session> session,
+                                  http_request head) override;
+    const body_memory& bodies() const override { return m_context.bodies; }
     catalog::caller_limits limits() const override;
     bool is_stopping() const override { return m_context.is_stopping(); }
     duration loop_lag() const override
--- a/packages/serving/settings_reloader.cpp
+++ b/packages/serving/settings_reloader.cpp
@@ -103,6 +103,8 @@
     if (!has_same_retry_limits(read, m_context.settings))
         m_context.retry_budgets.clear();
     m_context.settings = std::move(read);
+    m_context.bodies.account().set_process_bytes(
+        m_context.settings.memory_bytes);
     runtime::event("settings_taken")
         .with("why", trigger)
         .with("signals", signals)
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -42,7 +42,7 @@
 source_reader::source_reader(entry_context& context,
                              const source_dialect& dialect)
     : m_context(context), m_dialect(dialect),
-      m_connections(context.loop, context.time)
+      m_connections(context.loop, context.time, body_memory())
 {
 }
 
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -62,7 +62,8 @@
 
 awaitable<target_call::outcome>
 target_call::send_request(const http_request& request, std::string id,
-                          duration timeout)
+                          duration timeout,
+                          std::shared_ptr<const std::string> body)
 {
     const auto self = shared_from_this();
     const instant deadline = loop_clock::now() + timeout;
@@ -72,7 +73,11 @@
         co_return outcome::not_sent;
     if (m_may_send && !m_may_send())
         co_return outcome::not_sent;
-    m_connection->send(serialize(request, m_target.address.text()));
+    const std::string host = m_target.address.text();
+    if (body)
+        m_connection->send(serialize_head(request, host, body->size()), body);
+    else
+        m_connection->send(serialize(request, host));
     reset_parser();
     co_return co_await read_head(deadline);
 }
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -54,8 +54,10 @@
 
     /// Sends \a request and reads the head of its answer, both within
     /// \a timeout. Answers that carry an id other than \a id are skipped.
-    awaitable<outcome> send_request(const http_request& request, std::string id,
-                                    duration timeout);
+    /// \a body replaces the request's own, if there is one.
+    awaitable<outcome>
+    send_request(const http_request& request, std::string id, duration timeout,
+                 std::shared_ptr<const std::string> body = {});
 
     /// Reads more of the answer's body unless it is complete; waits at most
     /// \a timeout.
--- a/packages/serving/target_connection.cpp
+++ b/packages/serving/target_connection.cpp
@@ -57,17 +57,23 @@
     co_return finish_step(fault);
 }
 
-void target_connection::send(std::string bytes)
+void target_connection::send(std::string bytes,
+                             std::shared_ptr<const std::string> body)
 {
     m_to_send = std::move(bytes);
+    m_body_to_send = std::move(body);
     m_is_sending = true;
+    const std::array<asio::const_buffer, 2> buffers{
+        asio::buffer(m_to_send),
+        m_body_to_send ? asio::buffer(*m_body_to_send) : asio::const_buffer()};
     asio::async_write(
-        m_socket, asio::buffer(m_to_send),
+        m_socket, buffers,
         [self = shared_from_this()](const error_code& fault, std::size_t)
         {
             // The reader sees a failed write as a reset connection.
             self->m_is_sending = static_cast<bool>(fault);
             self->m_to_send.clear();
+            self->m_body_to_send.reset();
         });
 }
 
--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -29,9 +29,10 @@
     /// Connects to \a to within \a timeout.
     awaitable<outcome> open(const runtime::address& to, duration timeout);
 
-    /// Sends \a bytes in the background, so that the answer can be read before
-    /// the target has received all of a long body.
-    void send(std::string bytes);
+    /// Sends \a bytes and then \a body, if there is one, in the background, so
+    /// that the answer can be read before the target has received all of a long
+    /// body.
+    void send(std::string bytes, std::shared_ptr<const std::string> body = {});
 
     /// Whether all bytes were passed to the kernel.
     bool is_sent() const { return !m_is_sending; }
@@ -62,6 +63,7 @@
     bool m_is_timed_out = false;
     bool m_is_sending = false;
     std::string m_to_send;
+    std::shared_ptr<const std::string> m_body_to_send;
     std::string m_received;
     std::array<char, 4096> m_read_buffer{};
 };
--- a/packages/serving/target_connection_pool.hpp
+++ b/packages/serving/target_connection_pool.hpp
@@ -16,8 +16,9 @@
 class target_connection_pool
 {
 public:
-    target_connection_pool(asio::io_context& loop, const runtime::clock& time)
-        : m_loop(loop), m_clock(time)
+    target_connection_pool(asio::io_context& loop, const runtime::clock& time,
+                           body_memory bodies)
+        : m_loop(loop), m_clock(time), m_bodies(std::move(bodies))
     {
     }
 
@@ -45,7 +46,7 @@
     /// Closes the connections whose idle time has ended.
     void close_expired();
 
-    /// The memory for the bodies of all answers that are being received.
+    /// The memory for the bodies of answers that are being received.
     const body_memory& bodies() const { return m_bodies; }
 
 private:
--- a/tests/serving/endless_answers_memory_test.cpp
+++ b/tests/serving/endless_answers_memory_test.cpp
@@ -1,38 +1,14 @@
+#include "support/counted_memory.hpp"
 #include "support/endless_targets.hpp"
 
 #include <doctest/doctest.h>
 
-#include <malloc.h>
-
-#include <cstdlib>
-#include <new>
-
 using namespace mangofold::test;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-std::size_t allocated_bytes = 0;
-std::size_t peak_bytes = 0;
-
-void* allocate(std::size_t size)
-{
-    void* const memory = std::malloc(size);
-    if (memory == nullptr)
-        throw std::bad_alloc();
-    allocated_bytes += malloc_usable_size(memory);
-    peak_bytes = std::max(peak_bytes, allocated_bytes);
-    return memory;
-}
-
-void release(void* memory)
-{
-    if (memory != nullptr)
-        allocated_bytes -= malloc_usable_size(memory);
-    std::free(memory);
-}
-
 constexpr std::size_t mebibyte = 1U << 20U;
 constexpr int targets = 100;
 
@@ -48,8 +24,8 @@
                           repeated.empty() ? 0
                                            : 4 * mebibyte / repeated.size());
     entry.settle();
-    const std::size_t before = allocated_bytes;
-    peak_bytes = before;
+    const std::size_t before = allocated_bytes();
+    reset_peak();
     std::vector<std::shared_ptr<endless_targets::caller>> callers;
     for (int asked = 0; asked < targets; ++asked)
     {
@@ -60,7 +36,7 @@
     for (int step = 0; step < 1500; ++step)
         entry.loop.run_for(1ms);
     CHECK(entry.requests_received == targets);
-    return peak_bytes - before;
+    return peak_bytes() - before;
 }
 
 const std::string chunked =
@@ -69,21 +45,6 @@
 
 } // namespace
 
-void* operator new(std::size_t size)
-{
-    return allocate(size);
-}
-
-void operator delete(void* memory) noexcept
-{
-    release(memory);
-}
-
-void operator delete(void* memory, std::size_t) noexcept
-{
-    release(memory);
-}
-
 // Guards against an entry that runs out of memory when many targets send bytes
 // without end at once.
 TEST_CASE("answers without end of many targets take bounded memory")
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -66,7 +66,7 @@
 
 } // namespace
 
-serving_fixture::serving_fixture()
+serving_fixture::serving_fixture(std::size_t memory_bytes)
 {
     loop_clock::set_source(time, true);
     node_settings settings;
@@ -74,6 +74,7 @@
     settings.caller_address = {"127.0.0.1", 0};
     settings.retry_reserve = 100;
     settings.retry_share = 0.2;
+    settings.memory_bytes = memory_bytes;
     context = std::make_unique<entry_context>(loop, time, dialect, settings, 7);
     context->catalog = std::make_shared<catalog::catalog_index>(document());
     context->has_some_targets = true;
--- a/tests/support/serving_fixture.hpp
+++ b/tests/support/serving_fixture.hpp
@@ -18,7 +18,7 @@
 class serving_fixture : public serving::job_executor
 {
 public:
-    serving_fixture();
+    explicit serving_fixture(std::size_t memory_bytes = 0);
     ~serving_fixture() override;
 
     /// Adds a target of the service "plain", "events" or "pieces" that reacts
