--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -163,6 +163,11 @@
         m_context.metrics.set_gauge(
             {"targets_limited", {}},
             static_cast<double>(m_context.request_limits.size()));
+        const decision::memory_account& memory = m_context.bodies.account();
+        m_context.metrics.set_gauge({"body_bytes", {}},
+                                    static_cast<double>(memory.taken()));
+        m_context.metrics.set_gauge({"bodies_waiting", {}},
+                                    static_cast<double>(memory.waiting()));
         update_quarantine_metrics();
     }
 }
--- a/tests/serving/body_memory_test.cpp
+++ b/tests/serving/body_memory_test.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t memory_bytes = 64'000'000;
 const std::string long_body(4'000'000, 'b');
+const std::string no_body;
 
 std::string head_text(const std::string& id, const std::string& fields,
                       const std::string& key = "good-key")
@@ -152,3 +153,57 @@
     CHECK(refused == entry.count("Retry-After: "));
     CHECK(entry.bodies_read == served * long_body.size());
 }
+
+// Guards against bodies that take memory although their head already says that
+// the request will be refused.
+TEST_CASE("the body of a request with an unknown key takes no memory")
+{
+    limited_entry entry;
+    entry.settle();
+    const std::size_t before = allocated_bytes();
+    reset_peak();
+    const auto from = entry.begin(
+        head_text("10", length_field(long_body.size()), "bad-key"), long_body);
+    entry.pass(500ms);
+    CHECK(peak_bytes() - before < long_body.size() / 4);
+    CHECK(from->received.find("401 ") != std::string::npos);
+    CHECK(from->is_ended);
+    CHECK(!from->is_reset);
+}
+
+// Guards against chunked bodies that wait for each other for ever.
+TEST_CASE("chunked bodies beyond the memory limit are refused, not held")
+{
+    std::string chunks;
+    for (int chunk = 0; chunk < 60; ++chunk)
+        chunks += "10000\r\n" + std::string(65536, 'c') + "\r\n";
+    chunks += "0\r\n\r\n";
+    limited_entry entry;
+    entry.settle();
+    const std::size_t before = allocated_bytes();
+    reset_peak();
+    for (int number = 10; number < 40; ++number)
+        entry.begin(
+            head_text(std::to_string(number), "Transfer-Encoding: chunked\r\n"),
+            chunks);
+    entry.pass(1s);
+    CHECK(peak_bytes() - before < memory_bytes);
+    entry.serve();
+    entry.pass(2s);
+    CHECK(entry.count("200 OK") >= 1);
+    CHECK(entry.count("200 OK") + entry.count("503 ") == 30);
+}
+
+// Guards against "100 Continue" for a body that will not be read.
+TEST_CASE("a refused request that expects 100 Continue gets the refusal only")
+{
+    limited_entry entry;
+    const std::string fields =
+        "Expect: 100-continue\r\n" + length_field(long_body.size());
+    const auto refused =
+        entry.begin(head_text("10", fields, "bad-key"), no_body);
+    const auto accepted = entry.begin(head_text("11", fields), no_body);
+    entry.pass(100ms);
+    CHECK(refused->received.find("HTTP/1.1 401 ") == 0);
+    CHECK(accepted->received.find("HTTP/1.1 100 ") == 0);
+}
