--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -29,9 +29,10 @@
     /// Connects to \a to within \a timeout.
     awaitable<outcome> open(const runtime::address& to, duration timeout);
 
-    /// Sends \a bytes in the background, so that the answer can be read before
-    /// the target has received all of a long body.
-    void send(std::string bytes);
+    /// Sends \a bytes and then \a body, if there is one, in the background, so
+    /// that the answer can be read before the target has received all of a long
+    /// body.
+    void send(std::string bytes, std::shared_ptr<const std::string> body = {});
 
     /// Returns the number of calls of send().
     std::uint64_t sent_count() const { return m_sent_count; }
@@ -66,6 +67,7 @@
     bool m_is_sending = false;
     std::uint64_t m_sent_count = 0;
     std::string m_to_send;
+    std::shared_ptr<const std::string> m_body_to_send;
     std::string m_received;
     std::array<char, 4096> m_read_buffer{};
 };
--- a/packages/serving/target_connection_pool.hpp
+++ b/packages/serving/target_connection_pool.hpp
@@ -16,8 +16,9 @@
 class target_connection_pool
 {
 public:
-    target_connection_pool(asio::io_context& loop, const runtime::clock& time)
-        : m_loop(loop), m_clock(time)
+    target_connection_pool(asio::io_context& loop, const runtime::clock& time,
+                           body_memory bodies)
+        : m_loop(loop), m_clock(time), m_bodies(std::move(bodies))
     {
     }
 
@@ -56,7 +57,7 @@
         return m_stated_ids_at.contains(target);
     }
 
-    /// The memory for the bodies of all answers that are being received.
+    /// The memory for the bodies of answers that are being received.
     const body_memory& bodies() const { return m_bodies; }
 
 private:
--- a/tests/serving/pipelined_requests_test.cpp
+++ b/tests/serving/pipelined_requests_test.cpp
@@ -25,7 +25,7 @@
     }
 
     awaitable<void> handle(std::shared_ptr<caller_session> of,
-                           http_request request) override
+                           http_request request, request_body_ptr) override
     {
         requests.emplace_back(view(request.target()));
         of->set_on_disconnect([this] { has_left = true; });
@@ -39,6 +39,17 @@
         co_await of->send_response(200, {}, "body of " + requests.back());
     }
 
+    body_terms judge_head(std::shared_ptr<caller_session>,
+                          const http_request&) override
+    {
+        return {};
+    }
+    awaitable<void> refuse_unread(std::shared_ptr<caller_session>,
+                                  http_request) override
+    {
+        co_return;
+    }
+    const body_memory& bodies() const override { return memory; }
     catalog::caller_limits limits() const override { return {}; }
     bool is_stopping() const override { return stops; }
     duration loop_lag() const override { return {}; }
@@ -71,6 +82,7 @@
     }
 
     runtime::paused_clock time;
+    body_memory memory;
     std::unique_ptr<asio::io_context> loop =
         std::make_unique<asio::io_context>(1);
     asio::io_context caller_loop{1};
