--- a/packages/serving/source_reader_list.cpp
+++ b/packages/serving/source_reader_list.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/// After a read in part the list is read again: after this many adoption times
-/// at first, and later each time after twice as long.
+/// After a read in part the list is read again after twice this many adoption
+/// times, and later each time after twice as long.
 constexpr std::uint32_t first_list_pause = 2;
 constexpr std::uint32_t max_list_doublings = 4;
 
--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -14,7 +14,7 @@
 OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven",
                 "kill_all", "break_streams", "bad_part", "busy_entry",
                 "loss_series", "hangups", "keeper", "keeper_pause", "leave",
-                "long_roll", "endless")
+                "long_roll", "endless", "foreign_keys")
 LOSS_KINDS = ("kill_all", "loss_series")
 MAX_START_S = 10  # Of all entries, after they were lost.
 MAX_RESERVE_S = 6  # Until no entry is stopping, which takes GRACE_S at most.
@@ -452,6 +452,21 @@
         store.put(f"servers/{target.id}", target.record())
         target.mode = "ok"
 
+    async def do_foreign_keys(self):
+        """Writes keys that no target has, at borders of pages for a while."""
+        store = self.platform.store
+        targets = sorted(key for key in store.items
+                         if key.startswith("servers/"))
+        end = self.random.choice((" copy", "%", "&x=1", "#", "+", "\n", "é",
+                                  "~" * 150))
+        keys = [key + end for key in targets]
+        for key in keys:
+            store.put(key, {})
+        self.log(f"keys that end with {end[:8]!r}")
+        await asyncio.sleep(self.random_duration(4))
+        for key in keys:
+            store.remove(key)
+
     async def do_evacuate(self):
         """Evacuates a zone for a while."""
         zone = self.random.choice("ab")
