Streams, admission: jobs say that a caller continues its stream; a failing test

After a loss of all entries, callers whose streams broke were refused as `overloaded` while new streams began. A request that takes up a stream was recognized as a return only by its time left, compared with that of others at the same entry; an entry that has just started knows no others. It counts as a return now, and `Job.continues_stream` tells the planning entry why.

Nothing uses the new field yet.

--- a/packages/decision/stages/stage_job.hpp
+++ b/packages/decision/stages/stage_job.hpp
@@ -41,6 +41,7 @@
     decision::urgency urgency;
     std::string account;            ///< Name of the client account.
     bool is_returning = false;      ///< The caller retries after a rejection.
+    bool continues_stream = false;  ///< The caller has a part of its stream.
     bool accepts_rejection = false; ///< The submitter knows `rejected`.
     instant due{};           ///< When all stages should be done for full value.
     instant expires{};       ///< When all stages must be done to be of any use.
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -47,7 +47,9 @@
     stage_terms terms;
     terms.urgency = urgency();
     terms.account = m_account == nullptr ? std::string() : m_account->name;
-    terms.is_returning = m_waited_before > duration::zero();
+    terms.continues_stream = is_taking_up_stream();
+    terms.is_returning =
+        m_waited_before > duration::zero() || terms.continues_stream;
     terms.due = m_started_at - m_waited_before + m_route->latency_objective -
                 times.time_to_first_event.mean_plus(1);
     terms.expires =
--- a/packages/serving/peer_messages.cpp
+++ b/packages/serving/peer_messages.cpp
@@ -78,6 +78,7 @@
     message.set_route_rank(job.urgency.route_rank);
     message.set_account(job.account);
     message.set_is_returning(job.is_returning);
+    message.set_continues_stream(job.continues_stream);
     message.set_accepts_rejection(job.accepts_rejection);
     message.set_due_in_ns((job.due - now).count());
     message.set_expires_in_ns((job.expires - now).count());
@@ -116,6 +117,7 @@
     job.urgency = read_urgency(message);
     job.account = message.account();
     job.is_returning = message.is_returning();
+    job.continues_stream = message.continues_stream();
     job.accepts_rejection = message.accepts_rejection();
     job.due = now + bounded_time(message.due_in_ns());
     job.expires = now + bounded_time(message.expires_in_ns());
--- a/packages/serving/stage_runner.cpp
+++ b/packages/serving/stage_runner.cpp
@@ -168,6 +168,7 @@
     job.urgency = m_terms.urgency;
     job.account = m_terms.account;
     job.is_returning = m_terms.is_returning;
+    job.continues_stream = m_terms.continues_stream;
     job.accepts_rejection =
         m_terms.accepts_rejection && !is_request_started && !has_other_start();
     job.due = m_terms.due;
--- a/packages/serving/stage_runner.hpp
+++ b/packages/serving/stage_runner.hpp
@@ -20,6 +20,7 @@
     instant due;         ///< When the stages should be done.
     instant expires;     ///< When they must be done to be of any use.
     bool is_returning = false;
+    bool continues_stream = false;
     bool accepts_rejection = false;
 
     friend bool operator==(const stage_terms&, const stage_terms&) = default;
--- /dev/null
+++ b/tests/decision/admission/take_up_admission_test.cpp
@@ -0,0 +1,71 @@
+#include "decision/admission/overload_simulation.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+using mangofold::test::overload_simulation;
+using request = overload_simulation::request;
+
+namespace
+{
+
+stage_job job_of(std::uint32_t rank, bool continues_stream = false)
+{
+    stage_job result;
+    result.urgency = {0, rank};
+    result.continues_stream = continues_stream;
+    return result;
+}
+
+/// Requests of three ranks arrive at 1.4 times the capacity for four seconds
+/// after a loss of all entries. Callers of the least urgent rank return 1.5 s
+/// after it to take up their streams, if \a have_streams is set.
+overload_simulation return_after_loss(bool have_streams)
+{
+    overload_simulation simulation;
+    if (have_streams)
+        simulation.add(1500ms, 1700ms, 200, job_of(2, true), 2s, 7s);
+    simulation.add(0s, 4s, 90, job_of(0), 2s, 6s);
+    simulation.add(0s, 4s, 90, job_of(1), 2s, 6s);
+    simulation.add(0s, 4s, 190, job_of(2), 2s, 7s);
+    simulation.run(12s);
+    return simulation;
+}
+
+double served_share(const overload_simulation& simulation, std::uint32_t rank,
+                    bool continues_stream)
+{
+    const auto all = simulation.select(
+        [&](const request& each)
+        {
+            return each.job.urgency.route_rank == rank &&
+                   each.job.continues_stream == continues_stream;
+        });
+    const auto served = std::count_if(
+        all.begin(), all.end(), [](const request* each) { return each->done; });
+    return static_cast<double>(served) / static_cast<double>(all.size());
+}
+
+} // namespace
+
+// Guards against streams that end in the rush after a loss of all entries,
+// while new ones of their route begin.
+TEST_CASE("streams that are taken up go on before new ones begin")
+{
+    const overload_simulation simulation = return_after_loss(true);
+    CHECK(served_share(simulation, 2, true) > 0.95);
+    CHECK(served_share(simulation, 2, true) >
+          served_share(simulation, 2, false));
+}
+
+// Guards against more urgent requests that are refused for the sake of streams
+// of a less urgent route.
+TEST_CASE("streams that are taken up cost no more urgent request its place")
+{
+    const overload_simulation with = return_after_loss(true);
+    const overload_simulation without = return_after_loss(false);
+    for (const std::uint32_t rank : {0U, 1U})
+        CHECK(served_share(with, rank, false) >
+              served_share(without, rank, false) - 0.01);
+}
--- a/tests/serving/peer_messages_test.cpp
+++ b/tests/serving/peer_messages_test.cpp
@@ -21,6 +21,7 @@
     job.urgency = {1, 2};
     job.account = "customer";
     job.is_returning = true;
+    job.continues_stream = true;
     job.accepts_rejection = true;
     job.due = start + 1s;
     job.expires = start + 2s;
--- a/tests/serving/stream_take_ups_test.cpp
+++ b/tests/serving/stream_take_ups_test.cpp
@@ -196,3 +196,26 @@
     CHECK(count("went_on") == 1);
     CHECK(count("answered") == 0);
 }
+
+// Guards against a caller who has part of a stream and competes for the stages
+// as one who has nothing: an entry that has just started knows no caller.
+TEST_CASE("the stages of a stream that is taken up are those of a return")
+{
+    starting_entry entry;
+    entry.add_engine("v1");
+    entry.context->has_all_targets = true;
+    entry.streams.record(
+        decision::make_stream_key("club", "h", "/staged/r1", "r1"),
+        {"events", "v1"}, 5s);
+    const auto taken_up = entry.connect();
+    entry.send(*taken_up,
+               request_text("/staged/r1", "r2", resumes_r1 + "Pieces: 11\r\n"));
+    const auto begun = entry.connect();
+    entry.send(*begun, request_text("/staged/r3", "r3", "Pieces: 11\r\n"));
+    entry.run_until([&] { return entry.jobs.size() == 2; });
+    for (const decision::stage_job& job : entry.jobs)
+    {
+        CHECK(job.is_returning == (job.request == "r2"));
+        CHECK(job.continues_stream == (job.request == "r2"));
+    }
+}
