Admission: streams that are taken up go first within their rank

Callers whose streams broke with all entries return at once and compete with new requests for the stages. A caller who has part of a stream loses more than one who has nothing yet.

A job with `continues_stream` goes before the others of its rank, in time or late; where accounts take turns, before those of its account. The order of ranks is as before, so no more urgent request gives way: the second case of test_take_up_admission compares the ranks with and without such streams.

--- a/packages/decision/admission/admission_forecast.cpp
+++ b/packages/decision/admission/admission_forecast.cpp
@@ -21,6 +21,11 @@
 /// do not start at even intervals, and its rejection takes longer than needed.
 constexpr double kept_time_margin = 1.1;
 
+/// The turn of a stream that is taken up: its caller has more to lose than one
+/// who has nothing yet. It goes first within its rank, so that no more urgent
+/// request gives way; where accounts take turns, within its account.
+constexpr double continued_turn = -1;
+
 duration scaled(duration time, double factor)
 {
     return duration(
@@ -190,7 +195,8 @@
     order.reserve(candidates.size());
     for (admission_candidate& candidate : candidates)
     {
-        candidate.account_turn = 0;
+        candidate.account_turn =
+            candidate.job->continues_stream ? continued_turn : 0;
         order.push_back(&candidate);
     }
     const auto group_of = [](const admission_candidate* candidate)
--- a/packages/decision/admission/admission_forecast.hpp
+++ b/packages/decision/admission/admission_forecast.hpp
@@ -40,7 +40,7 @@
 
     bool is_late = false;     ///< The stages will end after the due time.
     bool is_hopeless = false; ///< They will end after the job has expired.
-    /// Position by account, or 0 where due times alone decide.
+    /// Position by account; 0 if due times decide, less for a continued stream.
     double account_turn = 0;
     /// Time after which the services of the job will have done this job and all
     /// that can be on time and are as urgent or more.
--- a/tests/decision/admission/take_up_admission_test.cpp
+++ b/tests/decision/admission/take_up_admission_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/admission/overload_simulation.hpp"
+#include "overload_simulation.hpp"
 
 #include <doctest/doctest.h>
 
@@ -10,25 +10,30 @@
 namespace
 {
 
-stage_job job_of(std::uint32_t rank, bool continues_stream = false)
+stage_job job_of(std::uint32_t rank, const std::string& account,
+                 bool continues_stream = false)
 {
     stage_job result;
     result.urgency = {0, rank};
+    result.account = account;
     result.continues_stream = continues_stream;
     return result;
 }
 
-/// Requests of three ranks arrive at 1.4 times the capacity for four seconds
-/// after a loss of all entries. Callers of the least urgent rank return 1.5 s
+/// Requests of three ranks arrive for four seconds after a loss of all entries,
+/// more than there is capacity for, those of the two urgent ranks at
+/// \a urgent_per_second each. Callers of the least urgent rank return 1.5 s
 /// after it to take up their streams, if \a have_streams is set.
-overload_simulation return_after_loss(bool have_streams)
+overload_simulation return_after_loss(bool have_streams,
+                                      double urgent_per_second)
 {
     overload_simulation simulation;
     if (have_streams)
-        simulation.add(1500ms, 1700ms, 200, job_of(2, true), 2s, 7s);
-    simulation.add(0s, 4s, 90, job_of(0), 2s, 6s);
-    simulation.add(0s, 4s, 90, job_of(1), 2s, 6s);
-    simulation.add(0s, 4s, 190, job_of(2), 2s, 7s);
+        simulation.add(1500ms, 1700ms, 200, job_of(2, "club", true), 2s, 7s);
+    simulation.add(0s, 4s, urgent_per_second, job_of(0, "club"), 2s, 6s);
+    simulation.add(0s, 4s, urgent_per_second, job_of(1, "club"), 2s, 6s);
+    simulation.add(0s, 4s, 150, job_of(2, "club"), 2s, 7s);
+    simulation.add(0s, 4s, 40, job_of(2, "team"), 2s, 7s);
     simulation.run(12s);
     return simulation;
 }
@@ -53,7 +58,7 @@
 // while new ones of their route begin.
 TEST_CASE("streams that are taken up go on before new ones begin")
 {
-    const overload_simulation simulation = return_after_loss(true);
+    const overload_simulation simulation = return_after_loss(true, 90);
     CHECK(served_share(simulation, 2, true) > 0.95);
     CHECK(served_share(simulation, 2, true) >
           served_share(simulation, 2, false));
@@ -63,8 +68,8 @@
 // of a less urgent route.
 TEST_CASE("streams that are taken up cost no more urgent request its place")
 {
-    const overload_simulation with = return_after_loss(true);
-    const overload_simulation without = return_after_loss(false);
+    const overload_simulation with = return_after_loss(true, 150);
+    const overload_simulation without = return_after_loss(false, 150);
     for (const std::uint32_t rank : {0U, 1U})
         CHECK(served_share(with, rank, false) >
               served_share(without, rank, false) - 0.01);
--- a/tests/mutants/streams.py
+++ b/tests/mutants/streams.py
@@ -6,6 +6,7 @@
          "tests/decision/streams/keeper_roster_test.cpp",
          "tests/decision/streams/origin_records_test.cpp",
          "tests/decision/streams/origin_records_simulation_test.cpp",
+         "tests/decision/admission/take_up_admission_test.cpp",
          "tests/decision/target_directory_test.cpp"]
 ARGUMENTS = []
 
@@ -13,6 +14,7 @@
 HISTORY = "packages/decision/streams/version_history.cpp"
 ORIGIN = "packages/decision/streams/stream_origin.cpp"
 ROSTER = "packages/decision/streams/keeper_roster.cpp"
+FORECAST = "packages/decision/admission/admission_forecast.cpp"
 DIRECTORY = "packages/decision/target_directory.cpp"
 
 # Name, file, removed text, replacement.
@@ -63,6 +65,8 @@
      "last_seen < since", "last_seen < now"),
     ("an incarnation keeps the newest of its versions", DIRECTORY,
      "is_changed || (is_same && known.has_ambiguous_version);", "false;"),
+    ("streams that are taken up wait among new ones", FORECAST,
+     "candidate.job->continues_stream ? continued_turn : 0", "0"),
     ("a version belongs to an id", DIRECTORY,
      "found->second.value.incarnation != incarnation\n"
      "               ? std::string()",
