Streams: the stages of a stream that is taken up are due from its return on

The stages of a returning request were due at the objective counted from its caller's first try. For a caller who takes up a stream that time was spent on events, so the request was late when it arrived: it had only the capacity that requests in time left, and was refused as `overloaded` or `stages_late` after 1 to 3 s with 10 to 16 s left, although new requests of its route were served.

The caller of a broken stream waits for the next event. Its stages are due one objective after its return, as those of a new request.

Failed before, passes now: test_stream_take_ups, "the stages of a stream that is taken up are due from its return on".

--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -40,7 +40,8 @@
 
 // The caller of a request counts its latency from its first try. A returning
 // request that counted as new would take the place of one that can still be in
-// time.
+// time. A caller who has part of a stream waits for the next event instead, so
+// that the time which the earlier ones took does not make it late.
 stage_terms
 exchange::stage_terms_for(const entry_context::route_times& times) const
 {
@@ -50,7 +51,9 @@
     terms.continues_stream = is_taking_up_stream();
     terms.is_returning =
         m_waited_before > duration::zero() || terms.continues_stream;
-    terms.due = m_started_at - m_waited_before + m_route->latency_objective -
+    const duration waited =
+        terms.continues_stream ? duration::zero() : m_waited_before;
+    terms.due = m_started_at - waited + m_route->latency_objective -
                 times.time_to_first_event.mean_plus(1);
     terms.expires =
         std::min(stages_deadline() - times.time_to_first_event.mean(),
--- a/tests/serving/stream_take_ups_test.cpp
+++ b/tests/serving/stream_take_ups_test.cpp
@@ -219,3 +219,26 @@
         CHECK(job.continues_stream == (job.request == "r2"));
     }
 }
+
+// Guards against streams that are late as soon as they are taken up, and are
+// refused beside free capacity: their callers have spent time on the events.
+TEST_CASE("the stages of a stream that is taken up are due from its return on")
+{
+    starting_entry entry;
+    entry.add_engine("v1");
+    entry.context->has_all_targets = true;
+    entry.streams.record(
+        decision::make_stream_key("club", "h", "/staged/r1", "r1"),
+        {"events", "v1"}, 5s);
+    const std::string pieces = "Pieces: 11\r\n";
+    const auto begun = entry.connect();
+    entry.send(*begun,
+               request_text("/staged/r3", "r3", "Budget: 5000\r\n" + pieces));
+    entry.run_until([&] { return entry.jobs.size() == 1; });
+    const auto taken_up = entry.connect();
+    entry.send(*taken_up,
+               request_text("/staged/r1", "r2",
+                            "Budget: 2000\r\n" + resumes_r1 + pieces));
+    entry.run_until([&] { return entry.jobs.size() == 2; });
+    CHECK(entry.jobs[1].due >= entry.jobs[0].due);
+}
