Admission: streams that are taken up are not rejected by forecast

One second after a planner's start, the forecast rejected up to 21 of 50 streams that callers took up after a loss of all entries, with 15 to 17 s left: late work is forecast in the capacity that requests in time leave, which is next to none in a rush. A caller who is rejected mostly has no retry left.

Such a job waits until it expires, which its own time and patience decide; it still has only the place that its rank gives it.

Failed before (0 of 40 served), passes now: test_take_up_admission, "streams that are taken up wait for as long as their callers do". The first case now asks that such streams are in time, or the order would no longer show; streams_mutants finds both removals.

--- a/packages/decision/admission/admission_forecast.cpp
+++ b/packages/decision/admission/admission_forecast.cpp
@@ -162,7 +162,8 @@
     m_saved = m_backlogs;
     const passage expected = pass_all(*candidate.job, candidate.pieces, true);
     candidate.is_hopeless =
-        !candidate.goes_first && m_late_pieces >= m_late_reserve &&
+        !candidate.goes_first && !candidate.job->continues_stream &&
+        m_late_pieces >= m_late_reserve &&
         expected.waits > m_stations.front().outlook.call_time &&
         m_now + scaled(expected.total, time_margin) > candidate.job->expires;
     if (candidate.is_hopeless)
--- a/tests/decision/admission/take_up_admission_test.cpp
+++ b/tests/decision/admission/take_up_admission_test.cpp
@@ -59,7 +59,14 @@
 TEST_CASE("streams that are taken up go on before new ones begin")
 {
     const overload_simulation simulation = return_after_loss(true, 90);
-    CHECK(served_share(simulation, 2, true) > 0.95);
+    const auto late = simulation.select(
+        [](const request& each)
+        {
+            return each.job.continues_stream &&
+                   (!each.done ||
+                    overload_simulation::start + *each.done > each.job.due);
+        });
+    CHECK(late.empty());
     CHECK(served_share(simulation, 2, true) >
           served_share(simulation, 2, false));
 }
@@ -74,3 +81,11 @@
         CHECK(served_share(with, rank, false) >
               served_share(without, rank, false) - 0.01);
 }
+
+// Guards against streams that are given up while urgent requests take all the
+// capacity, although their own time allows them to wait for its end.
+TEST_CASE("streams that are taken up wait for as long as their callers do")
+{
+    const overload_simulation simulation = return_after_loss(true, 150);
+    CHECK(served_share(simulation, 2, true) > 0.95);
+}
--- a/tests/mutants/streams.py
+++ b/tests/mutants/streams.py
@@ -67,6 +67,8 @@
      "is_changed || (is_same && known.has_ambiguous_version);", "false;"),
     ("streams that are taken up wait among new ones", FORECAST,
      "candidate.job->continues_stream ? continued_turn : 0", "0"),
+    ("streams that are taken up are rejected by forecast", FORECAST,
+     "!candidate.job->continues_stream &&\n        m_late", "m_late"),
     ("a version belongs to an id", DIRECTORY,
      "found->second.value.incarnation != incarnation\n"
      "               ? std::string()",
