--- a/packages/decision/admission/admission_forecast.cpp
+++ b/packages/decision/admission/admission_forecast.cpp
@@ -21,6 +21,11 @@
 /// do not start at even intervals, and its rejection takes longer than needed.
 constexpr double kept_time_margin = 1.1;
 
+/// The turn of a stream that is taken up: its caller has more to lose than one
+/// who has nothing yet. It goes first within its rank, so that no more urgent
+/// request gives way; where accounts take turns, within its account.
+constexpr double continued_turn = -1;
+
 duration scaled(duration time, double factor)
 {
     return duration(
@@ -157,7 +162,8 @@
     m_saved = m_backlogs;
     const passage expected = pass_all(*candidate.job, candidate.pieces, true);
     candidate.is_hopeless =
-        !candidate.goes_first && m_late_pieces >= m_late_reserve &&
+        !candidate.goes_first && !candidate.job->continues_stream &&
+        m_late_pieces >= m_late_reserve &&
         expected.waits > m_stations.front().outlook.call_time &&
         m_now + scaled(expected.total, time_margin) > candidate.job->expires;
     if (candidate.is_hopeless)
@@ -190,7 +196,8 @@
     order.reserve(candidates.size());
     for (admission_candidate& candidate : candidates)
     {
-        candidate.account_turn = 0;
+        candidate.account_turn =
+            candidate.job->continues_stream ? continued_turn : 0;
         order.push_back(&candidate);
     }
     const auto group_of = [](const admission_candidate* candidate)
