--- a/tests/decision/stops/policies.hpp
+++ b/tests/decision/stops/policies.hpp
@@ -21,31 +21,8 @@
     duration longest{}; ///< 1.5 times the longest recent answer.
     duration bound{};   ///< Until the request's own deadline.
     bool has_remaining_peers = false;
-    bool leaves_to_later = false; ///< TRIAL
-    bool do_most_stop = false;
 };
 
-struct trial_policy
-{
-    bool hard = false;
-    duration until = 2500ms;
-    duration max_short = 300ms;
-    bool accepts(const arrival_at_stopping& a) const
-    {
-        const bool out = a.draining.is_out_of_rotation(a.now);
-        const bool fits = a.now + a.bound <= a.draining.last_answers_at();
-        const bool leaves = a.leaves_to_later && (a.do_most_stop || out);
-        if (leaves && (out || (hard && a.do_most_stop)))
-            return (fits || !out) && a.typical <= max_short;
-        if (!out)
-            return true;
-        if (a.has_remaining_peers)
-            return fits && a.typical <= 300ms;
-        return fits || a.now < a.draining.started_at() + until;
-    }
-};
-
-
 /// Decides which requests a stopping entry takes.
 template<class T>
 concept admission_policy = requires(const T& policy,
--- a/tests/decision/stops/world.hpp
+++ b/tests/decision/stops/world.hpp
@@ -66,18 +66,6 @@
     int refused_while_running = 0;
     int late_exits = 0; ///< Processes that the grace ended.
     std::vector<duration> stop_times;
-    std::vector<instant> begins;
-    duration longest_hold{};
-    bool hold_any = false;
-
-    duration longest_silence()
-    {
-        std::sort(begins.begin(), begins.end());
-        duration longest{};
-        for (std::size_t i = 1; i < begins.size(); ++i)
-            longest = std::max(longest, begins[i] - begins[i - 1]);
-        return longest;
-    }
 
 private:
     struct running_request
@@ -86,7 +74,6 @@
         bool is_return = false;
         instant taken_at{};
         instant sent_at{};
-        bool is_held = false;
     };
 
     struct entry
@@ -250,24 +237,7 @@
             {*self.draining, m_now,
              is_known ? self.typical[route].mean() : bound,
              is_known ? longest + longest / 2 : bound, bound,
-             self.roster->has_remaining_peers(), leaves_to_later(self), do_most_stop()});
-    }
-
-    bool leaves_to_later(const entry& self) const
-    {
-        std::size_t later = 0;
-        for (const entry& each : m_entries)
-            if (&each != &self && (!each.stopped_at || *each.stopped_at > *self.stopped_at ||
-                 (*each.stopped_at == *self.stopped_at && each.name > self.name)))
-                ++later;
-        return 2 * later >= m_entries.size();
-    }
-    bool do_most_stop() const
-    {
-        std::size_t n = 0;
-        for (const entry& each : m_entries)
-            n += each.stopped_at ? 1 : 0;
-        return 2 * n > m_entries.size();
+             self.roster->has_remaining_peers()});
     }
 
     void take(std::size_t number, int chosen, bool is_return, duration bound,
@@ -278,8 +248,6 @@
         const instant sent_at = m_now + sent.wait;
         const instant ended_at = m_load.ended_at(sent_at, sent.length);
         const instant first_at = m_load.ended_at(sent_at, first_event_time);
-        if (m_load.routes[sent.route].mean_s >= 1)
-            begins.push_back(first_at);
         const bool is_late = first_at > sent.at + first_event_aim;
         const bool is_overrun = ended_at > m_now + bound;
         const instant answered_at =
@@ -339,35 +307,10 @@
         const duration wanted = wanted_delay(m_entries[refused_by], longest);
         const duration delay =
             std::max<duration>(50ms, std::min(longest, wanted));
-        duration hold{};
-        if (longest_hold > 0s && self_up(refused_by) && wanted > longest &&
-            m_entries[refused_by].draining)
-        {
-            // hold + 0.3 (left - hold) = wanted
-            hold = (wanted - longest) * 10 / 7;
-            const duration room = std::min(longest_hold, m_entries[refused_by].draining->last_answers_at() - m_now);
-            if (hold > room)
-                hold = hold_any ? std::max<duration>(room, 0s) : 0s;
-        }
-        if (hold > 0s)
-        {
-            entry& self = m_entries[refused_by];
-            const std::uint64_t id = m_next_id++;
-            self.running[id] = {number, is_return, m_now, instant::max(), true};
-            at(m_now + hold, [=, this] {
-                entry& holder = m_entries[refused_by];
-                if (holder.running.erase(id) == 0) return;
-                const request& s2 = m_load.requests[number];
-                const duration d = (m_load.routes[s2.route].timeout - (m_now - s2.at)) * 3 / 10;
-                at(m_now + d, [this, number, refused_by] { arrive(number, refused_by); });
-            });
-            return;
-        }
         at(m_now + delay,
            [this, number, refused_by] { arrive(number, refused_by); });
     }
 
-    bool self_up(int number) const { return m_entries[number].is_up; }
     duration wanted_delay(const entry& self, duration longest) const
     {
         if (!self.draining || self.roster->has_remaining_peers())
