Stops: while all entries stop, one half leaves its streams to the other

What callers saw: when all entries stop a tenth of a second apart, no stream begins for 5 s, and callers who return when they are told are refused finally.

Cause: each entry takes everything until 2.5 s after its signal, so that all have streams to finish and end late at the same time.

Change: while most entries stop, those of the first half leave requests that are not short to the other half from the start, as long as half of the fleet, told to stop later or not at all, takes everything. The order follows from the times of the signals, and a hash of the address for those within 50 ms. The refused callers are told to come back at once; one that has come back is taken as before, since it has no try left. It is recognized by its time budget, now also after a return at once. What is allowed does not change: an estimate chooses within it. So the first half is idle and back while the other still takes streams.

The test "no caller is refused before the balancer has noticed the stop" excluded this. It now allows it only at a caller's first try and only while half of the entries, counted by the model itself, would take the request.

Long functions of the roster and the model moved to files of their own.

--- a/packages/decision/admission/returning_callers.hpp
+++ b/packages/decision/admission/returning_callers.hpp
@@ -18,6 +18,7 @@
     duration note(duration budget)
     {
         m_largest.add(budget);
+        m_longest = std::max(m_longest, budget);
         // Callers follow delays of a call's time or more, which take up more
         // than a tenth of the time that they allow.
         constexpr int first_try_percent = 90;
@@ -26,8 +27,17 @@
         return is_first_try ? duration::zero() : m_largest.value() - budget;
     }
 
+    /// Whether a caller that will wait for \a budget was rejected before, also
+    /// if it returned at once.
+    bool has_returned(duration budget) const
+    {
+        constexpr duration min_retry_time = std::chrono::milliseconds(40);
+        return budget + min_retry_time <= m_longest;
+    }
+
 private:
     decaying_max m_largest;
+    duration m_longest{};
 };
 
 } // namespace mangofold::decision
--- a/packages/decision/drain.cpp
+++ b/packages/decision/drain.cpp
@@ -64,20 +64,28 @@
     return request_deadline() - last_answers_time;
 }
 
-// A caller that is refused before the load balancer has noticed would be sent
-// to this process again. After that, a request is accepted only if it can't
-// outlast the process: expected durations leave out the requests that still
-// run, the longest ones. A long request delays the exit and so the restart of
-// this instance; other entries take it if enough of them run.
+// A caller that is refused before the load balancer has noticed may be sent to
+// this process again. One that returns has no try left, so it is accepted.
+// While half of the fleet takes everything, the other half leaves it long
+// requests from the start, so that it is back before that half ends. After
+// that, a request is accepted only if it can't outlast the process: expected
+// durations leave out the requests that still run, the longest ones. A long
+// request delays the exit and so the restart of this instance; other entries
+// take it if enough of them run.
 bool drain::accepts(instant now, const request_duration& time,
-                    bool has_remaining_peers) const
+                    other_entries others, bool is_returning) const
 {
+    const bool is_short = time.typical <= max_short_request;
+    if (others == other_entries::later_half && !is_short && !is_returning)
+        return false;
     if (!is_out_of_rotation(now))
         return true;
     const bool ends_in_time = now + time.bound <= last_answers_at();
-    if (has_remaining_peers)
-        return ends_in_time && time.typical <= max_short_request;
-    return ends_in_time || now < m_started_at + max_removal_delay;
+    const bool is_finished =
+        ends_in_time && (is_short || others == other_entries::few);
+    if (others == other_entries::most)
+        return is_finished;
+    return is_finished || now < m_started_at + max_removal_delay;
 }
 
 void drain::note_last_answers(instant now)
--- a/packages/decision/drain.hpp
+++ b/packages/decision/drain.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/other_entries.hpp"
 #include "decision/time.hpp"
 
 #include <optional>
@@ -43,11 +44,15 @@
                                const request_duration&) = default;
     };
 
-    /// Whether a request that arrives at \a now is accepted.
-    /// \a has_remaining_peers tells whether enough other entries run longer
-    /// than this one to serve the request.
+    /// Whether a request that arrives at \a now is accepted. \a others tells
+    /// which entries serve it if not, and \a is_returning whether its caller
+    /// was refused before.
     bool accepts(instant now, const request_duration& time,
-                 bool has_remaining_peers) const;
+                 other_entries others, bool is_returning = false) const;
+
+    /// For so long after it was told to stop, an entry that leaves nothing to
+    /// others accepts every request.
+    static constexpr duration min_taking_time = std::chrono::milliseconds(2300);
 
     /// Records that the requests that no target has are rejected at \a now,
     /// the first time.
--- a/packages/decision/entry_roster.cpp
+++ b/packages/decision/entry_roster.cpp
@@ -65,10 +65,6 @@
 /// Entries that were told to stop longer ago are forgotten once they are lost.
 constexpr duration max_stop_time = std::chrono::minutes(1);
 
-/// How long after its expected return an entry that was told to stop is waited
-/// for.
-constexpr duration max_return_delay = std::chrono::seconds(2);
-
 /// How many other entries are listed in an answer, and how many if the receiver
 /// knows less than half of them: 4 KB at most.
 constexpr std::size_t sample_size = 8;
@@ -200,22 +196,6 @@
            min_remaining_share * static_cast<double>(size());
 }
 
-instant entry_roster::half_back_at(duration stop_time, instant now) const
-{
-    std::vector<instant> returns{m_stopping_since + stop_time};
-    for (const auto& [address, status] : m_others)
-        returns.push_back(
-            status.is_stopping ? stopping_since(address) + stop_time : now);
-    // One that has been due for longer may not come back.
-    for (const auto& [address, since] : m_lost_stopping_since)
-        if (since + stop_time + max_return_delay >= now)
-            returns.push_back(since + stop_time);
-    const auto half =
-        returns.begin() + static_cast<std::ptrdiff_t>((returns.size() - 1) / 2);
-    std::nth_element(returns.begin(), half, returns.end());
-    return std::max(*half, now);
-}
-
 void entry_roster::note_lost(const std::string& address)
 {
     const auto stopping = m_others_stopping_since.find(address);
@@ -233,13 +213,6 @@
     m_services = std::move(services);
 }
 
-instant entry_roster::stopping_since(const std::string& address) const
-{
-    const auto other = m_others_stopping_since.find(address);
-    return other == m_others_stopping_since.end() ? m_stopping_since
-                                                  : other->second;
-}
-
 // Work for others delays the exit. Entries that were told to stop first end
 // as soon as their own callers are answered, and so serve again soonest.
 void entry_roster::keep_latest_to_stop(
--- a/packages/decision/entry_roster.hpp
+++ b/packages/decision/entry_roster.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decision/other_entries.hpp"
 #include "decision/quarantine.hpp"
 #include "decision/random_source.hpp"
 #include "decision/time.hpp"
@@ -70,6 +71,9 @@
     /// are not stopping, or were told to stop later.
     bool has_remaining_peers() const;
 
+    /// Returns which other entries serve what this stopping entry refuses.
+    other_entries others_while_stopping(instant now) const;
+
     /// Returns by when half of the fleet serves again, if entries do so
     /// \a stop_time after they were told to stop; \a now if half serves.
     instant half_back_at(duration stop_time, instant now) const;
@@ -122,6 +126,11 @@
     std::vector<std::pair<std::string, double>> eligible_entries() const;
     /// Returns when a stopping entry, this one or another, was told to stop.
     instant stopping_since(const std::string& address) const;
+    /// Whether the entry at \a address was told to stop later than this one.
+    bool stops_after_this(const std::string& address) const;
+    /// Whether most entries stop, and half of the fleet, told to stop later
+    /// than this entry or not at all, takes every request.
+    bool does_later_half_take_all(instant now) const;
     /// Removes from stopping \a entries those that were told to stop earlier
     /// than half of them.
     void keep_latest_to_stop(
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -196,9 +196,9 @@
     /// timer.
     decision::loop_lag loop_lag{loop_probe_interval};
     std::optional<decision::drain> drain; ///< Set while the process stops.
-    /// Whether enough other entries keep running for longer than this stopping
-    /// one to serve its callers.
-    std::function<bool()> has_remaining_peers = [] { return false; };
+    /// Returns which other entries serve what this stopping one refuses.
+    std::function<decision::other_entries()> others_while_stopping = []
+    { return decision::other_entries::few; };
 
     /// Returns by when half of the fleet serves again, if entries do so some
     /// time after they were told to stop.
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -59,8 +59,8 @@
     m_context.ordinal_for = [this](const std::string& subject)
     { return m_mesh.ordinal_for(subject); };
     m_context.is_fleet_size_known = [this] { return m_mesh.is_settled(); };
-    m_context.has_remaining_peers = [this]
-    { return m_mesh.has_remaining_peers(); };
+    m_context.others_while_stopping = [this]
+    { return m_mesh.others_while_stopping(); };
     m_context.half_back_at = [this](duration stop_time)
     { return m_mesh.half_back_at(stop_time); };
     m_keepers.set_handler(
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -92,8 +92,8 @@
     void apply_budget();
     bool is_declined_while_draining();
     void log_admission_while_draining(
-        const decision::drain::request_duration& expected, bool has_peers,
-        bool is_accepted);
+        const decision::drain::request_duration& expected,
+        decision::other_entries others, bool is_accepted);
     /// Logs that the end of this process cuts off the answer.
     void log_cut_answer() const;
     decision::drain::request_duration expected_request_time() const;
@@ -259,6 +259,7 @@
     bool m_is_aborted_by_shutdown = false;
     /// How long the caller has waited since its first try; zero at that try.
     duration m_waited_before{};
+    bool m_has_returned = false; ///< Whether the caller was refused before.
     refusal m_refusal = refusal::none;
     std::optional<decision::sending_record> m_sends;
     std::set<decision::target_incarnation> m_tried_targets;
--- a/packages/serving/exchange_admission.cpp
+++ b/packages/serving/exchange_admission.cpp
@@ -107,9 +107,13 @@
     {
         time_limit =
             std::min(time_limit, *m_metadata.budget - answer_transit_time);
+        decision::returning_callers& callers =
+            m_context.callers_by_route[m_route->name];
+        const duration budget = std::min(*m_metadata.budget, m_route->timeout);
+        const duration waited = callers.note(budget);
         if (!m_route->stages.empty())
-            m_waited_before = m_context.callers_by_route[m_route->name].note(
-                std::min(*m_metadata.budget, m_route->timeout));
+            m_waited_before = waited;
+        m_has_returned = callers.has_returned(budget);
     }
     m_deadline = m_started_at + time_limit;
 }
@@ -124,15 +128,16 @@
     if (m_context.drain->is_out_of_rotation(now))
         m_process_end = m_context.drain->request_deadline();
     const auto expected = expected_request_time();
-    const bool has_peers = m_context.has_remaining_peers();
-    const bool is_accepted = m_context.drain->accepts(now, expected, has_peers);
-    log_admission_while_draining(expected, has_peers, is_accepted);
+    const auto others = m_context.others_while_stopping();
+    const bool is_accepted =
+        m_context.drain->accepts(now, expected, others, m_has_returned);
+    log_admission_while_draining(expected, others, is_accepted);
     return !is_accepted;
 }
 
 void exchange::log_admission_while_draining(
-    const decision::drain::request_duration& expected, bool has_peers,
-    bool is_accepted)
+    const decision::drain::request_duration& expected,
+    decision::other_entries others, bool is_accepted)
 {
     const instant now = m_context.now();
     m_context.count("requests_while_stopping", "accepted",
@@ -147,7 +152,11 @@
         .with("bound_ms", whole_milliseconds(expected.bound))
         .with("left_ms",
               whole_milliseconds(m_context.drain->last_answers_at() - now))
-        .with("remaining_peers", has_peers ? 1 : 0)
+        .with("remaining_peers",
+              others == decision::other_entries::most ? 1 : 0)
+        .with("later_half",
+              others == decision::other_entries::later_half ? 1 : 0)
+        .with("returning", m_has_returned ? 1 : 0)
         .info();
 }
 
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -75,7 +75,8 @@
             .substr(0, 5);
     if (m_refusal == refusal::version_gone && is_discovering)
         return std::to_string(discovery_s).substr(0, 5);
-    if (m_refusal == refusal::stopping && m_context.has_remaining_peers())
+    if (m_refusal == refusal::stopping &&
+        m_context.others_while_stopping() != decision::other_entries::few)
         return std::to_string(min_delay_s).substr(0, 5);
     const double remaining_s =
         seconds(m_metadata.budget
--- a/packages/serving/peer_mesh.hpp
+++ b/packages/serving/peer_mesh.hpp
@@ -59,9 +59,11 @@
     /// Notes that this entry is stopping.
     void set_stopping();
 
-    /// Whether enough other entries keep running longer than this one to take
-    /// over its callers.
-    bool has_remaining_peers() const { return m_roster.has_remaining_peers(); }
+    /// See entry_roster::others_while_stopping.
+    decision::other_entries others_while_stopping() const
+    {
+        return m_roster.others_while_stopping(m_context.now());
+    }
 
     /// See entry_roster::half_back_at.
     instant half_back_at(duration stop_time) const
--- a/tests/decision/admission/returning_callers_test.cpp
+++ b/tests/decision/admission/returning_callers_test.cpp
@@ -26,3 +26,17 @@
         callers.note(6s);
     CHECK(callers.note(6s) == 0s);
 }
+
+// Guards against callers that return at once and are refused a second time.
+TEST_CASE("callers that return at once are recognized, also among many")
+{
+    returning_callers callers;
+    CHECK_FALSE(callers.has_returned(6s));
+    callers.note(6s);
+    for (int caller = 0; caller < 20; ++caller)
+    {
+        callers.note(5950ms);
+        CHECK(callers.has_returned(5950ms));
+    }
+    CHECK_FALSE(callers.has_returned(5990ms));
+}
--- a/tests/decision/entry_roster_test.cpp
+++ b/tests/decision/entry_roster_test.cpp
@@ -115,6 +115,48 @@
     CHECK(roster.batching_entry("rerank") == address(1));
 }
 
+// Guards against entries of which all, or none, leave streams to the others
+// while all stop.
+TEST_CASE("the half that was told to stop first leaves requests to the other")
+{
+    constexpr int count = 6;
+    constexpr instant stop{1h};
+    for (const duration gap : {0ms, 100ms, 700ms})
+    {
+        int leaving = 0;
+        for (int own = 0; own < count; ++own)
+        {
+            entry_roster roster = roster_in_fleet(own, count);
+            roster.set_stopping(stop + own * gap);
+            constexpr duration report_delay = 30ms;
+            for (int other = 0; other < count; ++other)
+                if (other != own)
+                    roster.note_answer(address(other), settled_status(1, true),
+                                       stop + other * gap + report_delay);
+            const instant last = stop + (count - 1) * gap;
+            const bool leaves =
+                roster.others_while_stopping(last) == other_entries::later_half;
+            leaving += leaves ? 1 : 0;
+            CHECK(roster.others_while_stopping(last + 3s) !=
+                  other_entries::later_half);
+        }
+        CHECK(leaving == count / 2);
+    }
+}
+
+// Guards against the stop of a few entries that refuse callers at once.
+TEST_CASE("entries leave nothing to others at once while most go on")
+{
+    constexpr instant stop{1h};
+    entry_roster roster = roster_in_fleet(0, 6);
+    roster.set_stopping(stop);
+    for (const int other : {1, 2})
+        roster.note_answer(address(other), settled_status(1, true), stop);
+    CHECK(roster.others_while_stopping(stop) == other_entries::few);
+    roster.note_answer(address(3), settled_status(1, true), stop + 200ms);
+    CHECK(roster.others_while_stopping(stop) == other_entries::later_half);
+}
+
 // Guards against callers who return before entries are back, are refused again
 // and have no try left.
 TEST_CASE("refused callers return when half of the entries are back")
