Platform: "Connection" lists names of headers, not parts of them

Targets missed headers of a caller whose names were part of one that its "Connection" listed ("X-Other" with "X-Other-Name"), and got those that a second "Connection" listed. A caller that listed the request id would have had its request forwarded without one.

--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -142,6 +142,22 @@
         CHECK(headers.count(name) == 0);
 }
 
+// Guards against headers that targets miss, or get though they are hop-by-hop,
+// and against a request that targets get without its id.
+TEST_CASE("headers are hop-by-hop only if \"Connection\" lists their names")
+{
+    serving::http_request request = caller_request();
+    request.set("Connection", "X-Other-Name, x-private");
+    request.insert("Connection", "X-Last, X-Mangofold-Request-Id");
+    request.set("X-Last", "3");
+    const auto headers =
+        platform::request_dialect().forwarded_fields(request, {});
+    CHECK(headers["X-Other"] == "2");
+    CHECK(headers["X-Mangofold-Request-Id"] == "9c41");
+    CHECK(headers.count("X-Private") == 0);
+    CHECK(headers.count("X-Last") == 0);
+}
+
 TEST_CASE("the headers of a target's response are parsed")
 {
     serving::http_response_head head;
