Callers: the trailer of a request sets no header

A caller's trailer became headers of the forwarded request, where targets take them for the entry's or for ones that it has checked: "Id: r2" in a trailer gave the request a second id.

The parser adds the fields of a trailer to those of the header. The header's are now kept when it ends, and replace what the parser has at the end of the request.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -167,6 +167,12 @@
                 .info();
             return status_of(fault);
         }
+        // The parser adds the trailer's fields to those of the header.
+        if (parser.is_header_done() && !parser.eager())
+        {
+            m_header_fields = parser.get();
+            parser.eager(true);
+        }
         if (parser.is_header_done() && is_ambiguous(parser.get()))
         {
             runtime::event("request_malformed")
@@ -203,7 +209,7 @@
 {
     const catalog::caller_limits limits = m_handler.limits();
     request_parser parser;
-    parser.eager(true);
+    parser.eager(false);
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     bool has_sent_continue = false;
@@ -242,6 +248,7 @@
     }
     m_has_part_of_request = false;
     m_request = parser.release();
+    static_cast<http_fields&>(m_request) = std::move(m_header_fields);
     if (!m_request.keep_alive())
         m_closes_after_response = true;
     co_return true;
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -145,6 +145,7 @@
     std::string m_received;
     std::array<char, 4096> m_chunk{};
     http_request m_request;
+    http_fields m_header_fields; ///< Of the request, without its trailer.
     std::function<void()> m_on_disconnect;
     std::function<void()> m_on_shutdown;
     std::function<void()> m_on_exit;
--- a/tests/serving/matched_answers_test.cpp
+++ b/tests/serving/matched_answers_test.cpp
@@ -228,6 +228,33 @@
     CHECK(target.connections() == 1);
 }
 
+// Guards against a caller that sets, by a trailer, what the entry trusts.
+TEST_CASE("the trailer of a request sets no header of the forwarded one")
+{
+    serving_fixture entry;
+    auto& target =
+        entry.add_target("plain",
+                         [](const std::string& request, std::size_t)
+                         {
+                             return scripted_target::response{
+                                 response_text(id_of(request), "a"), end::keep};
+                         });
+    const std::string chunked =
+        request_text("/once/x", "r1", "Transfer-Encoding: chunked\r\n");
+    CHECK(entry
+              .send_and_receive("POST" + chunked.substr(3) +
+                                "1\r\nb\r\n0\r\nX-Late: 1\r\nAfter: 9\r\n"
+                                "Id: r2\r\n\r\n")
+              .starts_with("HTTP/1.1 200"));
+    REQUIRE(target.requests().size() == 1);
+    const std::string& forwarded = target.requests().front();
+    CHECK(id_of(forwarded) == "r1");
+    CHECK(forwarded.find("Id: r2") == std::string::npos);
+    CHECK(forwarded.find("X-Late") == std::string::npos);
+    CHECK(forwarded.find("After") == std::string::npos);
+    CHECK(body_of(forwarded) == "b");
+}
+
 // Guards against an entry that opens connections in series, or calls again what
 // was done, when a target answers 3 in 100 calls twice.
 TEST_CASE("a late second answer costs a connection only if that was idle")
