Soak: stage targets answer a second time, late

Stage targets in that mode now send half of their answers once more, 1 to 100 ms later; the checks that results belong to their request were there. The disturbance late_answers, not drawn by default, has stage targets do so. All answers of the stand-ins state the id of their request, refusals too, as the users' pages say of servers. A mutant: calls of pieces carry no id.

--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -14,7 +14,7 @@
 OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven",
                 "kill_all", "break_streams", "bad_part", "busy_entry",
                 "loss_series", "hangups", "keeper", "keeper_pause", "leave",
-                "long_roll", "endless")
+                "long_roll", "endless", "late_answers")
 LOSS_KINDS = ("kill_all", "loss_series")
 MAX_START_S = 10  # Of all entries, after they were lost.
 MAX_RESERVE_S = 6  # Until no entry is stopping, which takes GRACE_S at most.
@@ -328,6 +328,14 @@
         await self._disturb_target(
             disturb, lambda target: setattr(target, "mode", "ok"))
 
+    async def do_late_answers(self):
+        """Has a stage target send some answers a second time, late."""
+        def disturb(target):
+            self.log(f"{target.service} {target.id}: late second answers")
+            target.mode = "extra"
+        await self._disturb_target(
+            disturb, lambda target: setattr(target, "mode", "ok"), "encode")
+
     async def do_endless(self):
         """Has a target send bytes without end for a while."""
         def disturb(target):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -30,9 +30,13 @@
      "if (!m_sends || m_sends->is_known_not_run())", "if (true)",
      ["target_mode", "target_link"]),
     ("a response to another request is accepted",
-     "packages/serving/target_call.cpp",
-     "return !m_id.empty() && !m_metadata.id.empty() && m_metadata.id != m_id;",
-     "return false;", ["target_mode"]),
+     "packages/decision/answer_match.hpp",
+     "sent_id.empty() || sent_id == stated_id", "true", ["target_mode"]),
+    ("calls of pieces carry no id", "platform/request_dialect.cpp",
+     "    set_header(call, names::request_id, id);\n"
+     "    set_header(call, names::target, target_id);\n",
+     "    set_header(call, names::target, target_id);\n",
+     ["late_answers"], ["--seconds", "20"], "input of"),
     ("a draining target still gets work",
      "packages/decision/target_directory.hpp",
      "return !known.is_removed && !known.value.is_leaving &&\n"
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -525,7 +525,7 @@
                       and self.requests[request_id].poison == poison
                       and self.is_undisturbed(
                           self.requests[request_id].entry, at)]
-        if "-stage-" in poison:  # Calls of pieces carry no request id.
+        if "-stage-" in poison:  # Calls of pieces carry ids of their own.
             late_sends = [at for at in crashes if at > quarantined_at]
         if len(late_sends) > MAX_LATE_SENDS:
             self.faults.append(
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -29,6 +29,10 @@
 LONG_EVENT_COUNT = 24  # In streams that may outlast a stop.
 LONG_WORK_SHARE = 0.2  # Of the requests, where some last long.
 LONGEST_ANSWER_S = 3.0
+# In mode "extra", of the answers of a stage target, those sent a second time,
+# and how much later.
+EXTRA_SHARE = 0.5
+EXTRA_DELAY_S = (0.001, 0.1)
 
 
 class TargetLog:
@@ -121,16 +125,24 @@
             fields["Server-Leaving"] = 1
         return fields
 
-    def response_fields(self, message):
+    def caller_request_id(self, message):
+        """Returns the id of a caller's request; empty for other calls."""
+        return message.field("x-mangofold-request-id")
+
+    def request_id_fields(self, message):
         return {"X-Mangofold-Request-Id": message.field(
-                    "x-mangofold-request-id"),
-                "X-Mangofold-Response-Seal": "s", **self.stated_fields()}
+            "x-mangofold-request-id")}
+
+    def response_fields(self, message):
+        return {"X-Mangofold-Response-Seal": "s",
+                **self.request_id_fields(message), **self.stated_fields()}
 
     async def handle(self, message, writer):
         addressed_id = message.field("x-mangofold-target-instance")
-        request_id = message.field("x-mangofold-request-id")
+        request_id = self.caller_request_id(message)
         if addressed_id and addressed_id != self.id:
-            writer.write(wire.serialize_response(421))
+            writer.write(wire.serialize_response(
+                421, **self.request_id_fields(message)))
             return
         if self.need:
             now = asyncio.get_running_loop().time()
@@ -138,11 +150,13 @@
             if self.need.rest_s:
                 writer.write(wire.serialize_response(
                     503, X_Mangofold_Not_Executed="1",
-                    Retry_After=self.need.rest_s))
+                    Retry_After=self.need.rest_s,
+                    **self.request_id_fields(message)))
                 return
         if self.mode == "shed" and request_id:
             writer.write(wire.serialize_response(
-                503, X_Mangofold_Not_Executed="1", **self.stated_fields()))
+                503, X_Mangofold_Not_Executed="1",
+                **self.request_id_fields(message), **self.stated_fields()))
             return
         if request_id:
             now = asyncio.get_running_loop().time()
@@ -266,11 +280,13 @@
         request_id = message.field("x-mangofold-request-id")
         if "x-mangofold-inputs" not in message.fields:
             writer.write(wire.serialize_response(
-                400, X_Mangofold_Not_Executed="1", **self.stated_fields()))
+                400, X_Mangofold_Not_Executed="1",
+                **self.request_id_fields(message), **self.stated_fields()))
             return
         if self.check_inputs(message, request_id) == 409:
             writer.write(wire.serialize_response(
-                409, X_Mangofold_Not_Executed="1", **self.stated_fields()))
+                409, X_Mangofold_Not_Executed="1",
+                **self.request_id_fields(message), **self.stated_fields()))
             return
         self.run(request_id)
         if await self.run_poison(message, writer):
@@ -343,13 +359,15 @@
         self.call_s = PIECES_CALL_S
         self.free_slot = asyncio.Lock()
 
+    def caller_request_id(self, message):
+        return ""  # The id is that of the call.
+
     async def work(self, message, writer):
         body = json.loads(message.body)
         if "handles" in body:
             for handle in body["handles"]:
                 self.log.results.pop(handle, None)
-            writer.write(wire.serialize_response(200, b"{}",
-                                                 **self.stated_fields()))
+            self.answer(message, writer, b"{}")
             return
         now = asyncio.get_running_loop().time()
         self.log.piece_calls.append((now, self))
@@ -374,9 +392,22 @@
             return
         items = [self.make_result(item) if is_present else {"why": "gone"}
                  for item, is_present in zip(body["items"], are_present)]
-        writer.write(wire.serialize_response(
-            200, json.dumps({"items": items}).encode(),
-            Content_Type="application/json", **self.stated_fields()))
+        self.answer(message, writer, json.dumps({"items": items}).encode())
+
+    def answer(self, message, writer, body):
+        response = wire.serialize_response(
+            200, body, Content_Type="application/json",
+            **self.request_id_fields(message), **self.stated_fields())
+        writer.write(response)
+        if self.mode == "extra" and random.random() < EXTRA_SHARE:
+            asyncio.get_running_loop().call_later(
+                random.uniform(*EXTRA_DELAY_S), self.answer_again, writer,
+                response)
+
+    @staticmethod
+    def answer_again(writer, response):
+        if not writer.is_closing():
+            writer.write(response)
 
     def fetch_inputs(self, item):
         """Returns whether the inputs of a piece are there, and checks them.
