--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -212,6 +212,12 @@
                 .info();
             return status_of(fault);
         }
+        // The parser adds the trailer's fields to those of the header.
+        if (parser.is_header_done() && !parser.eager())
+        {
+            m_header_fields = parser.get();
+            parser.eager(true);
+        }
         if (parser.is_header_done() && is_ambiguous(parser.get()))
         {
             runtime::event("request_malformed")
@@ -295,6 +301,7 @@
     m_has_part_of_request = false;
     m_body->bytes = std::move(parser.get().body());
     m_request = http_request(std::move(parser.get().base()));
+    static_cast<http_fields&>(m_request) = std::move(m_header_fields);
     if (!m_request.keep_alive())
         m_closes_after_response = true;
     co_return true;
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -179,7 +179,8 @@
     http_request m_request;
     std::shared_ptr<request_body> m_body; ///< Of the request being read.
     bool m_is_waiting_for_room = false;
-    bool m_discards = false; ///< Drops all bytes that arrive.
+    bool m_discards = false;     ///< Drops all bytes that arrive.
+    http_fields m_header_fields; ///< Of the request, without its trailer.
     std::function<void()> m_on_disconnect;
     std::function<void()> m_on_shutdown;
     std::function<void()> m_on_exit;
