--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -295,6 +295,13 @@
         m_call->abort();
         m_context.target_health.note_abandoned(id);
     }
+    else if (m_call->is_unmatched())
+    {
+        if (!is_engine_service())
+            m_context.target_health.note_no_answer(id, m_context.now());
+        co_await give_up_answer(*m_call);
+        outcome = attempt_outcome::retry;
+    }
     else if (send_result != target_call::outcome::ok)
         outcome = handle_failed_attempt(send_result, id);
     else if (m_call->metadata().has_not_run)
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -106,7 +106,8 @@
         const decision::answer_owner owner = answer_owner();
         if (owner == decision::answer_owner::this_request)
             co_return outcome::ok;
-        if (owner == decision::answer_owner::unknown)
+        m_is_unmatched = owner == decision::answer_owner::unknown;
+        if (m_is_unmatched)
             break;
         const outcome passed = co_await skip_stray_answer(deadline);
         if (passed != outcome::ok)
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -95,6 +95,9 @@
     void give_up() { m_is_given_up = true; }
     bool is_given_up() const { return m_is_given_up; }
 
+    /// Whether the answer may be another request's, so that it is not valid.
+    bool is_unmatched() const { return m_is_unmatched; }
+
     /// Whether the target closes the connection within \a time of the end of
     /// an answer after which it is to stay open.
     awaitable<bool> is_closed_within(duration time);
@@ -132,6 +135,7 @@
     bool m_has_no_body = false; ///< Answers to HEAD have no body.
     bool m_is_aborted = false;
     bool m_is_given_up = false;
+    bool m_is_unmatched = false;
 };
 
 } // namespace mangofold::serving
