Draining: the first half of a stopping fleet takes up streams

While all entries stop, the half that was told first leaves long requests to the other, but not those of callers that return. A request that takes up a stream counted as new there unless its time budget showed the return. Found by the review; by reading only, no test shows it.

--- a/packages/serving/exchange_admission.cpp
+++ b/packages/serving/exchange_admission.cpp
@@ -136,8 +136,8 @@
         m_process_end = m_context.drain->request_deadline();
     const auto expected = expected_request_time();
     const auto others = m_context.others_while_stopping();
-    const bool is_accepted =
-        m_context.drain->accepts(now, expected, others, m_has_returned);
+    const bool is_accepted = m_context.drain->accepts(
+        now, expected, others, m_has_returned || is_taking_up_stream());
     log_admission_while_draining(expected, others, is_accepted);
     return !is_accepted;
 }
