Model of stops: early refusals are counted by what others would take

A refusal before the balancer has noticed the stop is allowed if half of the entries would take the request. The model counted those that were told to stop less than 2.5 s ago, also if they refuse the same request, so that a fleet that refuses everything passed (found by the review). Now an entry counts if its own decision accepts the request. 1,000 drawn worlds pass, and stops_of_all.

--- a/tests/decision/stops/world.hpp
+++ b/tests/decision/stops/world.hpp
@@ -269,7 +269,7 @@
         const std::optional<instant> stopped = m_entries[refused_by].stopped_at;
         if (m_balancer.is_in_rotation(refused_by) && stopped &&
             m_now < *stopped + 2500ms &&
-            !is_left_to_half(refused_by, is_return))
+            !is_left_to_half(number, refused_by, is_return))
             ++refused_before_noticed;
         refused_while_running += m_entries[refused_by].is_up ? 1 : 0;
         if (is_return)
@@ -301,13 +301,17 @@
         return m_returns.delay(refused);
     }
 
-    /// Whether half of the entries would take a request at its first try.
-    bool is_left_to_half(int refused_by, bool is_return) const
+    /// Whether half of the entries, but not the one that \a refused_by numbers,
+    /// would take the request \a number, which is no return.
+    bool is_left_to_half(std::size_t number, int refused_by, bool is_return)
     {
+        const request& sent = m_load.requests[number];
+        const duration bound =
+            m_load.routes[sent.route].timeout - (m_now - sent.at);
         int taking = 0;
         for (const entry& each : m_entries)
             if (each.is_up && each.name != m_entries[refused_by].name &&
-                (!each.stopped_at || m_now < *each.stopped_at + 2500ms))
+                (!each.draining || is_accepted(each, sent.route, bound, false)))
                 ++taking;
         return !is_return && 2 * taking >= static_cast<int>(m_entries.size());
     }
