Sessions: the exit resets a connection with a request that was read

Two requests that come in one segment are read together, so that the second was read and got no answer if the exit cut the first: the caller saw the end of the stream. The exit resets such a connection now, as the kernel does where the second is unread. Found by the review. The new case of test_pipelined_requests passes; it was not run on the code before.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -362,6 +362,16 @@
     m_data_received.set();
 }
 
+// A request that was read together with the one in front of it gets no answer,
+// which only a reset tells the caller.
+void caller_session::note_exit()
+{
+    if (m_on_exit)
+        std::exchange(m_on_exit, nullptr)();
+    if (m_is_handling && !m_received.empty())
+        reset_connection();
+}
+
 void caller_session::close_if_idle()
 {
     if (m_is_handling || m_has_part_of_request || has_further_data())
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -105,12 +105,9 @@
         m_on_exit = std::move(callback);
     }
 
-    /// Runs the callback for the end of this process.
-    void note_exit()
-    {
-        if (m_on_exit)
-            std::exchange(m_on_exit, nullptr)();
-    }
+    /// Runs the callback for the end of this process. Resets the connection if
+    /// a request that was read stays without an answer.
+    void note_exit();
 
     /// Adds to \a fields of a response that the connection will be closed after
     /// it, if so.
--- a/tests/serving/pipelined_requests_test.cpp
+++ b/tests/serving/pipelined_requests_test.cpp
@@ -108,6 +108,18 @@
     CHECK(entry.end().second == asio::error::connection_reset);
 }
 
+// Guards against the same where both requests came in one segment, and so were
+// read together.
+TEST_CASE("the end of a process resets a connection with a request left")
+{
+    pipelining_fixture entry;
+    const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    asio::write(entry.caller, asio::buffer(request + request));
+    entry.settle();
+    entry.session->note_exit();
+    CHECK(entry.end().second == asio::error::connection_reset);
+}
+
 // Guards against a stopping entry that leaves requests unread which it could
 // still answer.
 TEST_CASE("a request behind one in progress is handled after it")
