--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -387,15 +387,18 @@
     entries = [Entry(record, folder, number, store_address, controls[:3],
                      control, **options)
                for number, control in enumerate(controls)]
-    for entry in entries:
-        entry.start()
-    for _ in range(100):
-        await asyncio.sleep(0.1)
-        if all([await entry.is_ready() for entry in entries]):
-            return entries
-    for entry in entries:
-        entry.end()
-    raise CannotRun("the entries did not become ready")
+    try:
+        for entry in entries:
+            entry.start()
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            if all([await entry.is_ready() for entry in entries]):
+                return entries
+        raise CannotRun("the entries did not become ready")
+    except BaseException:
+        for entry in entries:
+            entry.end()
+        raise
 
 
 class Client:
@@ -465,6 +468,8 @@
 def main(case, folder):
     """Runs case(record, temporary folder); it returns what broke the rule."""
     record = Record(folder)
+    # A script that is told to stop ends what it started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record.add("with the disruption" if has_trouble() else
                "without the disruption")
 
