Streams: a request that takes up a stream logs what it waits for and how it ended

What they waited for, and whether their callers left, could not be told. take_up_waits says which wait begins and how long it may last; take_up_ended ends each of them, also those whose callers left, with the outcome, the wait and what is left. Nothing depends on them.

--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -231,6 +231,8 @@
     void note_stream(std::string_view event, const std::string& version);
     /// Counts how a request that takes up a stream ended.
     void count_take_up();
+    /// Logs that a request that takes up a stream waits for its stages.
+    void log_take_up_wait(const stage_terms& terms) const;
     awaitable<void> send_refusal();
     unsigned refusal_status() const;
     std::string retry_after() const;
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -75,6 +75,7 @@
         stage_terms terms = stage_terms_for(times);
         // Results of this request may exist already, and its caller has waited.
         terms.accepts_rejection = attempts == 0 && m_sends->sends() == 0;
+        log_take_up_wait(terms);
         m_stages = std::make_unique<stage_runner>(
             m_context, *m_route, m_metadata, content_digest(),
             expected_engine_zone(), terms);
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -138,6 +138,35 @@
     else if (m_refusal != refusal::none)
         outcome = to_string(m_refusal);
     m_context.count("streams_taken_up_ended", "outcome", outcome);
+    const instant now = m_context.now();
+    runtime::event("take_up_ended")
+        .with("request", m_metadata.id)
+        .with("resumes", m_metadata.resumed_request)
+        .with("outcome", outcome)
+        .with("route", m_route->name)
+        .with("waited_ms",
+              whole_milliseconds((m_is_head_sent ? m_first_byte_at : now) -
+                                 m_started_at))
+        .with("stages_ms",
+              m_stages_done_at == instant{}
+                  ? 0
+                  : whole_milliseconds(m_stages_done_at - m_started_at))
+        .with("left_ms", whole_milliseconds(remaining_time()))
+        .info();
+}
+
+void exchange::log_take_up_wait(const stage_terms& terms) const
+{
+    if (!is_taking_up_stream())
+        return;
+    const instant now = m_context.now();
+    runtime::event("take_up_waits")
+        .with("request", m_metadata.id)
+        .with("for", "stages")
+        .with("due_ms", whole_milliseconds(terms.due - now))
+        .with("expires_ms", whole_milliseconds(terms.expires - now))
+        .with("left_ms", whole_milliseconds(remaining_time()))
+        .info();
 }
 
 void exchange::note_stream(std::string_view event, const std::string& version)
