Tests: a failing test of records that no entry owns

Callers whose streams broke with all entries find them unknown when they return after a release of the record keepers.

--- /dev/null
+++ b/tests/serving/record_adoption_test.cpp
@@ -0,0 +1,140 @@
+#include "serving/records/record_keeper.hpp"
+#include "serving/stream_registry.hpp"
+#include "support/serving_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace mangofold;
+using namespace mangofold::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using keeper_map =
+    std::map<std::string, std::unique_ptr<serving::record_keeper>>;
+
+/// An entry without others that reaches the record keepers of a map.
+class entry_with_keepers : public serving_fixture,
+                           public serving::stream_channel
+{
+public:
+    explicit entry_with_keepers(keeper_map& keepers) : m_keepers(keepers)
+    {
+        context->streams = &streams;
+        context->has_all_targets = true;
+    }
+
+    std::vector<std::string> stream_keepers() const override { return {}; }
+    bool is_fleet_known() const override { return true; }
+    std::vector<std::string> record_keepers() const override
+    {
+        std::vector<std::string> addresses;
+        for (const auto& [address, keeper] : m_keepers)
+            addresses.push_back(address);
+        return addresses;
+    }
+    std::set<std::string> confirmed_record_keepers() const override
+    {
+        const auto all = record_keepers();
+        return {all.begin(), all.end()};
+    }
+    bool is_record_keeper(const std::string& address) const override
+    {
+        return m_keepers.contains(address);
+    }
+
+    void send(const std::string& address, const peer::Frame& frame) override
+    {
+        const auto found = m_keepers.find(address);
+        const auto reply = found == m_keepers.end()
+                               ? std::nullopt
+                               : found->second->handle(frame);
+        if (reply && reply->has_stream_answer())
+            streams.handle_answer(address, reply->stream_answer());
+        if (reply && reply->has_stream_origins())
+            streams.handle_origins(reply->stream_origins());
+    }
+
+    /// Maintains the records for \a span, as an entry process does.
+    void maintain_for(decision::duration span)
+    {
+        for (decision::duration passed{}; passed < span; passed += 100ms)
+        {
+            time.advance(100ms);
+            streams.maintain();
+        }
+    }
+
+    /// Returns what this entry knows of the stream \a key.
+    serving::stream_registry::finding origin_of(const decision::stream_key& key)
+    {
+        std::optional<serving::stream_registry::finding> found;
+        serving::spawn(loop, find(key, found));
+        run_until(
+            [&]
+            {
+                time.advance(1ms);
+                return found.has_value();
+            });
+        return *found;
+    }
+
+    serving::stream_registry streams{*context, *this};
+
+private:
+    serving::awaitable<void>
+    find(decision::stream_key key,
+         std::optional<serving::stream_registry::finding>& found)
+    {
+        found = co_await streams.find(key, "events", {20s, 10s});
+    }
+
+    keeper_map& m_keepers;
+};
+
+void start_keeper(keeper_map& keepers, const runtime::clock& time, int number)
+{
+    keepers["k" + std::to_string(number)] =
+        std::make_unique<serving::record_keeper>(time, number);
+}
+
+const decision::stream_origin origin{"events", "v1"};
+
+decision::stream_key key_of(int number)
+{
+    return decision::make_stream_key("club", "h", "/events/",
+                                     std::to_string(number));
+}
+
+} // namespace
+
+// Guards against streams that are unknown when their callers return: after the
+// loss of all entries, the keepers of their records left one after the other.
+TEST_CASE("records outlive the loss of all entries and a release of keepers")
+{
+    constexpr int streams = 40;
+    constexpr int hosts = 6;
+    const runtime::paused_clock keeper_time;
+    keeper_map keepers;
+    for (int number = 0; number < hosts; ++number)
+        start_keeper(keepers, keeper_time, number);
+    {
+        entry_with_keepers lost(keepers);
+        for (int number = 0; number < streams; ++number)
+            lost.streams.record(key_of(number), origin, 20s);
+        lost.maintain_for(1s);
+    }
+    entry_with_keepers entry(keepers);
+    entry.maintain_for(2s);
+    for (int number = 0; number < hosts; ++number)
+    {
+        keepers.erase("k" + std::to_string(number));
+        start_keeper(keepers, keeper_time, hosts + number);
+        entry.maintain_for(400ms);
+    }
+    for (int number = 0; number < streams; ++number)
+        CHECK(entry.origin_of(key_of(number)).origin == origin);
+}
