Admission: streams that are taken up get a part of each call first

Cause: a stream that can't be done within the objective since its return is late, and late jobs go behind all work in time, whatever its rank. While new requests of its own rank keep arriving, some are always in time, so that it waits until its caller leaves.

Streams that are taken up now get a third of each call before all other work, those first that expire first, and a larger part if the forecast shows that a third isn't enough for all of them. They then count as in time at the services of their later stages. One that starts late, in a call with space left, is served there as if it were in time, and does not expire because of the work in time that it would wait behind.

Without the change of the order of started jobs, or of the expiry, "a stream that is taken up goes on at later stages though it is late" fails.

--- a/packages/decision/admission/admission_forecast.cpp
+++ b/packages/decision/admission/admission_forecast.cpp
@@ -21,9 +21,9 @@
 /// do not start at even intervals, and its rejection takes longer than needed.
 constexpr double kept_time_margin = 1.1;
 
-/// The turn of a stream that is taken up: its caller has more to lose than one
-/// who has nothing yet. It goes first within its rank, so that no more urgent
-/// request gives way; where accounts take turns, within its account.
+/// The turn of a stream that is taken up and doesn't go before all other work
+/// at this time: first within its rank, and within its account where accounts
+/// take turns.
 constexpr double continued_turn = -1;
 
 duration scaled(duration time, double factor)
--- a/packages/decision/admission/admission_forecast.hpp
+++ b/packages/decision/admission/admission_forecast.hpp
@@ -35,7 +35,8 @@
     double account_starts = 0;
     /// Has been found to be on time before.
     bool was_on_time = false;
-    /// Goes before all others, to serve its rank the minimum share.
+    /// Goes before all others: it serves its rank the minimum share, or is of a
+    /// stream that is taken up.
     bool goes_first = false;
 
     bool is_late = false;     ///< The stages will end after the due time.
--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -262,6 +262,10 @@
                    std::vector<job_state*>& states, instant now);
     void choose_first_jobs(std::vector<admission_candidate>& candidates,
                            instant now);
+    static double share_needed(const std::vector<admission_candidate*>& streams,
+                               admission_forecast& forecast, instant now);
+    void choose_continued_streams(std::vector<admission_candidate>& candidates,
+                                  admission_forecast& forecast, instant now);
     void update_forecast(instant now, const downstream_estimates& downstream);
     void note_starts(const planned_call& call, instant now);
     duration return_delay_of(const job_state& state, instant now);
--- a/packages/decision/stages/call_planner_admission.cpp
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -3,6 +3,7 @@
 #include "decision/stages/call_planner.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace mangofold::decision
@@ -30,6 +31,14 @@
 /// the minimum share.
 constexpr std::uint32_t max_first_divisor = 4;
 
+/// Least share of each call that streams which are taken up may have before all
+/// other work. With half of each call, 400 streams made four times as many
+/// urgent requests late.
+constexpr double min_continued_share = 1.0 / 3;
+
+/// Safety factor on the work of the streams that are taken up.
+constexpr double continued_margin = 1.2;
+
 /// After this time without jobs, the first second of a planner counts again.
 constexpr duration idle_period = std::chrono::seconds(10);
 
@@ -176,6 +185,71 @@
     }
 }
 
+// The share of the capacity that \a streams, in the order in which they expire,
+// need so that none of them does.
+double
+call_planner::share_needed(const std::vector<admission_candidate*>& streams,
+                           admission_forecast& forecast, instant now)
+{
+    double share = 0;
+    std::map<std::string_view, duration> work;
+    for (const admission_candidate* candidate : streams)
+    {
+        duration chain{};
+        duration longest_work{};
+        const auto add = [&](const std::string& service, std::uint32_t pieces)
+        {
+            const service_outlook& outlook = forecast.outlook(service);
+            chain += outlook.call_time;
+            duration& all = work[service];
+            all += outlook.time_per_piece * pieces;
+            longest_work = std::max(longest_work, all);
+        };
+        add({}, candidate->pieces);
+        for (const downstream_pieces& stage : candidate->job->downstream)
+            add(stage.service, stage.pieces);
+        const duration left = candidate->job->expires - now - chain;
+        // No share helps a stream without time for its stages.
+        if (left > duration::zero())
+            share = std::max(share, static_cast<double>(longest_work.count()) /
+                                        static_cast<double>(left.count()));
+    }
+    return share;
+}
+
+// The caller of a stream that is taken up has more to lose than one who has
+// nothing yet. Late, it would wait behind all new requests that are in time,
+// until its caller leaves. Only a part of each call goes to such streams, so
+// that they mostly delay urgent requests instead of making them late.
+void call_planner::choose_continued_streams(
+    std::vector<admission_candidate>& candidates, admission_forecast& forecast,
+    instant now)
+{
+    std::vector<admission_candidate*> waiting;
+    for (admission_candidate& candidate : candidates)
+        if (candidate.job->continues_stream)
+            waiting.push_back(&candidate);
+    std::sort(waiting.begin(), waiting.end(),
+              [](const auto* left, const auto* right)
+              {
+                  return std::tie(left->job->expires, left->job->number) <
+                         std::tie(right->job->expires, right->job->number);
+              });
+    const double share =
+        std::clamp(continued_margin * share_needed(waiting, forecast, now),
+                   min_continued_share, 1.0);
+    const auto max_pieces =
+        static_cast<std::uint32_t>(share * m_profile.max_pieces);
+    std::uint32_t pieces = 0;
+    for (admission_candidate* candidate : waiting)
+    {
+        if (pieces > 0 && pieces + candidate->pieces > max_pieces)
+            break;
+        pieces += candidate->pieces;
+        candidate->goes_first = true;
+    }
+}
+
 // Started requests are served by due time. A queue of less urgent ones with a
 // long objective would make urgent ones with a short objective late at a later
 // service, so that the urgent ones would be rejected first.
@@ -215,6 +289,7 @@
     std::vector<admission_candidate> candidates =
         unstarted_jobs(forecast, states, now);
     choose_first_jobs(candidates, now);
+    choose_continued_streams(candidates, forecast, now);
     forecast.evaluate(candidates);
     m_is_overloaded = false;
     for (std::size_t index = 0; index < states.size(); ++index)
@@ -241,6 +316,9 @@
         if (state.job.is_started || std::exchange(state.has_been_started, true))
             continue;
         m_admission.note_start(state.job, now);
+        // Others go first in the next call.
+        if (state.goes_first && state.job.continues_stream)
+            m_forecast_at = {};
         admission_counts& counts = m_admission_counts[state.job.urgency];
         ++counts.started;
         counts.late += state.job.is_late ? 1 : 0;
--- a/packages/decision/stages/call_planner_jobs.cpp
+++ b/packages/decision/stages/call_planner_jobs.cpp
@@ -105,6 +105,8 @@
     return jobs;
 }
 
+// Streams that are taken up don't wait behind all work in time at the services
+// of their later stages.
 std::vector<call_planner::removed_job>
 call_planner::take_expired(instant now, const downstream_estimates& downstream)
 {
@@ -118,7 +120,8 @@
             state.job.expires <
                 earliest + m_profile.time_per_call +
                     downstream.remaining_time(
-                        state.job, m_profile.time_per_call, state.job.is_late))
+                        state.job, m_profile.time_per_call,
+                        state.job.is_late && !state.job.continues_stream))
             jobs.push_back(remove(entry));
         entry = next;
     }
--- a/packages/decision/stages/call_planner_order.cpp
+++ b/packages/decision/stages/call_planner_order.cpp
@@ -12,14 +12,17 @@
 // Urgency decides which requests start. Started ones are ordered by due time:
 // behind more urgent ones they would end late and waste their results. A job
 // that prefers another zone counts as due one call's time later.
+// A stream that is taken up may start as a late job, in calls with space left.
+// Behind all work in time at the services of its later stages, it would expire.
 call_planner::job_order call_planner::order_of(const job_state& state,
                                                const stage_target& target) const
 {
     const stage_job& job = state.job;
     job_order order;
     order.is_behind_first = !state.goes_first;
-    order.is_late = job.is_late;
     order.is_unstarted = state.is_unstarted();
+    order.is_late =
+        job.is_late && (order.is_unstarted || !job.continues_stream);
     if (order.is_unstarted)
     {
         order.urgency = job.urgency;
--- a/tests/decision/admission/take_up_rush_test.cpp
+++ b/tests/decision/admission/take_up_rush_test.cpp
@@ -56,6 +56,17 @@
     return static_cast<double>(went_on) / static_cast<double>(taken_up.size());
 }
 
+std::ptrdiff_t urgent_in_time(const overload_simulation& simulation)
+{
+    return std::ranges::count_if(
+        simulation.requests,
+        [](const request& each)
+        {
+            return each.job.urgency.route_rank < 2 && each.done &&
+                   overload_simulation::start + *each.done <= each.job.due;
+        });
+}
+
 } // namespace
 
 // Guards against streams that count as late soon after their return and then
@@ -75,9 +86,30 @@
 // callers leave: these requests alone take all capacity for longer than that.
 TEST_CASE("streams that are taken up go on in a lasting rush of new requests")
 {
-    for (const int streams : {50, 200, 400})
+    for (const int streams : {50, 200, 400, 800})
     {
         CAPTURE(streams);
         CHECK(share_that_went_on(rush(streams, 1.2)) >= 0.9);
     }
 }
+
+// Guards against urgent requests that end late for the sake of streams,
+// although the service has time for both or beyond the work of these streams.
+TEST_CASE("streams that are taken up cost urgent requests at most their work")
+{
+    for (const double urgent_share : {0.4, 0.8, 1.2})
+    {
+        const auto alone = urgent_in_time(rush(0, urgent_share));
+        for (const int streams : {50, 200, 400, 800})
+        {
+            CAPTURE(urgent_share);
+            CAPTURE(streams);
+            const auto lost =
+                alone - urgent_in_time(rush(streams, urgent_share));
+            CHECK(lost <= streams);
+            // What is left in the six seconds that callers wait for stages.
+            if (streams < 6 * capacity * (1 - urgent_share))
+                CHECK(lost == 0);
+        }
+    }
+}
--- a/tests/decision/stages/call_planner_test.cpp
+++ b/tests/decision/stages/call_planner_test.cpp
@@ -413,6 +413,33 @@
     CHECK(planner.next_call(start)->pieces[0].job == 1);
 }
 
+// Guards against streams that are taken up and started late, in a call with
+// space left, whose results expire behind work in time at later services.
+TEST_CASE("a stream that is taken up goes on at later stages though it is late")
+{
+    for (const bool continues_stream : {false, true})
+    {
+        call_planner planner = make_planner(1);
+        stage_job late = make_job(1, 6, 3s);
+        late.is_started = true;
+        late.is_late = true;
+        late.continues_stream = continues_stream;
+        planner.add(late);
+        planner.add(make_job(2, 6, 3s));
+        const auto call = planner.next_call(start);
+        REQUIRE(call);
+        CHECK(call->pieces.front().job == (continues_stream ? 1 : 2));
+        downstream_estimates downstream;
+        downstream.remaining_time = [](const stage_job&, duration,
+                                       bool is_late) -> duration
+        { return is_late ? 9s : 1s; };
+        late.number = 3;
+        planner.add(late);
+        CHECK(planner.take_expired(start, downstream).empty() ==
+              continues_stream);
+    }
+}
+
 TEST_CASE("pieces of a cancelled job are not executed")
 {
     call_planner planner = make_planner(1);
