Streams: entries adopt the records of record keepers, which hand them on

Callers who took streams up again after a loss of all entries were told stream_unknown, though targets of the version served and both copies of the record had outlived the entries at record keepers.

Cause: nobody owned such a record. Entries place copies again when keepers leave, but only of records that they have; after the loss no entry had them. So keepers that a release stopped, one after the other or all in one moment, took the records with them before their callers returned.

Each keeper is now read by the entry that comes first for its address. The entry asks for what was added after a change number, keeps it as its own record, and places its copies again: at once if the record is older than the entry or was found beside its usual holders, otherwise when holders change. The question names a few successors, of the keepers that have responded those whose targets started last; a keeper that is told to stop sends its records to two of them and ends when they have replied, after half a second at most. It doesn't confirm records that it is sent meanwhile, so that they go elsewhere.

A keeper of an earlier version doesn't reply to the question, which is no message that calls for a reply and doesn't make it count as silent. Records only merge, so ambiguity and expiry come along, and two entries that both read a keeper do no harm.

Its fixture delivers the keeper's records to the new handler. Handing on has no test yet in this commit.

--- a/packages/decision/streams/origin_records.cpp
+++ b/packages/decision/streams/origin_records.cpp
@@ -10,21 +10,72 @@
 {
     const auto [position, is_new] =
         m_records.try_emplace(key, stored_record{known, {}});
-    record& present = position->second.known;
-    if (!is_new)
+    stored_record& stored = position->second;
+    record& present = stored.known;
+    const record before = present;
+    if (present.origin != known.origin || known.is_ambiguous)
+        present.is_ambiguous = true;
+    present.expires_at = std::max(present.expires_at, known.expires_at);
+    if (!is_new && present == before)
+        return;
+    note_change(key, stored);
+    m_by_expiry.erase({before.expires_at, key});
+    m_by_expiry.emplace(present.expires_at, key);
+    if (m_records.size() > m_capacity)
+        forget_first_to_expire();
+}
+
+void origin_records::note_change(const stream_key& key, stored_record& stored)
+{
+    m_by_change.erase(stored.change);
+    stored.change = ++m_last_change;
+    m_by_change.emplace(stored.change, key);
+}
+
+void origin_records::forget_first_to_expire()
+{
+    const auto first = m_by_expiry.begin();
+    const auto found = m_records.find(first->second);
+    m_by_change.erase(found->second.change);
+    m_records.erase(found);
+    m_by_expiry.erase(first);
+}
+
+// A record that began while this entry ran was placed by its owner, and this
+// entry has noticed the loss of a holder since. One that is older may have lost
+// its owner and a holder unnoticed, and one that is not at its holders was
+// handed on, or they have changed.
+bool origin_records::adopt(const stream_key& key, const record& known,
+                           const std::string& keeper, instant owned_since)
+{
+    const bool is_owned = m_records.contains(key);
+    note(key, known);
+    const auto found = m_records.find(key);
+    if (found == m_records.end())
+        return false;
+    found->second.sent_to.insert(keeper);
+    if (is_owned)
+        return false;
+    const auto keepers = m_keeper_placement.holders(key, keeper_copies);
+    if (known.began_at < owned_since || !std::ranges::count(keepers, keeper))
+        return true;
+    take_new_holders(key);
+    return false;
+}
+
+std::vector<origin_records::keyed_record>
+origin_records::changes_after(std::uint64_t& last_change,
+                              std::size_t max_count) const
+{
+    std::vector<keyed_record> changes;
+    for (auto change = m_by_change.upper_bound(last_change);
+         change != m_by_change.end() && changes.size() < max_count; ++change)
     {
-        if (present.origin != known.origin || known.is_ambiguous)
-            present.is_ambiguous = true;
-        if (known.expires_at <= present.expires_at)
-            return;
-        m_by_expiry.erase({present.expires_at, key});
-        present.expires_at = known.expires_at;
+        last_change = change->first;
+        changes.emplace_back(change->second,
+                             m_records.at(change->second).known);
     }
-    m_by_expiry.emplace(present.expires_at, key);
-    if (m_records.size() <= m_capacity)
-        return;
-    m_records.erase(m_by_expiry.begin()->second);
-    m_by_expiry.erase(m_by_expiry.begin());
+    return changes;
 }
 
 const origin_records::record* origin_records::find(const stream_key& key,
@@ -107,10 +158,7 @@
 void origin_records::expire(instant now)
 {
     while (!m_by_expiry.empty() && m_by_expiry.begin()->first <= now)
-    {
-        m_records.erase(m_by_expiry.begin()->second);
-        m_by_expiry.erase(m_by_expiry.begin());
-    }
+        forget_first_to_expire();
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/streams/origin_records.hpp
+++ b/packages/decision/streams/origin_records.hpp
@@ -5,6 +5,8 @@
 #include "decision/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -56,6 +58,19 @@
     /// Records a stream, or prolongs its record.
     void note(const stream_key& key, const record& known);
 
+    /// Notes a record that was read from the record keeper at \a keeper by an
+    /// entry that has run since \a owned_since. Returns whether its copies are
+    /// to be placed now, and not only when holders change.
+    bool adopt(const stream_key& key, const record& known,
+               const std::string& keeper, instant owned_since);
+
+    using keyed_record = std::pair<stream_key, record>;
+
+    /// Returns up to \a max_count records that were added or changed after the
+    /// change numbered \a last_change, and advances \a last_change past them.
+    std::vector<keyed_record> changes_after(std::uint64_t& last_change,
+                                            std::size_t max_count) const;
+
     /// Returns the record of a stream, or null.
     const record* find(const stream_key& key, instant now) const;
 
@@ -103,16 +118,22 @@
     {
         record known;
         std::set<std::string> sent_to;
+        std::uint64_t change = 0; ///< Number of the last change.
     };
 
     using by_expiry = std::pair<instant, stream_key>;
 
+    void note_change(const stream_key& key, stored_record& stored);
+    void forget_first_to_expire();
+
     std::size_t m_capacity;
     copy_placement m_placement;
     copy_placement m_keeper_placement;
     std::set<std::string> m_confirmed_keepers;
     std::unordered_map<stream_key, stored_record, digest_hash> m_records;
     std::set<by_expiry> m_by_expiry;
+    std::map<std::uint64_t, stream_key> m_by_change;
+    std::uint64_t m_last_change = 0;
 };
 
 } // namespace mangofold::decision
--- a/packages/serving/records/keeper_client.cpp
+++ b/packages/serving/records/keeper_client.cpp
@@ -1,8 +1,12 @@
 #include "serving/records/keeper_client.hpp"
 
+#include "decision/streams/record_handover.hpp"
 #include "runtime/event.hpp"
 #include "serving/records/datagram.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace mangofold::serving
 {
 
@@ -47,6 +51,17 @@
     return m_roster.confirmed(m_context.now());
 }
 
+std::vector<std::string>
+keeper_client::successors_of(const std::string& address) const
+{
+    std::vector<decision::successor_candidate> candidates;
+    for (const std::string& keeper : m_roster.confirmed(m_context.now()))
+        if (const auto found = m_started_ms.find(keeper);
+            found != m_started_ms.end())
+            candidates.push_back({keeper, found->second});
+    return decision::successors_of(address, std::move(candidates));
+}
+
 // A record keeper runs on the host of a target. Those of services that generate
 // no streams need none, and have none.
 void keeper_client::update_addresses()
@@ -65,11 +80,20 @@
                 for (const catalog::weighted_service& choice : route.services)
                     services.insert(choice.service);
     std::set<std::string> addresses;
+    m_started_ms.clear();
     for (const decision::listed_target& target : m_context.directory.all())
-        if (!target.address.empty() && services.contains(target.service))
-            addresses.insert(runtime::address{
-                runtime::address::parse(target.address).host, port}
-                                 .text());
+    {
+        if (target.address.empty() || !services.contains(target.service))
+            continue;
+        const std::string address =
+            runtime::address{runtime::address::parse(target.address).host, port}
+                .text();
+        addresses.insert(address);
+        if (target.is_leaving)
+            continue;
+        std::uint64_t& started_ms = m_started_ms[address];
+        started_ms = std::max(started_ms, target.incarnation.started_ms);
+    }
     m_roster.set_listed(addresses);
     std::erase_if(m_sent, [this](const auto& sent)
                   { return !m_roster.is_listed(sent.second.to); });
@@ -165,6 +189,8 @@
         m_handler(address, frame);
     if (m_context.streams == nullptr)
         return;
+    if (frame.has_stream_origins())
+        m_context.streams->handle_records(address, frame.stream_origins());
     if (frame.has_stream_answer())
         m_context.streams->handle_answer(address, frame.stream_answer());
     if (frame.has_version_observation())
--- a/packages/serving/records/keeper_client.hpp
+++ b/packages/serving/records/keeper_client.hpp
@@ -37,6 +37,10 @@
         return m_roster.is_listed(address);
     }
 
+    /// Returns the record keepers to which the one at \a address is to hand on
+    /// its records when it stops.
+    std::vector<std::string> successors_of(const std::string& address) const;
+
     /// Sends \a frame to the record keeper at \a address; again if it calls for
     /// a reply that does not come.
     void send(const std::string& address, const peer::Frame& frame);
@@ -63,6 +67,8 @@
     entry_context& m_context;
     asio::ip::udp::socket m_socket;
     decision::keeper_roster m_roster;
+    /// By address, when the newest target there started that does not leave.
+    std::map<std::string, std::uint64_t> m_started_ms;
     frame_handler m_handler;
     std::map<std::uint64_t, sent_frame> m_sent; ///< Without a reply, by number.
     std::uint64_t m_last_number = 0;
@@ -99,6 +105,11 @@
     {
         return m_keepers.is_listed(address);
     }
+    std::vector<std::string>
+    successors_of(const std::string& address) const override
+    {
+        return m_keepers.successors_of(address);
+    }
     bool is_fleet_known() const override { return m_entries.is_fleet_known(); }
     void maintain() override { m_keepers.maintain(); }
     void send(const std::string& address, const peer::Frame& frame) override
--- a/packages/serving/records/record_keeper.cpp
+++ b/packages/serving/records/record_keeper.cpp
@@ -1,5 +1,6 @@
 #include "serving/records/record_keeper.hpp"
 
+#include "runtime/event.hpp"
 #include "serving/peer_messages.hpp"
 #include "serving/records/datagram.hpp"
 #include "serving/stream_messages.hpp"
@@ -10,6 +11,14 @@
 
 using asio::ip::udp;
 
+namespace
+{
+
+/// How often a keeper that stops looks for what to send and whether it is done.
+constexpr duration handover_step = std::chrono::milliseconds(10);
+
+} // namespace
+
 peer::Frame record_keeper::kept(std::uint64_t number) const
 {
     peer::Frame frame;
@@ -52,12 +61,82 @@
     return frame;
 }
 
+// An entry that knows no successors knows less than the one before it.
+peer::Frame record_keeper::records(const peer::RecordsQuestion& question)
+{
+    if (question.successors_size() > 0)
+        m_successors.assign(question.successors().begin(),
+                            question.successors().end());
+    if (m_successors.size() > decision::record_handover::max_successors)
+        m_successors.resize(decision::record_handover::max_successors);
+    const instant now = m_time.now();
+    std::uint64_t last_change = question.after();
+    peer::Frame frame;
+    peer::StreamOrigins& message = *frame.mutable_stream_origins();
+    for (const auto& [key, known] :
+         m_records.changes_after(last_change, origins_per_datagram))
+        write_stream_origin(key, known, now, *message.add_origins());
+    message.set_next(last_change);
+    message.set_born(m_born);
+    return frame;
+}
+
+void record_keeper::stop()
+{
+    const instant now = m_time.now();
+    m_records.expire(now);
+    std::uint64_t last_change = 0;
+    for (;;)
+    {
+        const auto part =
+            m_records.changes_after(last_change, origins_per_datagram);
+        if (part.empty())
+            break;
+        peer::StreamOrigins& message =
+            *m_handover_parts.emplace_back().mutable_stream_origins();
+        for (const auto& [key, known] : part)
+            write_stream_origin(key, known, now, *message.add_origins());
+    }
+    m_handover.emplace(m_successors, m_handover_parts.size(), now);
+}
+
+std::vector<record_keeper::addressed_frame>
+record_keeper::take_handover_frames()
+{
+    std::vector<addressed_frame> frames;
+    for (const auto& due : m_handover->take_due(m_time.now()))
+    {
+        frames.push_back({due.to, m_handover_parts[due.part]});
+        frames.back().frame.mutable_stream_origins()->set_number(due.number);
+    }
+    return frames;
+}
+
+void record_keeper::handle_kept(const std::string& address,
+                                const peer::Kept& reply)
+{
+    if (m_handover)
+        m_handover->note_reply(address, reply.number());
+}
+
+void record_keeper::log_handover() const
+{
+    runtime::event("records_handed_on")
+        .with("records", size())
+        .with("successors", m_successors.size())
+        .with("confirmed", m_handover ? m_handover->confirmed() : 0)
+        .info();
+}
+
 std::optional<peer::Frame> record_keeper::handle(const peer::Frame& frame)
 {
     const instant now = m_time.now();
     switch (frame.content_case())
     {
     case peer::Frame::kStreamOrigins:
+        // Not kept for long enough: the sender must choose another keeper.
+        if (m_handover)
+            return std::nullopt;
         note_stream_origins(frame.stream_origins(), now, m_records);
         return kept(frame.stream_origins().number());
     case peer::Frame::kStreamQuestion:
@@ -73,6 +152,8 @@
         return kept(frame.ends().number());
     case peer::Frame::kEndsQuestion:
         return crashes(frame.ends_question());
+    case peer::Frame::kRecordsQuestion:
+        return records(frame.records_question());
     case peer::Frame::kVersionQuestion:
         return observation(frame.version_question().number());
     default:
@@ -115,6 +196,15 @@
             !frame.ParseFromArray(received.data(), static_cast<int>(size)))
             continue;
         m_keeper.expire();
+        if (frame.has_kept())
+        {
+            m_keeper.handle_kept(
+                runtime::address{sender.address().to_string(), sender.port()}
+                    .text(),
+                frame.kept());
+            send_handover();
+            continue;
+        }
         const auto reply = m_keeper.handle(frame);
         if (!reply)
             continue;
@@ -123,4 +213,39 @@
     }
 }
 
+// An unreadable address is as one from which no reply comes.
+void record_keeper_server::send_handover()
+{
+    if (!m_keeper.is_stopping())
+        return;
+    for (const auto& [to, frame] : m_keeper.take_handover_frames())
+        try
+        {
+            const runtime::address receiver = runtime::address::parse(to);
+            error_code fault; // What is not sent is sent again.
+            m_socket.send_to(
+                asio::buffer(frame.SerializeAsString()),
+                udp::endpoint(asio::ip::make_address(receiver.host),
+                              receiver.port),
+                0, fault);
+        }
+        catch (const runtime::address_error&)
+        {
+        }
+}
+
+awaitable<void> record_keeper_server::hand_on()
+{
+    m_keeper.stop();
+    loop_timer timer(m_loop);
+    while (!m_keeper.is_handed_on())
+    {
+        send_handover();
+        error_code ignored; // The timer is never cancelled.
+        timer.expires_after(handover_step);
+        co_await timer.async_wait(store_error_in(ignored));
+    }
+    m_keeper.log_handover();
+}
+
 } // namespace mangofold::serving
--- a/packages/serving/records/record_keeper.hpp
+++ b/packages/serving/records/record_keeper.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/crash_log.hpp"
 #include "decision/streams/origin_records.hpp"
+#include "decision/streams/record_handover.hpp"
 #include "decision/streams/version_history.hpp"
 #include "peer.pb.h"
 #include "runtime/address.hpp"
@@ -11,6 +12,8 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace mangofold::serving
 {
@@ -31,6 +34,32 @@
     /// Returns the reply to \a frame, or nothing.
     std::optional<peer::Frame> handle(const peer::Frame& frame);
 
+    /// Begins to hand on the records, and keeps no others.
+    void stop();
+
+    bool is_stopping() const { return m_handover.has_value(); }
+
+    struct addressed_frame
+    {
+        std::string to;
+        peer::Frame frame;
+    };
+
+    /// Returns what to send to other record keepers now.
+    std::vector<addressed_frame> take_handover_frames();
+
+    /// Handles the reply of another record keeper to such a frame.
+    void handle_kept(const std::string& address, const peer::Kept& reply);
+
+    /// Whether the records are handed on, as far as they can be.
+    bool is_handed_on() const
+    {
+        return m_handover && m_handover->is_done(m_time.now());
+    }
+
+    /// Logs what was handed on.
+    void log_handover() const;
+
     /// Forgets what has expired.
     void expire();
 
@@ -42,11 +71,16 @@
     peer::Frame observation(std::uint64_t number) const;
     peer::Frame crashes(const peer::EndsQuestion& question) const;
 
+    peer::Frame records(const peer::RecordsQuestion& question);
+
     const runtime::clock& m_time;
     std::uint64_t m_born;
     decision::origin_records m_records;
     decision::version_history m_versions;
     decision::crash_log m_crashes;
+    std::vector<std::string> m_successors;
+    std::vector<peer::Frame> m_handover_parts;
+    std::optional<decision::record_handover> m_handover; ///< Once it stops.
 };
 
 /// Serves a record_keeper on a UDP socket.
@@ -60,7 +94,12 @@
     /// Answers messages. Never returns.
     awaitable<void> run();
 
+    /// Hands on the records, for half a second at most.
+    awaitable<void> hand_on();
+
 private:
+    void send_handover();
+
     asio::io_context& m_loop;
     asio::ip::udp::socket m_socket;
     record_keeper& m_keeper;
--- a/packages/serving/stream_messages.hpp
+++ b/packages/serving/stream_messages.hpp
@@ -9,6 +9,9 @@
 namespace mangofold::serving
 {
 
+/// Records per datagram to or from a record keeper, some 1 KB: one packet.
+constexpr int origins_per_datagram = 12;
+
 decision::stream_key read_stream_key(const peer::StreamOrigin& message);
 
 void write_stream_origin(const decision::stream_key& key,
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -1,6 +1,7 @@
 #include "serving/stream_registry.hpp"
 
 #include "runtime/event.hpp"
+#include "serving/records/record_adopter.hpp"
 #include "serving/stream_messages.hpp"
 
 #include <algorithm>
@@ -33,9 +34,6 @@
 /// Records per frame, some 10 KB: urgent frames wait behind one at most.
 constexpr int origins_per_frame = 100;
 
-/// Records per datagram to a record keeper, some 1 KB: one packet.
-constexpr int origins_per_datagram = 12;
-
 /// How many record keepers know the versions that targets had.
 constexpr std::size_t version_keepers = 3;
 
@@ -91,10 +89,13 @@
 
 stream_registry::stream_registry(entry_context& context,
                                  stream_channel& channel)
-    : m_context(context), m_channel(channel)
+    : m_context(context), m_channel(channel),
+      m_adopter(std::make_unique<record_adopter>(context, channel, m_records))
 {
 }
 
+stream_registry::~stream_registry() = default;
+
 // Nothing waits for the copies: if they are lost together with this entry, the
 // stream is not continued, and never at another version.
 void stream_registry::record(const decision::stream_key& key,
@@ -318,6 +319,12 @@
     note_stream_origins(message, m_context.now(), m_records);
 }
 
+void stream_registry::handle_records(const std::string& address,
+                                     const peer::StreamOrigins& message)
+{
+    m_adopter->handle(address, message);
+}
+
 peer::Frame
 stream_registry::handle_question(const peer::StreamQuestion& message)
 {
@@ -472,13 +479,25 @@
         m_channel.send(keeper, frame);
 }
 
+// The copies of adopted records are placed step by step, since there may be
+// many after the loss of all entries.
+std::vector<decision::stream_key> stream_registry::placed_keys() const
+{
+    std::vector<decision::stream_key> keys = m_records.keys();
+    std::erase_if(keys, [this](const decision::stream_key& key)
+                  { return m_adopter->is_unplaced(key); });
+    return keys;
+}
+
 void stream_registry::maintain()
 {
     m_records.expire(m_context.now());
     update_holders();
     exchange_versions();
+    m_adopter->maintain();
+    send_copies(m_adopter->take_unplaced());
     if (std::exchange(m_have_holders_changed, false))
-        send_copies(m_records.keys());
+        send_copies(placed_keys());
     m_context.metrics.set_gauge({"record_keepers_responding", {}},
                                 static_cast<double>(m_records.keepers()));
     m_context.metrics.set_gauge({"stream_origins_known", {}},
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -40,6 +40,13 @@
     }
     virtual bool is_record_keeper(const std::string&) const { return false; }
 
+    /// Returns the record keepers to which the one at the given address is to
+    /// hand on its records when it stops.
+    virtual std::vector<std::string> successors_of(const std::string&) const
+    {
+        return {};
+    }
+
     /// Notes which record keepers there are and which respond.
     virtual void maintain() {}
 
@@ -51,12 +58,17 @@
     virtual void send(const std::string& address, const peer::Frame& frame) = 0;
 };
 
+class record_adopter;
+
 /// Records at which software version each stream began, at this entry and at
 /// some others, and finds out where a stream began that a caller takes up.
 class stream_registry
 {
 public:
     stream_registry(entry_context& context, stream_channel& channel);
+    stream_registry(const stream_registry&) = delete;
+    stream_registry& operator=(const stream_registry&) = delete;
+    ~stream_registry();
 
     /// Where the knowledge of a stream's origin came from.
     enum class source : std::uint8_t
@@ -105,6 +117,10 @@
 
     /// Keeps the records that another entry has sent.
     void handle_origins(const peer::StreamOrigins& message);
+
+    /// Adopts the records that the record keeper at \a address has sent.
+    void handle_records(const std::string& address,
+                        const peer::StreamOrigins& message);
     peer::Frame handle_question(const peer::StreamQuestion& message);
     /// Handles an answer of the entry or record keeper at \a address.
     void handle_answer(const std::string& address,
@@ -164,10 +180,13 @@
     /// Sends the records of \a keys to the holders that are to keep them and
     /// were not sent them yet.
     void send_copies(const std::vector<decision::stream_key>& keys);
+    /// Returns the keys of the records whose copies are or were placed.
+    std::vector<decision::stream_key> placed_keys() const;
 
     entry_context& m_context;
     stream_channel& m_channel;
     decision::origin_records m_records;
+    std::unique_ptr<record_adopter> m_adopter;
     std::map<std::uint64_t, std::shared_ptr<question>> m_questions;
     std::uint64_t m_last_question = 0;
     /// Of the streams recorded here; others may have begun that live as long.
--- a/tests/serving/record_adoption_test.cpp
+++ b/tests/serving/record_adoption_test.cpp
@@ -55,7 +55,7 @@
         if (reply && reply->has_stream_answer())
             streams.handle_answer(address, reply->stream_answer());
         if (reply && reply->has_stream_origins())
-            streams.handle_origins(reply->stream_origins());
+            streams.handle_records(address, reply->stream_origins());
     }
 
     /// Maintains the records for \a span, as an entry process does.
