Streams: tests of adopted and handed-on records, and their mutants

Adds to the simulation of records: keepers that leave in turn after all entries were lost (one of them unnoticed, together with the entries), keepers that stop while no entry runs, and most entries lost before keepers leave. Unit tests of the handover and of what an entry reads. Entries of the simulation take a moment to restart; a record that begins in the instant of a restart is not older than the entry.

The mutant of the lifetime names the line as it is now.

--- a/tests/decision/streams/origin_records_simulation_test.cpp
+++ b/tests/decision/streams/origin_records_simulation_test.cpp
@@ -1,5 +1,7 @@
 #include "decision/random_source.hpp"
 #include "decision/streams/origin_records.hpp"
+#include "decision/streams/record_adoption.hpp"
+#include "decision/streams/record_handover.hpp"
 
 #include <doctest/doctest.h>
 
@@ -26,10 +28,9 @@
         : m_random(seed)
     {
         for (std::size_t number = 0; number < keepers; ++number)
-            m_keepers["10.1.0." + std::to_string(number)];
+            start_keeper();
         for (std::size_t number = 0; number < entries; ++number)
-            m_entries["10.0.0." + std::to_string(number)] =
-                std::make_unique<origin_records>();
+            restart("10.0.0." + std::to_string(number));
         settle();
     }
 
@@ -67,13 +68,70 @@
     {
         auto keeper = m_keepers.begin();
         std::advance(keeper, m_random.below(m_keepers.size()));
-        keeper->second = origin_records();
+        keeper->second = {origin_records(), ++m_processes, {}};
         m_unnoticed.push_back(keeper->first);
     }
 
     void restart(const std::string& address)
     {
-        m_entries.at(address) = std::make_unique<origin_records>();
+        m_now += 1ms;
+        m_entries[address] = std::make_unique<origin_records>();
+        m_adoptions[address] = {{}, m_now};
+    }
+
+    /// Has a record keeper start at an address of its own.
+    void start_keeper()
+    {
+        ++m_processes;
+        m_keepers["10.1.0." + std::to_string(m_processes)].born = m_processes;
+    }
+
+    /// Has a record keeper leave for good; its records are lost.
+    void remove_keeper(const std::string& address)
+    {
+        m_keepers.erase(address);
+        m_unnoticed.push_back(address);
+    }
+
+    /// Has a record keeper hand on its records and leave.
+    void stop_keeper(const std::string& address)
+    {
+        const keeper_process from = m_keepers.at(address);
+        std::uint64_t last = 0;
+        const auto records = from.records.changes_after(last, 1000);
+        remove_keeper(address);
+        record_handover handover(from.successors, records.empty() ? 0 : 1,
+                                 m_now);
+        for (; !handover.is_done(m_now); m_now += 10ms)
+            for (const auto& sent : handover.take_due(m_now))
+                if (origin_records* receiver = records_of(sent.to))
+                {
+                    for (const auto& [key, known] : records)
+                        receiver->note(key, known);
+                    handover.note_reply(sent.to, sent.number);
+                }
+    }
+
+    /// The record keepers, those that started first at the front.
+    std::vector<std::string> keepers() const
+    {
+        std::vector<std::pair<std::uint64_t, std::string>> by_age;
+        for (const auto& [address, keeper] : m_keepers)
+            by_age.emplace_back(keeper.born, address);
+        std::sort(by_age.begin(), by_age.end());
+        std::vector<std::string> addresses;
+        for (const auto& [born, address] : by_age)
+            addresses.push_back(address);
+        return addresses;
+    }
+
+    /// All entries read their record keepers and place what they adopt.
+    void adopt()
+    {
+        m_now += record_adoption::interval;
+        for (const std::string& address : live_entries())
+            adopt(address);
+        deliver();
     }
 
     /// One random step; copies are lost with the probability \a loss.
@@ -81,8 +139,10 @@
     {
         m_loss = loss;
         m_now += 50ms;
-        switch (m_random.below(m_keepers.empty() ? 6 : 8))
+        switch (m_random.below(m_keepers.empty() ? 6 : 9))
         {
+        case 8:
+            return adopt();
         case 6:
             return restart_keeper();
         case 7:
@@ -199,10 +259,11 @@
         std::erase(others, address);
         m_entries.at(address)->set_entries(others);
         std::vector<std::string> keepers;
-        for (const auto& [keeper, records] : m_keepers)
+        for (const auto& [keeper, state] : m_keepers)
             keepers.push_back(keeper);
         m_entries.at(address)->set_keepers(keepers,
                                            {keepers.begin(), keepers.end()});
+        m_adoptions.at(address).keepers.set_processes(address, others, keepers);
         for (const stream_key& key : m_entries.at(address)->keys())
             send_copies(address, key);
     }
@@ -222,6 +283,55 @@
         origin_records::record known;
     };
 
+    struct keeper_process
+    {
+        origin_records records;
+        std::uint64_t born = 0;
+        std::vector<std::string> successors;
+    };
+
+    struct adoption
+    {
+        record_adoption keepers;
+        instant started_at;
+    };
+
+    void adopt(const std::string& address)
+    {
+        adoption& at = m_adoptions.at(address);
+        for (;;)
+        {
+            const auto due = at.keepers.take_due(m_now);
+            if (due.empty())
+                break;
+            for (const auto& question : due)
+                read(address, question);
+        }
+        for (const stream_key& key : at.keepers.take_unplaced(m_now))
+            send_copies(address, key);
+    }
+
+    void read(const std::string& address,
+              const record_adoption::question& question)
+    {
+        const auto found = m_keepers.find(question.keeper);
+        if (found == m_keepers.end())
+            return;
+        adoption& at = m_adoptions.at(address);
+        std::vector<successor_candidate> candidates;
+        for (const auto& [other, state] : m_keepers)
+            candidates.push_back({other, state.born});
+        found->second.successors = successors_of(found->first, candidates);
+        std::uint64_t last = question.after;
+        const auto records = found->second.records.changes_after(last, 3);
+        for (const auto& [key, known] : records)
+            if (m_entries.at(address)->adopt(key, known, found->first,
+                                             at.started_at))
+                at.keepers.note_unplaced(key);
+        at.keepers.note_reply(found->first, found->second.born, last,
+                              records.size(), m_now);
+    }
+
     void send_copies(const std::string& address, const stream_key& key)
     {
         origin_records& from = *m_entries.at(address);
@@ -245,8 +355,10 @@
     origin_records* records_of(const std::string& address)
     {
         const auto keeper = m_keepers.find(address);
-        return keeper == m_keepers.end() ? m_entries.at(address).get()
-                                         : &keeper->second;
+        if (keeper != m_keepers.end())
+            return &keeper->second.records;
+        const auto entry = m_entries.find(address);
+        return entry == m_entries.end() ? nullptr : entry->second.get();
     }
     const origin_records* records_of(const std::string& address) const
     {
@@ -257,7 +369,9 @@
     instant m_now{1h};
     double m_loss = 0;
     std::map<std::string, std::unique_ptr<origin_records>> m_entries;
-    std::map<std::string, origin_records> m_keepers;
+    std::map<std::string, adoption> m_adoptions; ///< By entry.
+    std::map<std::string, keeper_process> m_keepers;
+    std::uint64_t m_processes = 0; ///< Record keepers that were started.
     std::vector<stream> m_streams;
     std::vector<copy> m_copies;           ///< On their way.
     std::vector<std::string> m_unnoticed; ///< Losses.
@@ -400,3 +514,76 @@
         CHECK(fleet.missing_streams() == 0);
     }
 }
+
+// Guards against records without an owner: all entries are lost, and then the
+// keepers leave one after the other, one of them unnoticed with the entries.
+TEST_CASE("streams outlive all entries and then a release of keepers")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        stream_fleet fleet(seed, 1 + seed % 6, 8);
+        for (int number = 0; number < 10; ++number)
+            fleet.begin_stream();
+        fleet.settle();
+        fleet.restart_keeper();
+        fleet.restart_all();
+        fleet.settle();
+        fleet.adopt();
+        for (const std::string& address : fleet.keepers())
+        {
+            fleet.remove_keeper(address);
+            fleet.start_keeper();
+            CHECK(fleet.missing_streams() == 0);
+            fleet.settle();
+        }
+        CHECK(fleet.missing_streams() == 0);
+    }
+}
+
+// Guards against records that end with the keepers that a release stops while
+// no entry runs.
+TEST_CASE("streams outlive keepers that stop while no entry runs")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        stream_fleet fleet(seed, 3, 12);
+        for (int number = 0; number < 10; ++number)
+            fleet.begin_stream();
+        fleet.settle();
+        fleet.adopt();
+        const auto entries = fleet.live_entries();
+        for (const std::string& address : entries)
+            fleet.kill(address);
+        const auto keepers = fleet.keepers();
+        for (std::size_t number = 0; number < keepers.size() / 2; ++number)
+            fleet.stop_keeper(keepers[number]);
+        for (const std::string& address : entries)
+            fleet.restart(address);
+        fleet.settle();
+        fleet.adopt();
+        CHECK(fleet.missing_streams() == 0);
+    }
+}
+
+// Guards against records that lose their owners, while other entries run on.
+TEST_CASE("streams outlive most entries and then a release of keepers")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        stream_fleet fleet(seed, 6, 8);
+        for (int number = 0; number < 10; ++number)
+            fleet.begin_stream();
+        fleet.settle();
+        for (int number = 0; number < 4; ++number)
+            fleet.kill(fleet.random_entry());
+        fleet.settle();
+        fleet.adopt();
+        for (const std::string& address : fleet.keepers())
+        {
+            fleet.remove_keeper(address);
+            fleet.start_keeper();
+            fleet.settle();
+        }
+        CHECK(fleet.missing_streams() == 0);
+    }
+}
--- a/tests/decision/streams/origin_records_test.cpp
+++ b/tests/decision/streams/origin_records_test.cpp
@@ -310,3 +310,27 @@
     CHECK_FALSE(history.observation());
     CHECK_FALSE(history.only_version("chat", 10s, start + 30s));
 }
+
+// Guards against a stream that goes on although its caller used a request id
+// twice, or that is forgotten early, since its record moved.
+TEST_CASE("records that are read and adopted stay what they are")
+{
+    origin_records keeper;
+    keeper.note(key_of("r1"), record_of(first_version, 10s));
+    keeper.note(key_of("r2"), record_of(first_version, 10s));
+    std::uint64_t last = 0;
+    CHECK(keeper.changes_after(last, 10).size() == 2);
+    CHECK(keeper.changes_after(last, 10).empty());
+    keeper.note(key_of("r1"), record_of(second_version, 10s));
+    keeper.note(key_of("r2"), record_of(first_version, 25s));
+    const auto changes = keeper.changes_after(last, 10);
+    REQUIRE(changes.size() == 2);
+    origin_records entry;
+    for (const auto& [key, known] : changes)
+        entry.adopt(key, known, "k", start);
+    CHECK(entry.find(key_of("r1"), start)->is_ambiguous);
+    CHECK(entry.find(key_of("r2"), start + 24s)->origin == first_version);
+    keeper.expire(start + 30s);
+    last = 0;
+    CHECK(keeper.changes_after(last, 10).empty());
+}
--- /dev/null
+++ b/tests/decision/streams/record_handover_test.cpp
@@ -0,0 +1,110 @@
+#include "decision/streams/record_adoption.hpp"
+#include "decision/streams/record_handover.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace mangofold::decision;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr instant start{1h};
+
+} // namespace
+
+// Guards against records that are handed to keepers which stop next.
+TEST_CASE("records are handed on to keepers whose targets started last")
+{
+    std::vector<successor_candidate> candidates;
+    for (std::uint64_t number = 0; number < 40; ++number)
+        candidates.push_back({"k" + std::to_string(number), number});
+    const auto successors = successors_of("k39", candidates);
+    CHECK(successors.size() == record_handover::max_successors);
+    for (const std::string& address : successors)
+    {
+        CHECK(address >= "k31");
+        CHECK(address != "k39");
+    }
+    CHECK(successors_of("k1", {{"k1", 1}}).empty());
+}
+
+// Guards against a keeper that stops before its records have arrived, or that
+// waits for others that stop, too.
+TEST_CASE("a handover resends what is lost and passes over silent successors")
+{
+    record_handover handover({"a", "b", "c"}, 2, start);
+    const auto first = handover.take_due(start);
+    REQUIRE(first.size() == 4);
+    for (const auto& sent : first)
+        if (sent.to == "a")
+            handover.note_reply("a", sent.number);
+    handover.note_reply("c", first.back().number); // It was sent to b.
+    CHECK(handover.confirmed() == 1);
+    CHECK(handover.take_due(start + 59ms).empty());
+    const auto again = handover.take_due(start + 60ms);
+    REQUIRE(again.size() == 2);
+    CHECK(again.front().to == "b");
+    const auto others = handover.take_due(start + 120ms);
+    REQUIRE(others.size() == 2);
+    CHECK(others.front().to == "c");
+    CHECK_FALSE(handover.is_done(start + 120ms));
+    for (const auto& sent : others)
+        handover.note_reply("c", sent.number);
+    CHECK(handover.is_done(start + 120ms));
+}
+
+// Guards against keepers that never stop.
+TEST_CASE("a handover ends without records, successors or replies")
+{
+    CHECK(record_handover({"a"}, 0, start).is_done(start));
+    CHECK(record_handover({}, 3, start).is_done(start));
+    record_handover handover({"a"}, 1, start);
+    handover.take_due(start);
+    handover.note_reply("a", 7);
+    CHECK_FALSE(handover.is_done(start + 499ms));
+    CHECK(handover.is_done(start + 500ms));
+}
+
+// Guards against records that are missed since a keeper counts its changes anew
+// after a restart.
+TEST_CASE("a keeper that started again is read from the start")
+{
+    record_adoption adoption;
+    adoption.set_processes("e", {}, {"k"});
+    using questions = std::vector<record_adoption::question>;
+    CHECK(adoption.take_due(start) == questions{{"k", 0}});
+    CHECK(adoption.take_due(start + 99ms).empty());
+    adoption.note_reply("k", 1, 12, 12, start + 99ms);
+    CHECK(adoption.take_due(start + 99ms) == questions{{"k", 12}});
+    adoption.note_reply("k", 1, 12, 0, start + 99ms);
+    CHECK(adoption.take_due(start + 1s).empty());
+    CHECK(adoption.take_due(start + 1099ms) == questions{{"k", 12}});
+    adoption.note_reply("k", 2, 12, 0, start + 1099ms);
+    CHECK(adoption.take_due(start + 1099ms) == questions{{"k", 0}});
+}
+
+// Guards against keepers that no entry reads, and against a flood of questions.
+TEST_CASE("each keeper is read by one entry, within a budget")
+{
+    const std::vector<std::string> entries{"e0", "e1", "e2", "e3"};
+    std::vector<std::string> keepers;
+    for (int number = 0; number < 400; ++number)
+        keepers.push_back("k" + std::to_string(number));
+    std::size_t read = 0;
+    for (const std::string& own : entries)
+    {
+        auto others = entries;
+        std::erase(others, own);
+        record_adoption adoption;
+        adoption.set_processes(own, others, keepers);
+        read += adoption.keepers().size();
+        CHECK(adoption.take_due(start).size() ==
+              record_adoption::bytes_per_second /
+                  record_adoption::question_bytes);
+        CHECK(adoption.take_due(start).empty());
+    }
+    CHECK(read == keepers.size());
+}
--- a/tests/mutants/streams.py
+++ b/tests/mutants/streams.py
@@ -6,11 +6,14 @@
          "tests/decision/streams/keeper_roster_test.cpp",
          "tests/decision/streams/origin_records_test.cpp",
          "tests/decision/streams/origin_records_simulation_test.cpp",
+         "tests/decision/streams/record_handover_test.cpp",
          "tests/decision/admission/take_up_admission_test.cpp",
          "tests/decision/target_directory_test.cpp"]
 ARGUMENTS = []
 
 RECORDS = "packages/decision/streams/origin_records.cpp"
+ADOPTION = "packages/decision/streams/record_adoption.cpp"
+HANDOVER = "packages/decision/streams/record_handover.cpp"
 HISTORY = "packages/decision/streams/version_history.cpp"
 ORIGIN = "packages/decision/streams/stream_origin.cpp"
 ROSTER = "packages/decision/streams/keeper_roster.cpp"
@@ -32,6 +35,21 @@
     ("record keepers are not asked", RECORDS,
      "m_keeper_placement.holders(key, keeper_copies + 2)",
      "std::vector<std::string>()"),
+    ("entries adopt nothing", ADOPTION,
+     "readers.holders(digest_of(address), 1).front() == own", "own.empty()"),
+    ("keepers hand on nothing", HANDOVER,
+     "if (!m_successors[index].is_silent)", "if (m_parts == 0)"),
+    ("adoption forgets ambiguity", RECORDS,
+     "note(key, known);\n    const auto found",
+     "note(key, {known.origin, known.began_at, known.expires_at, false});\n"
+     "    const auto found"),
+    ("a keeper that restarted is read on", ADOPTION,
+     "has_restarted ? 0 : std::max(known.after, next)",
+     "std::max(known.after, next)"),
+    ("what was adopted counts as placed", RECORDS,
+     "known.began_at < owned_since || ", ""),
+    ("a silent successor is not passed over", HANDOVER,
+     "receiver.is_silent = true;", "(void)receiver;"),
     ("a lost message is not sent again", ROSTER,
      "waiting.sends < max_sends", "waiting.sends < 1"),
     ("silent record keepers are sent copies", ROSTER,
@@ -56,7 +74,8 @@
     ("one of two origins is used", RECORDS,
      "present.is_ambiguous = true;", "present.is_ambiguous = false;"),
     ("a stream that goes on is forgotten as early", RECORDS,
-     "present.expires_at = known.expires_at;", "(void)known;"),
+     "present.expires_at = std::max(present.expires_at, known.expires_at);",
+     ""),
     ("streams belong to no account", ORIGIN, "{account, {}, host",
      "{{}, {}, host"),
     ("a gap in the list is ignored", HISTORY,
