--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -44,10 +44,6 @@
 constexpr duration report_interval = std::chrono::seconds(1);
 constexpr duration report_interval_per_entry = std::chrono::milliseconds(20);
 
-/// How many of them must agree with what an entry takes over: one alone may
-/// have been out of reach for a while.
-constexpr std::size_t min_version_answers = 2;
-
 /// The key by which they are chosen, the same for all entries.
 constexpr decision::stream_key version_key{};
 
@@ -390,17 +386,14 @@
     if (!seen || seen->last_seen.empty() ||
         m_version_questions >= max_version_questions)
         return;
-    m_version_answers.insert_or_assign(address, *seen);
-    if (m_version_answers.size() <
-        std::min(min_version_answers, m_channel.record_keepers().size()))
-        return;
-    m_version_questions = max_version_questions;
     // What this entry sees itself comes first, or a version that is new would
     // be missing from the longer span.
     note_versions();
-    for (const auto& [keeper, known] : m_version_answers)
-        m_context.versions.merge(known);
-    m_version_answers.clear();
+    if (!m_version_answers.note(address, *seen,
+                                m_channel.record_keepers().size(),
+                                m_context.versions))
+        return;
+    m_version_questions = max_version_questions;
     const auto all = m_context.versions.observation();
     runtime::event("versions_learned")
         .with("since_ms", whole_milliseconds(now - (all ? all->since : now)))
@@ -457,13 +450,9 @@
             std::max(report_interval,
                      report_interval_per_entry *
                          static_cast<std::int64_t>(m_context.fleet_size()));
-        const bool is_due = !m_versions_reported_at ||
-                            now >= *m_versions_reported_at + interval ||
-                            seen->last_seen.size() > m_reported_versions;
-        if (!is_due || seen->last_seen.size() > max_reported_versions)
+        if (seen->last_seen.size() > max_reported_versions ||
+            !m_version_reports.take_due(*seen, interval, now))
             return;
-        m_versions_reported_at = now;
-        m_reported_versions = seen->last_seen.size();
         write_version_observation(*seen, now,
                                   *frame.mutable_version_observation());
     }
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "decision/streams/origin_records.hpp"
+#include "decision/streams/version_answers.hpp"
+#include "decision/streams/version_reports.hpp"
 #include "peer.pb.h"
 #include "serving/auto_reset_event.hpp"
 #include "serving/entry_context.hpp"
@@ -174,13 +176,11 @@
     duration m_longest_lifetime{};
     std::optional<instant> m_holders_updated_at;
     bool m_have_holders_changed = false; ///< Since the last maintenance.
-    std::optional<instant> m_versions_reported_at;
     std::optional<instant> m_versions_asked_at;
     int m_version_questions = 0; ///< Since the list was last read anew.
     instant m_observed_since{};  ///< See decision::version_observation.
-    /// What record keepers know, by their address.
-    std::map<std::string, decision::version_observation> m_version_answers;
-    std::size_t m_reported_versions = 0;
+    decision::version_answers m_version_answers;
+    decision::version_reports m_version_reports;
 };
 
 std::string_view to_string(stream_registry::source value);
