Streams: record keepers are told of a version when a stream begins there

What callers could see: an unnamed stream that is taken up after a loss of all entries goes on at another version than it began at.

Cause: an entry told record keepers of a version at once only if the number of versions it remembers had grown, so not of one that had targets before, within twenty minutes; nor of any while it still asked them itself, for two seconds at most. Streams began at that version, all entries were lost, its targets left, and the entries that came back joined their span with one that hid it. Besides, two answers of record keepers were merged one by one, so that a time which one alone had watched counted, and later answers were dropped.

Now the first stream of a version that the last report lacks sends a report before its event goes out; a version that is back counts as new; a record is an observation of its version wherever a copy is kept; a time counts if two record keepers watched it; each answer that names another version counts, also late.

--- a/packages/decision/streams/version_answers.cpp
+++ b/packages/decision/streams/version_answers.cpp
@@ -5,26 +5,26 @@
 namespace mangofold::decision
 {
 
-namespace
-{
-
-/// How many record keepers must agree: one alone may have been out of reach for
-/// a while.
-constexpr std::size_t min_answers = 2;
-
-} // namespace
-
+// One keeper may have been out of reach of all entries while another version
+// served, so a time that only one has watched does not count. A version that
+// only one knows does, also if its answer comes late.
 bool version_answers::note(const std::string& keeper,
                            const version_observation& seen, std::size_t keepers,
                            version_history& history)
 {
+    history.note_last_seen(seen.last_seen);
+    if (keepers == 1)
+        history.merge(seen);
+    for (const auto& [address, other] : m_answers)
+    {
+        const version_observation both{std::max(seen.since, other.since),
+                                       std::min(seen.until, other.until),
+                                       {}};
+        if (address != keeper && both.since <= both.until)
+            history.merge(both);
+    }
     m_answers.insert_or_assign(keeper, seen);
-    if (m_answers.size() < std::min(min_answers, keepers))
-        return false;
-    for (const auto& [address, known] : m_answers)
-        history.merge(known);
-    m_answers.clear();
-    return true;
+    return m_answers.size() >= std::min(min_answers, keepers);
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/streams/version_answers.hpp
+++ b/packages/decision/streams/version_answers.hpp
@@ -13,8 +13,11 @@
 class version_answers
 {
 public:
-    /// Notes the answer of one of \a keepers record keepers, and adds what
-    /// enough of them know to \a history. Returns whether anything was added.
+    /// How many record keepers must have watched a time.
+    static constexpr std::size_t min_answers = 2;
+
+    /// Notes the answer of one of \a keepers record keepers, and adds what it
+    /// makes known to \a history. Returns whether enough have answered.
     bool note(const std::string& keeper, const version_observation& seen,
               std::size_t keepers, version_history& history);
 
--- a/packages/decision/streams/version_history.cpp
+++ b/packages/decision/streams/version_history.cpp
@@ -25,17 +25,23 @@
                   { return known.second + memory < now; });
 }
 
-// Entries that are all lost see nothing until one has started again, and no
-// stream begins meanwhile. So a short time without observations hides no
-// version at which a stream can have begun.
-void version_history::merge(const version_observation& other)
+void version_history::note_last_seen(
+    const std::map<stream_origin, instant>& seen)
 {
-    for (const auto& [origin, seen_at] : other.last_seen)
+    for (const auto& [origin, seen_at] : seen)
     {
         instant& last_seen =
             m_last_seen.try_emplace(origin, seen_at).first->second;
         last_seen = std::max(last_seen, seen_at);
     }
+}
+
+// Entries that are all lost see nothing until one has started again, and no
+// stream begins meanwhile. So a short time without observations hides no
+// version at which a stream can have begun.
+void version_history::merge(const version_observation& other)
+{
+    note_last_seen(other.last_seen);
     const bool is_adjoining =
         m_followed_since && other.since <= m_followed_until + max_unobserved &&
         *m_followed_since <= other.until + max_unobserved;
--- a/packages/decision/streams/version_history.hpp
+++ b/packages/decision/streams/version_history.hpp
@@ -52,6 +52,15 @@
     /// Notes the versions that targets had since the last call.
     void note_versions(const std::set<stream_origin>& seen, instant now);
 
+    /// Notes that a stream began at \a origin.
+    void note_stream(const stream_origin& origin, instant began_at)
+    {
+        note_last_seen({{origin, began_at}});
+    }
+
+    /// Notes versions with when they were last seen.
+    void note_last_seen(const std::map<stream_origin, instant>& seen);
+
     /// The longest time between two observations that may be taken for one.
     static constexpr duration max_unobserved = std::chrono::seconds(10);
 
--- a/packages/decision/streams/version_reports.hpp
+++ b/packages/decision/streams/version_reports.hpp
@@ -2,8 +2,8 @@
 
 #include "decision/streams/version_history.hpp"
 
-#include <cstddef>
 #include <optional>
+#include <set>
 
 namespace mangofold::decision
 {
@@ -13,22 +13,22 @@
 {
 public:
     /// Returns whether \a seen is to be sent: every \a interval, and at once if
-    /// a version is new. Notes that it is.
+    /// there are targets of a version that had none at the last report. Notes
+    /// that it is.
     bool take_due(const version_observation& seen, duration interval,
-                  instant now)
+                  instant now);
+
+    /// Returns whether a stream that begins at \a origin is to be told of at
+    /// once, as no report since the last regular one has that version. Notes
+    /// that it is.
+    bool take_new(const stream_origin& origin)
     {
-        const bool is_due = !m_sent_at || now >= *m_sent_at + interval ||
-                            seen.last_seen.size() > m_sent;
-        if (!is_due)
-            return false;
-        m_sent_at = now;
-        m_sent = seen.last_seen.size();
-        return true;
+        return m_sent.insert(origin).second;
     }
 
 private:
     std::optional<instant> m_sent_at;
-    std::size_t m_sent = 0; ///< Versions in the last report.
+    std::set<stream_origin> m_sent; ///< Those that had targets or streams.
 };
 
 } // namespace mangofold::decision
--- a/packages/serving/records/record_keeper.cpp
+++ b/packages/serving/records/record_keeper.cpp
@@ -58,7 +58,7 @@
     switch (frame.content_case())
     {
     case peer::Frame::kStreamOrigins:
-        note_stream_origins(frame.stream_origins(), now, m_records);
+        note_stream_origins(frame.stream_origins(), now, m_records, m_versions);
         return kept(frame.stream_origins().number());
     case peer::Frame::kStreamQuestion:
         return answer(frame.stream_question());
--- a/packages/serving/stream_messages.cpp
+++ b/packages/serving/stream_messages.cpp
@@ -68,11 +68,15 @@
 
 void note_stream_origins(const peer::StreamOrigins& message,
                          decision::instant now,
-                         decision::origin_records& records)
+                         decision::origin_records& records,
+                         decision::version_history& versions)
 {
     for (const peer::StreamOrigin& received : message.origins())
         if (const auto known = read_stream_origin(received, now))
+        {
             records.note(read_stream_key(received), *known);
+            versions.note_stream(known->origin, known->began_at);
+        }
 }
 
 bool answer_from_records(const peer::StreamQuestion& question,
--- a/packages/serving/stream_messages.hpp
+++ b/packages/serving/stream_messages.hpp
@@ -19,10 +19,12 @@
 std::optional<decision::origin_records::record>
 read_stream_origin(const peer::StreamOrigin& message, decision::instant now);
 
-/// Adds the records in \a message to \a records.
+/// Adds the records in \a message to \a records, and the versions at which
+/// these streams began to \a versions.
 void note_stream_origins(const peer::StreamOrigins& message,
                          decision::instant now,
-                         decision::origin_records& records);
+                         decision::origin_records& records,
+                         decision::version_history& versions);
 
 /// Writes the record that \a question asks for, if it is among \a records.
 /// Returns whether it is.
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -108,6 +108,10 @@
         update_holders();
     m_records.resend(key);
     send_copies({key});
+    m_context.versions.note_stream(origin, now);
+    const auto seen = m_context.versions.observation();
+    if (seen && m_version_reports.take_new(origin))
+        report_versions(*seen);
 }
 
 void stream_registry::update_holders()
@@ -311,7 +315,8 @@
 
 void stream_registry::handle_origins(const peer::StreamOrigins& message)
 {
-    note_stream_origins(message, m_context.now(), m_records);
+    note_stream_origins(message, m_context.now(), m_records,
+                        m_context.versions);
 }
 
 peer::Frame
@@ -376,15 +381,12 @@
             asked->is_changed.set();
 }
 
-// One keeper may have been out of reach of all entries while another version
-// served, so what only one of them knows is not taken over.
 void stream_registry::handle_observation(
     const std::string& address, const peer::VersionObservation& message)
 {
     const instant now = m_context.now();
     const auto seen = read_version_observation(message, now);
-    if (!seen || seen->last_seen.empty() ||
-        m_version_questions >= max_version_questions)
+    if (!seen || seen->last_seen.empty())
         return;
     // What this entry sees itself comes first, or a version that is new would
     // be missing from the longer span.
@@ -413,6 +415,37 @@
     return services;
 }
 
+void stream_registry::report_versions(decision::version_observation seen)
+{
+    const std::set<std::string> services = streaming_services();
+    std::erase_if(seen.last_seen, [&services](const auto& known)
+                  { return !services.contains(known.first.service); });
+    if (seen.last_seen.size() > max_reported_versions)
+        return;
+    peer::Frame frame;
+    write_version_observation(seen, m_context.now(),
+                              *frame.mutable_version_observation());
+    for (const std::string& keeper :
+         m_records.keepers_for(version_key, version_keepers))
+        m_channel.send(keeper, frame);
+}
+
+void stream_registry::ask_for_versions()
+{
+    const instant now = m_context.now();
+    if (m_versions_asked_at &&
+        now < *m_versions_asked_at + version_question_interval)
+        return;
+    m_versions_asked_at = now;
+    peer::Frame frame;
+    frame.mutable_version_question();
+    const std::size_t receivers =
+        version_keepers + 2 * static_cast<std::size_t>(m_version_questions++);
+    for (const std::string& keeper :
+         m_records.keepers_for(version_key, receivers))
+        m_channel.send(keeper, frame);
+}
+
 // Record keepers outlive entries: entries that all start again learn from them
 // which versions have served before. A version that is new is reported at once,
 // or the keepers would not know it if all entries were lost.
@@ -423,42 +456,22 @@
         return;
     note_versions();
     m_context.versions.note_up_to_date(m_context.list_current_at);
-    auto seen = m_context.versions.observation();
+    const auto seen = m_context.versions.observation();
     if (!seen)
         return;
     // After a gap in the list, the keepers may know what was missed.
     if (seen->since > std::exchange(m_observed_since, seen->since))
-        m_version_questions = 0;
-    const instant now = m_context.now();
-    peer::Frame frame;
-    std::size_t receivers = version_keepers;
-    if (m_version_questions < max_version_questions)
     {
-        if (m_versions_asked_at &&
-            now < *m_versions_asked_at + version_question_interval)
-            return;
-        m_versions_asked_at = now;
-        receivers += 2 * static_cast<std::size_t>(m_version_questions++);
-        frame.mutable_version_question();
-    }
-    else
-    {
-        const std::set<std::string> services = streaming_services();
-        std::erase_if(seen->last_seen, [&services](const auto& known)
-                      { return !services.contains(known.first.service); });
-        const duration interval =
-            std::max(report_interval,
-                     report_interval_per_entry *
-                         static_cast<std::int64_t>(m_context.fleet_size()));
-        if (seen->last_seen.size() > max_reported_versions ||
-            !m_version_reports.take_due(*seen, interval, now))
-            return;
-        write_version_observation(*seen, now,
-                                  *frame.mutable_version_observation());
+        m_version_questions = 0;
+        m_version_answers.clear();
     }
-    for (const std::string& keeper :
-         m_records.keepers_for(version_key, receivers))
-        m_channel.send(keeper, frame);
+    if (m_version_questions < max_version_questions)
+        return ask_for_versions();
+    const duration interval = std::max(
+        report_interval, report_interval_per_entry *
+                             static_cast<std::int64_t>(m_context.fleet_size()));
+    if (m_version_reports.take_due(*seen, interval, m_context.now()))
+        report_versions(*seen);
 }
 
 void stream_registry::maintain()
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -163,6 +163,8 @@
     /// Tells record keepers of the versions that targets have, and asks them
     /// for those before this entry started.
     void exchange_versions();
+    void ask_for_versions();
+    void report_versions(decision::version_observation seen);
     /// Sends the records of \a keys to the holders that are to keep them and
     /// were not sent them yet.
     void send_copies(const std::vector<decision::stream_key>& keys);
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -136,7 +136,8 @@
      ["kill", "break_streams"]),
     ("no entry keeps records of the streams of others",
      "packages/serving/stream_registry.cpp",
-     "    note_stream_origins(message, m_context.now(), m_records);\n",
+     "    note_stream_origins(message, m_context.now(), m_records,\n"
+     "                        m_context.versions);\n",
      "    (void)message;\n", ["kill", "break_streams"],
      ["--callers", "40", "--copies", "5", "--seconds", "25",
       "--without-keepers"]),
@@ -151,7 +152,8 @@
      "        if (is_new && !m_channel.is_record_keeper(holder))", TOTAL_LOSS),
     ("a record keeper forgets its records",
      "packages/serving/records/record_keeper.cpp",
-     "        note_stream_origins(frame.stream_origins(), now, m_records);\n",
+     "        note_stream_origins(frame.stream_origins(), now, m_records, "
+     "m_versions);\n",
      "", LOSSES, ["--entries", "5", "--copies", "5", "--seconds", "20"]),
     ("a stream whose version is not known goes on at any",
      "packages/serving/exchange_streams.cpp",
