--- /dev/null
+++ b/packages/decision/streams/version_reports.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "decision/streams/version_history.hpp"
+
+#include <optional>
+#include <set>
+
+namespace mangofold::decision
+{
+
+/// When an entry tells record keepers which versions it has seen.
+class version_reports
+{
+public:
+    /// Returns whether \a seen is to be sent: every \a interval, and at once if
+    /// there are targets of a version that had none at the last report. Notes
+    /// that it is.
+    bool take_due(const version_observation& seen, duration interval,
+                  instant now);
+
+    /// Returns whether a stream that begins at \a origin is to be told of at
+    /// once, as no report since the last regular one has that version. Notes
+    /// that it is.
+    bool take_new(const stream_origin& origin)
+    {
+        return m_sent.insert(origin).second;
+    }
+
+private:
+    std::optional<instant> m_sent_at;
+    std::set<stream_origin> m_sent; ///< Those that had targets or streams.
+};
+
+} // namespace mangofold::decision
--- a/packages/serving/records/record_keeper.cpp
+++ b/packages/serving/records/record_keeper.cpp
@@ -137,7 +137,7 @@
         // Not kept for long enough: the sender must choose another keeper.
         if (m_handover)
             return std::nullopt;
-        note_stream_origins(frame.stream_origins(), now, m_records);
+        note_stream_origins(frame.stream_origins(), now, m_records, m_versions);
         return kept(frame.stream_origins().number());
     case peer::Frame::kStreamQuestion:
         return answer(frame.stream_question());
