Serving: every call to a target names the target that it is for

What callers saw: nothing.

Cause: each function of the dialect that makes a request to a target set the headers with the target and the request's id itself, and make_release_request() set no target. So whoever had the address by then took the call for its own.

Change: target_call, which is given the incarnation that it calls, has dialect::set_addressee() write both ids into every request; the functions that make requests no longer can. Requests to the source, which has neither ids nor addressees, go through send_unaddressed().

Why it works: a target that isn't the one named answers 421 and executes nothing, whenever the message was made and however old the list is.

Tests: dialect_test asked for the ids in what the functions returned; it now asks for them, and for the target of releases too, after set_addressee(), which is how they are sent.

--- a/packages/serving/dialect.hpp
+++ b/packages/serving/dialect.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/stages/stage_job.hpp"
+#include "decision/target_incarnation.hpp"
 #include "serving/http.hpp"
 #include "serving/message_metadata.hpp"
 
@@ -25,8 +26,14 @@
     virtual request_metadata
     parse_request(const http_request& request) const = 0;
 
-    /// Returns the headers to send to a target: those of \a request that may be
-    /// forwarded, and \a metadata, which only this system sets.
+    /// Names in \a fields of a request its \a id and the \a target, which alone
+    /// may execute it.
+    virtual void
+    set_addressee(http_fields& fields, const std::string& id,
+                  const decision::target_incarnation& target) const = 0;
+
+    /// Returns the headers to send to any target: those of \a request that may
+    /// be forwarded, and \a metadata, which only this system sets.
     virtual http_fields
     forwarded_fields(const http_request& request,
                      const forwarding_metadata& metadata) const = 0;
@@ -42,11 +49,9 @@
     /// Returns the headers that mark a response as one to the request \a id.
     virtual http_fields request_id_fields(const std::string& id) const = 0;
 
-    /// Returns the request \a id that has the target \a target_id execute
-    /// \a pieces.
+    /// Returns the request that has a target execute \a pieces.
     virtual http_request
-    make_pieces_request(const std::string& id, const std::string& target_id,
-                        const std::vector<piece_task>& pieces) const = 0;
+    make_pieces_request(const std::vector<piece_task>& pieces) const = 0;
 
     /// Returns the results in the \a body of the response to a request of
     /// make_pieces_request(), in the order of its pieces. Throws
@@ -54,11 +59,9 @@
     virtual std::vector<piece_result>
     parse_piece_results(std::string_view body) const = 0;
 
-    /// Returns the request \a id that has a target delete the results
-    /// \a handles.
+    /// Returns the request that has a target delete the results \a handles.
     virtual http_request
-    make_release_request(const std::string& id,
-                         const std::vector<std::string>& handles) const = 0;
+    make_release_request(const std::vector<std::string>& handles) const = 0;
 
     /// Returns the address of the target that produced the result \a handle,
     /// "IP:port".
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -269,7 +269,7 @@
     // afterwards.
     static_cast<http_fields&>(forwarded_request.base()) =
         m_context.protocol.forwarded_fields(m_request,
-                                            forwarding_metadata_for(*target));
+                                            forwarding_metadata_for());
     forwarded_request.method_string(m_request.method_string());
     forwarded_request.target(m_request.target());
     record_attempt_start(id);
@@ -279,9 +279,9 @@
     if (!is_retry)
         m_context.times_by_route[m_route->name].time_to_send.add(sent_at -
                                                                  m_started_at);
-    const auto send_result =
-        co_await m_call->send_request(forwarded_request, m_metadata.id,
-                                      attempt_timeout(), shared_bytes(m_body));
+    const auto send_result = co_await m_call->send_request(
+        std::move(forwarded_request), m_metadata.id, attempt_timeout(),
+        shared_bytes(m_body));
     if (send_result == target_call::outcome::ok)
     {
         record_target_alive(m_context, id, m_call->opened_at());
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -189,8 +189,7 @@
     /// \a needs_stages, all targets of a service that a stage needs.
     bool is_service_evacuated(bool needs_stages) const;
     bool may_wait_for_cold_target() const;
-    forwarding_metadata
-    forwarding_metadata_for(const decision::listed_target& target);
+    forwarding_metadata forwarding_metadata_for();
     /// Returns how long the next attempt may wait for the answer's head.
     duration attempt_timeout() const;
     void record_attempt_start(const decision::target_incarnation& target);
--- a/packages/serving/exchange_targets.cpp
+++ b/packages/serving/exchange_targets.cpp
@@ -147,11 +147,9 @@
         m_refusal = refusal::no_target;
 }
 
-forwarding_metadata
-exchange::forwarding_metadata_for(const decision::listed_target& target)
+forwarding_metadata exchange::forwarding_metadata_for()
 {
     forwarding_metadata metadata;
-    metadata.target_id = target.incarnation.id;
     metadata.budget = remaining_time();
     if (m_account != nullptr)
         metadata.account = m_account->name;
--- a/packages/serving/message_metadata.hpp
+++ b/packages/serving/message_metadata.hpp
@@ -65,7 +65,6 @@
 /// Metadata that this system adds to a request to a target.
 struct forwarding_metadata
 {
-    std::string target_id;
     duration budget{};
     std::optional<std::string> account;
     std::optional<std::vector<std::string>>
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -197,14 +197,14 @@
     sent_call->set_send_check(
         [this, id = plan.target]
         { return m_context.directory.find(id) != nullptr; });
-    const std::string call_id = m_context.call_ids.next();
-    const http_request request = m_context.protocol.make_pieces_request(
-        call_id, plan.target.id, piece_tasks(queue, plan));
+    http_request request =
+        m_context.protocol.make_pieces_request(piece_tasks(queue, plan));
     const duration timeout =
         plan.expected_time * timeout_factor + timeout_margin;
     spawn(m_context.loop,
           report_fetched_inputs(service, plan, fetch_time(queue, plan)));
-    auto state = co_await sent_call->send_request(request, call_id, timeout);
+    auto state = co_await sent_call->send_request(
+        std::move(request), m_context.call_ids.next(), timeout);
     const bool is_full =
         state == target_call::outcome::ok && sent_call->metadata().has_not_run;
     // A target that refuses a call ahead is busy with the current one. The
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -179,6 +179,8 @@
     void hold_back_releases(service_queue& queue, const std::string& address,
                             const decision::target_incarnation& producer,
                             std::vector<std::string> handles);
+    void note_misdirected_release(const decision::target_incarnation& producer,
+                                  const std::string& address);
     std::string count_admission(const std::string& service,
                                 service_queue& queue);
     void summarize(const std::string& service, service_queue& queue);
--- a/packages/serving/piece_batcher_targets.cpp
+++ b/packages/serving/piece_batcher_targets.cpp
@@ -1,3 +1,4 @@
+#include "runtime/event.hpp"
 #include "serving/piece_batcher.hpp"
 #include "serving/target_call.hpp"
 #include "serving/target_statements.hpp"
@@ -84,6 +85,19 @@
                    std::make_move_iterator(handles.end()));
 }
 
+// Another target has the address, so the producer is gone, and its results with
+// it.
+void piece_batcher::note_misdirected_release(
+    const decision::target_incarnation& producer, const std::string& address)
+{
+    m_context.count("releases", "how", "misdirected");
+    runtime::event("release_misdirected")
+        .with("target", producer.id)
+        .with("born", producer.started_ms)
+        .with("address", address)
+        .info();
+}
+
 awaitable<void> piece_batcher::send_releases(std::string service)
 {
     service_queue& queue = *m_queues.at(service);
@@ -109,16 +123,17 @@
         sent_call->set_send_check(
             [this, producer]
             { return m_context.directory.find(producer) != nullptr; });
-        const std::string call_id = m_context.call_ids.next();
         auto state = co_await sent_call->send_request(
-            m_context.protocol.make_release_request(call_id, handles), call_id,
-            release_timeout);
+            m_context.protocol.make_release_request(handles),
+            m_context.call_ids.next(), release_timeout);
         if (state == target_call::outcome::ok)
             record_target_statements(m_context, *sent_call, now);
         if (state == target_call::outcome::ok)
             state = co_await sent_call->read_rest(release_timeout);
         if (state != target_call::outcome::ok)
             m_context.count("releases", "how", "lost");
+        else if (sent_call->metadata().is_misdirected)
+            note_misdirected_release(producer, address);
         for (const std::string& handle : handles)
             queue.planner.note_released(producer, handle);
         sent_call->release_connection();
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -118,7 +118,7 @@
         call_destination{"source", m_context.settings.source_address});
     m_current_call = sent;
     const instant started_at = m_context.now();
-    auto result = co_await sent->send_request(request, {}, time_limit);
+    auto result = co_await sent->send_unaddressed(request, time_limit);
     if (result == target_call::outcome::ok)
         result = co_await read_body(*sent, started_at, answer_time);
     m_received_at.reset();
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -60,14 +60,30 @@
     co_return outcome::ok;
 }
 
+// The address of the target may be another one's by now, which must not execute
+// the request.
 awaitable<target_call::outcome>
-target_call::send_request(const http_request& request, std::string id,
+target_call::send_request(http_request request, std::string id,
                           duration timeout,
                           std::shared_ptr<const std::string> body)
+{
+    m_id = std::move(id);
+    m_dialect.set_addressee(request, m_id, m_target.incarnation);
+    co_return co_await send(request, timeout, std::move(body));
+}
+
+awaitable<target_call::outcome>
+target_call::send_unaddressed(const http_request& request, duration timeout)
+{
+    co_return co_await send(request, timeout, {});
+}
+
+awaitable<target_call::outcome>
+target_call::send(const http_request& request, duration timeout,
+                  std::shared_ptr<const std::string> body)
 {
     const auto self = shared_from_this();
     const instant deadline = loop_clock::now() + timeout;
-    m_id = std::move(id);
     m_has_no_body = request.method() == http::verb::head;
     if (co_await connect(timeout) != outcome::ok)
         co_return outcome::not_sent;
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -53,14 +53,19 @@
         m_may_send = std::move(may_send);
     }
 
-    /// Sends \a request and reads the head of its answer, both within
-    /// \a timeout. Answers that carry an id other than \a id are skipped. In
-    /// a protocol without ids, \a id is empty. \a body replaces the request's
-    /// own, if there is one.
+    /// Sends \a request as the request \a id to this call's target only, and
+    /// reads the head of its answer, both within \a timeout. Answers that carry
+    /// another id are skipped. \a body replaces the request's own, if there is
+    /// one.
     awaitable<outcome>
-    send_request(const http_request& request, std::string id, duration timeout,
+    send_request(http_request request, std::string id, duration timeout,
                  std::shared_ptr<const std::string> body = {});
 
+    /// Sends \a request in a protocol without ids and addressees, and reads the
+    /// head of its answer, both within \a timeout.
+    awaitable<outcome> send_unaddressed(const http_request& request,
+                                        duration timeout);
+
     /// Reads more of the answer's body unless it is complete; waits at most
     /// \a timeout.
     awaitable<outcome> read_more(duration timeout);
@@ -115,6 +120,8 @@
     using parser = http::response_parser<received_body>;
 
     awaitable<outcome> connect(duration timeout);
+    awaitable<outcome> send(const http_request& request, duration timeout,
+                            std::shared_ptr<const std::string> body);
     awaitable<outcome> read_head(instant deadline);
     awaitable<outcome> skip_stray_answer(instant deadline);
     outcome parse();
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -52,6 +52,16 @@
     return request;
 }
 
+/// Returns the headers of \a request as the target "i-1" gets them.
+serving::http_fields sent_headers(const serving::http_request& request,
+                                  const serving::forwarding_metadata& metadata)
+{
+    const platform::request_dialect dialect;
+    auto headers = dialect.forwarded_fields(request, metadata);
+    dialect.set_addressee(headers, dialect.parse_request(request).id, {"i-1"});
+    return headers;
+}
+
 } // namespace
 
 TEST_CASE("the catalog is parsed from the operator's configuration")
@@ -125,12 +135,10 @@
 TEST_CASE("reserved headers of a caller are replaced by those of the system")
 {
     serving::forwarding_metadata metadata;
-    metadata.target_id = "i-1";
     metadata.budget = 900ms;
     metadata.account = "t";
     metadata.inputs = std::vector<std::string>{"a:1/x", "b:2/y"};
-    const auto headers = platform::request_dialect().forwarded_fields(
-        caller_request(), metadata);
+    const auto headers = sent_headers(caller_request(), metadata);
     CHECK(headers["X-Mangofold-Target-Instance"] == "i-1");
     CHECK(headers["X-Mangofold-Time-Budget-Ms"] == "900");
     CHECK(headers["X-Mangofold-Tenant"] == "t");
@@ -150,8 +158,7 @@
     request.set("Connection", "X-Other-Name, x-private");
     request.insert("Connection", "X-Last, X-Mangofold-Request-Id");
     request.set("X-Last", "3");
-    const auto headers =
-        platform::request_dialect().forwarded_fields(request, {});
+    const auto headers = sent_headers(request, {});
     CHECK(headers["X-Other"] == "2");
     CHECK(headers["X-Mangofold-Request-Id"] == "9c41");
     CHECK(headers.count("X-Private") == 0);
@@ -209,11 +216,13 @@
 {
     const platform::request_dialect dialect;
     const auto call = dialect.make_pieces_request(
-        "c1", "i-9",
         {{"r1", 0, 2, 900ms, "key", {}}, {"r2", 2, 0, 1s, "", {"a/b"}}});
-    CHECK(call["X-Mangofold-Request-Id"] == "c1");
-    CHECK(dialect.make_release_request(
-              "c2", {"a/b"})["X-Mangofold-Request-Id"] == "c2");
+    for (auto sent : {call, dialect.make_release_request({"a/b"})})
+    {
+        dialect.set_addressee(sent, "c1", {"i-9"});
+        CHECK(sent["X-Mangofold-Request-Id"] == "c1");
+        CHECK(sent["X-Mangofold-Target-Instance"] == "i-9");
+    }
     CHECK(call.body() ==
           R"({"items":[{"id":"r1","key":"key","left_ms":900,"piece":2,)"
           R"("stage":0},{"id":"r2","inputs":["a/b"],"left_ms":1000,)"
--- a/tests/platform/untrusted_input_test.cpp
+++ b/tests/platform/untrusted_input_test.cpp
@@ -126,7 +126,7 @@
                     serving::piece_task order;
                     order.request_id = metadata.id;
                     order.key = metadata.piece_key;
-                    dialect.make_pieces_request("c1", "i-1", {order});
+                    dialect.make_pieces_request({order});
                     dialect.forwarded_fields(request, {});
                 }));
         }));
--- a/tests/serving/matched_answers_test.cpp
+++ b/tests/serving/matched_answers_test.cpp
@@ -290,3 +290,45 @@
     CHECK(entry.target.requests().size() == calls);
     CHECK(entry.target.connections() == 1 + idle);
 }
+
+// Guards against a target that executes what was sent to the one before it at
+// the same address.
+TEST_CASE("calls and releases name the target that they are for")
+{
+    calling_entry entry(
+        [](const std::string& request, std::size_t) {
+            return scripted_target::response{answer_to(request), end::keep};
+        });
+    CHECK(entry.is_served_own_results());
+    entry.release_results();
+    REQUIRE(entry.target.requests().size() == 2);
+    for (const std::string& request : entry.target.requests())
+        CHECK(request.find("\r\nTo: t1\r\n") != std::string::npos);
+}
+
+// Guards against results that are released at another target since the one
+// that has the address of their producer refused to.
+TEST_CASE("a release that another target refuses is dropped")
+{
+    calling_entry entry(
+        [](const std::string& request, std::size_t)
+        {
+            const bool is_release =
+                request.find("/let-go") != std::string::npos;
+            return scripted_target::response{
+                is_release ? response_text("", "", "421 Misdirected Request")
+                           : answer_to(request),
+                end::keep};
+        });
+    auto& other = entry.add_target(
+        "pieces",
+        [](const std::string& request, std::size_t) {
+            return scripted_target::response{answer_to(request), end::keep};
+        });
+    entry.release_results();
+    entry.advance(1s);
+    CHECK(entry.context->metrics.count(
+              {"releases", runtime::label("how", "misdirected")}) == 1);
+    CHECK(entry.target.requests().size() == 1);
+    CHECK(other.requests().empty());
+}
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -36,6 +36,14 @@
         return metadata;
     }
 
+    void
+    set_addressee(serving::http_fields& fields, const std::string& id,
+                  const decision::target_incarnation& target) const override
+    {
+        fields.set("Id", id);
+        fields.set("To", target.id);
+    }
+
     serving::http_fields forwarded_fields(
         const serving::http_request& request,
         const serving::forwarding_metadata& metadata) const override
@@ -45,7 +53,6 @@
             if (!serving::is_hop_by_hop(serving::view(field.name_string())) &&
                 field.name_string() != "Key")
                 fields.insert(field.name_string(), field.value());
-        fields.set("To", metadata.target_id);
         if (metadata.account)
             fields.set("Account", *metadata.account);
         if (metadata.priority)
@@ -101,11 +108,9 @@
     }
 
     serving::http_request make_pieces_request(
-        const std::string& id, const std::string&,
         const std::vector<serving::piece_task>& pieces) const override
     {
         serving::http_request call{serving::http::verb::post, "/make", 11};
-        call.set("Id", id);
         for (const auto& piece : pieces)
         {
             call.body() += piece.request_id + "." +
@@ -141,11 +146,9 @@
     }
 
     serving::http_request
-    make_release_request(const std::string& id,
-                         const std::vector<std::string>& handles) const override
+    make_release_request(const std::vector<std::string>& handles) const override
     {
         serving::http_request call{serving::http::verb::post, "/let-go", 11};
-        call.set("Id", id);
         for (const auto& handle : handles)
             call.body() += handle + "\n";
         return call;
