Serving: a session reads no further than the request that it handles

Cause: receive() took up to 4,096 bytes from the connection, whatever request they belonged to. Only data that came later was held back.

Change: receive() looks at what has arrived (MSG_PEEK), and read_request() takes what the parser used, or all of it while the request isn't complete. Bodies of known length are read without a look, up to their end. Whether more has arrived is asked of the socket, so no flag can be behind it. A close behind unread data starts the same grace period as one behind a request. A connection that ends with unread bytes lingers until its caller has closed, for at most header_time (0.3 s in a stopping process), so that they don't turn the answer into a reset; after a refusal (408, 413, 431, 400) what arrives is dropped meanwhile, as for refused bodies before.

Why it works: the end of the process finds in the session no byte of a request that it doesn't handle; the unread rest resets the connection, which tells the caller that it was not handled.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/socket_base.hpp>
 
+#include <algorithm>
+
 #include <poll.h>
 
 namespace mangofold::serving
@@ -45,13 +47,26 @@
     return count;
 }
 
-/// Whether the peer closed its sending side, also behind unread data.
-bool has_peer_closed(tcp::socket& socket)
+/// How the peer has ended a connection, also behind unread data.
+enum class peer_end : std::uint8_t
+{
+    none,
+    closed, ///< Its sending side.
+    reset
+};
+
+peer_end end_of_peer(tcp::socket& socket)
 {
     pollfd state{socket.native_handle(), POLLRDHUP, 0};
-    return poll(&state, 1, 0) > 0;
+    if (poll(&state, 1, 0) <= 0)
+        return peer_end::none;
+    return (state.revents & (POLLERR | POLLHUP)) != 0 ? peer_end::reset
+                                                      : peer_end::closed;
 }
 
+constexpr duration max_linger_time_while_stopping =
+    std::chrono::milliseconds(300);
+
 unsigned status_of(const error_code& fault)
 {
     if (fault == http::error::header_limit)
@@ -90,7 +105,7 @@
     error_code ignored; // Without the option small writes only wait longer.
     m_socket.set_option(tcp::no_delay(true), ignored);
     spawn(m_loop, receive());
-    while (!m_closes_after_response)
+    while (!m_closes_after_response && !m_has_disconnected)
     {
         // In a condition with another operand, g++ 12 evaluates that operand
         // again after the co_await.
@@ -107,9 +122,10 @@
         m_on_exit = nullptr;
         m_closes_after_response = !stays_open();
     }
+    m_is_ending = true;
     m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-    if (m_discards)
-        co_await discard_rest();
+    if (m_discards || unread_bytes() > 0)
+        co_await linger();
     m_socket.close(ignored);
     m_may_read.set();
 }
@@ -121,19 +137,31 @@
     {
         error_code fault;
         co_await wait_until_wanted();
-        const std::size_t count = co_await m_socket.async_read_some(
-            asio::buffer(m_chunk), store_error_in(fault));
+        const bool is_known_body = m_body_left > 0;
+        const std::size_t limit =
+            is_known_body ? static_cast<std::size_t>(std::min<std::uint64_t>(
+                                m_body_left, m_chunk.size()))
+                          : m_chunk.size();
+        const std::size_t count = co_await m_socket.async_receive(
+            asio::buffer(m_chunk, limit),
+            is_known_body || m_discards ? 0 : tcp::socket::message_peek,
+            store_error_in(fault));
         if (fault)
         {
             co_await handle_read_end(fault == asio::error::eof);
             co_return;
         }
-        m_has_unread_data = false;
-        if (m_discards)
+        // A request that arrived completely meanwhile needs nothing of this.
+        if (m_discards || m_is_handling)
             continue;
         m_received.append(m_chunk.data(), count);
+        if (is_known_body)
+            m_body_left -= count;
+        else
+            m_untaken = count;
         m_data_received.set();
-        while ((m_received.size() > max_read_ahead || m_is_waiting_for_room) &&
+        while ((m_untaken > 0 || m_received.size() > max_read_ahead ||
+                m_is_waiting_for_room) &&
                m_socket.is_open())
             co_await m_may_read.wait(std::chrono::seconds(1));
     }
@@ -147,27 +175,65 @@
     error_code ignored; // The read after it reports the fault.
     co_await m_socket.async_wait(tcp::socket::wait_read,
                                  store_error_in(ignored));
-    // After a reset, peeking would take the error that the read reports.
-    m_has_unread_data = m_is_handling && m_socket.is_open() &&
-                        !has_peer_closed(m_socket) && peek(m_socket) > 0U;
-    while (m_has_unread_data && m_is_handling && m_socket.is_open() &&
-           !has_peer_closed(m_socket))
+    while (holds_data_back())
+    {
+        if (m_is_handling)
+            note_close_behind_data();
         co_await m_may_read.wait(close_check_interval);
+    }
+}
+
+bool caller_session::holds_data_back() const
+{
+    return (m_is_handling || m_is_ending) && !m_discards && unread_bytes() > 0;
+}
+
+std::size_t caller_session::unread_bytes() const
+{
+    error_code ignored; // Nothing can be read from a broken socket.
+    return m_socket.is_open() ? m_socket.available(ignored) : 0;
+}
+
+void caller_session::take(std::size_t count)
+{
+    error_code fault; // The next read reports it, too.
+    while (count > 0 && !fault)
+        count -= m_socket.receive(asio::buffer(m_chunk, count), 0, fault);
+    m_untaken = 0;
+    m_may_read.set();
+}
+
+void caller_session::note_close_behind_data()
+{
+    const peer_end end = end_of_peer(m_socket);
+    if (end == peer_end::none || m_has_disconnected)
+        return;
+    const instant now = loop_clock::now();
+    if (!m_disconnect_at)
+        m_disconnect_at = now + half_closed_time();
+    if (end == peer_end::reset || now >= *m_disconnect_at)
+        note_disconnect();
+}
+
+// If the event loop is behind, the close may have arrived that long ago.
+duration caller_session::half_closed_time() const
+{
+    return std::clamp(max_disconnect_delay - m_handler.loop_lag(), duration(),
+                      half_closed_grace);
 }
 
 awaitable<void> caller_session::handle_read_end(bool is_orderly)
 {
     m_is_read_closed = true;
     m_data_received.set();
-    // If the event loop is behind, the close may have arrived that long ago,
-    // which shortens the grace period.
-    const duration lag = m_handler.loop_lag();
     const bool may_expect_response =
         is_orderly && (m_is_handling || !m_received.empty());
-    if (may_expect_response && lag < max_disconnect_delay)
+    const duration time_left =
+        m_disconnect_at ? time_until(*m_disconnect_at, loop_clock::now())
+                        : half_closed_time();
+    if (may_expect_response && time_left > duration())
     {
-        loop_timer timer(
-            m_loop, std::min(half_closed_grace, max_disconnect_delay - lag));
+        loop_timer timer(m_loop, time_left);
         error_code ignored; // The timer is never cancelled.
         co_await timer.async_wait(store_error_in(ignored));
     }
@@ -268,6 +334,12 @@
         }
         if (parser.is_done())
             break;
+        // All that was looked at belongs to this request.
+        if (!is_room_needed(parser) && m_untaken > 0)
+            take(m_untaken);
+        m_body_left = parser.is_header_done()
+                          ? parser.content_length_remaining().value_or(0)
+                          : 0;
         if (is_room_needed(parser))
         {
             const bool has_room = co_await make_room(parser);
@@ -299,6 +371,9 @@
         co_return false;
     }
     m_has_part_of_request = false;
+    m_body_left = 0;
+    take(m_untaken - m_received.size());
+    m_received.clear();
     m_body->bytes = std::move(parser.get().body());
     m_request = http_request(std::move(parser.get().base()));
     static_cast<http_fields&>(m_request) = std::move(m_header_fields);
@@ -307,12 +382,34 @@
     co_return true;
 }
 
+// What follows is not known to be a request.
 awaitable<void> caller_session::reject(unsigned status)
 {
     close_after_response();
+    m_discards = true;
+    m_untaken = 0;
+    m_received.clear();
+    m_may_read.set();
     co_await send_response(status, {}, {});
 }
 
+awaitable<void> caller_session::linger()
+{
+    // A longer wait would delay the exit of a stopping process.
+    const duration limit = m_handler.is_stopping()
+                               ? max_linger_time_while_stopping
+                               : m_handler.limits().header_time;
+    const instant end = loop_clock::now() + limit;
+    // The first wait lets a caller who has closed already acknowledge the end.
+    do
+    {
+        co_await m_data_received.wait(
+            std::min(close_check_interval, time_until(end, loop_clock::now())));
+    } while (!m_is_read_closed && m_socket.is_open() &&
+             (m_discards || end_of_peer(m_socket) == peer_end::none) &&
+             loop_clock::now() < end);
+}
+
 awaitable<bool> caller_session::send(std::string bytes)
 {
     if (!m_socket.is_open())
@@ -362,16 +459,6 @@
     m_data_received.set();
 }
 
-// A request that was read together with the one in front of it gets no answer,
-// which only a reset tells the caller.
-void caller_session::note_exit()
-{
-    if (m_on_exit)
-        std::exchange(m_on_exit, nullptr)();
-    if (m_is_handling && !m_received.empty())
-        reset_connection();
-}
-
 void caller_session::close_if_idle()
 {
     if (m_is_handling || m_has_part_of_request || has_further_data())
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace mangofold::serving
@@ -105,9 +106,12 @@
         m_on_exit = std::move(callback);
     }
 
-    /// Runs the callback for the end of this process. Resets the connection if
-    /// a request that was read stays without an answer.
-    void note_exit();
+    /// Runs the callback for the end of this process.
+    void note_exit()
+    {
+        if (m_on_exit)
+            std::exchange(m_on_exit, nullptr)();
+    }
 
     /// Adds to \a fields of a response that the connection will be closed after
     /// it, if so.
@@ -135,14 +139,23 @@
     using request_parser = http::request_parser<received_body>;
 
     awaitable<void> receive();
-    /// Waits for data. While a request is in progress, what follows it stays
-    /// unread, unless the caller has closed the connection.
+    /// Waits for data. While a request is in progress, and once the connection
+    /// ends, what has arrived stays unread.
     awaitable<void> wait_until_wanted();
+    bool holds_data_back() const;
+    /// Returns how many bytes have arrived that were not taken.
+    std::size_t unread_bytes() const;
+    /// Takes \a count of the bytes that were looked at from the connection.
+    void take(std::size_t count);
     /// Whether data of a further request has arrived.
     bool has_further_data() const
     {
-        return m_has_unread_data || !m_received.empty();
+        return !m_received.empty() || unread_bytes() > 0;
     }
+    /// Notes a close behind data that stays unread.
+    void note_close_behind_data();
+    /// Returns how long a response is possible after the caller's close.
+    duration half_closed_time() const;
     /// Handles the end of the caller's data: a close if \a is_orderly, else a
     /// reset or another error.
     awaitable<void> handle_read_end(bool is_orderly);
@@ -160,8 +173,10 @@
     bool is_room_needed(request_parser& parser) const;
     std::size_t room_needed(request_parser& parser) const;
     awaitable<void> refuse_unread(http_request head);
-    /// Reads and drops what the caller still sends, for a limited time.
-    awaitable<void> discard_rest();
+    /// Waits for a limited time until the caller closes the connection, so that
+    /// unread bytes do not turn the response into a reset. Meanwhile drops what
+    /// arrives if the session discards.
+    awaitable<void> linger();
     awaitable<void> reject(unsigned status);
 
     asio::io_context& m_loop;
@@ -171,7 +186,9 @@
     auto_reset_event m_data_received;
     auto_reset_event m_may_read;
     auto_reset_event m_room_decided;
-    std::string m_received;
+    std::string m_received;        ///< Ends with the bytes that were not taken.
+    std::size_t m_untaken = 0;     ///< Looked at, but still in the socket.
+    std::uint64_t m_body_left = 0; ///< Bytes to take without a look at them.
     std::array<char, 4096> m_chunk{};
     http_request m_request;
     std::shared_ptr<request_body> m_body; ///< Of the request being read.
@@ -185,8 +202,9 @@
     bool m_has_disconnected = false;
     bool m_closes_after_response = false;
     bool m_is_handling = false;
-    bool m_has_unread_data = false;     ///< Behind the request in progress.
-    bool m_has_part_of_request = false; ///< That was parsed already.
+    bool m_is_ending = false;               ///< Reads no further request.
+    std::optional<instant> m_disconnect_at; ///< The close was seen.
+    bool m_has_part_of_request = false;     ///< That was parsed already.
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/caller_session_bodies.cpp
+++ b/packages/serving/caller_session_bodies.cpp
@@ -10,9 +10,6 @@
 /// is short.
 constexpr std::size_t judged_length = 65536;
 
-constexpr duration max_discard_time_while_stopping =
-    std::chrono::milliseconds(300);
-
 } // namespace
 
 // All of an announced length, or bodies that were begun could wait for each
@@ -93,20 +90,10 @@
     close_after_response();
     m_body.reset();
     m_discards = true;
+    m_untaken = 0;
     m_received.clear();
     m_may_read.set();
     co_await m_handler.refuse_unread(shared_from_this(), std::move(head));
 }
 
-awaitable<void> caller_session::discard_rest()
-{
-    // A longer wait would delay the exit of a stopping process.
-    const duration limit = m_handler.is_stopping()
-                               ? max_discard_time_while_stopping
-                               : m_handler.limits().header_time;
-    const instant end = loop_clock::now() + limit;
-    while (!m_is_read_closed && m_socket.is_open() && loop_clock::now() < end)
-        co_await m_data_received.wait(time_until(end, loop_clock::now()));
-}
-
 } // namespace mangofold::serving
--- a/tests/serving/pipelined_requests_test.cpp
+++ b/tests/serving/pipelined_requests_test.cpp
@@ -54,13 +54,20 @@
     bool is_stopping() const override { return stops; }
     duration loop_lag() const override { return {}; }
 
-    void send(const std::string& path)
+    void send(const std::string& path) { send_bytes(get(path)); }
+
+    void send_bytes(const std::string& bytes)
     {
-        asio::write(caller, asio::buffer("GET " + path +
-                                         " HTTP/1.1\r\nHost: h\r\n\r\n"));
+        asio::write(caller, asio::buffer(bytes));
         settle();
     }
 
+    static std::string get(const std::string& path,
+                           const std::string& headers = {})
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n";
+    }
+
     void settle()
     {
         for (int step = 0; step < 40; ++step)
@@ -120,6 +127,114 @@
     CHECK(entry.end().second == asio::error::connection_reset);
 }
 
+// Guards against the same: what the entry has read, it has to answer.
+TEST_CASE("of what came with one write only the first request is read")
+{
+    const std::string post = "POST /p HTTP/1.1\r\nHost: h\r\n";
+    const std::string next = pipelining_fixture::get("/next");
+    std::string many;
+    for (int request = 0; request < 20; ++request)
+        many += next;
+    for (const std::string& bytes :
+         {next + next, next + next + next, many,
+          next + next.substr(0, next.size() / 2),
+          post + "Content-Length: 5\r\n\r\nhello" + next,
+          post + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" +
+              next})
+    {
+        pipelining_fixture entry;
+        entry.send_bytes(bytes);
+        CHECK(entry.requests.size() == 1);
+        // The end of a process resets a connection with unread data.
+        CHECK(entry.end().second == asio::error::connection_reset);
+    }
+}
+
+TEST_CASE("requests that came with one write are answered in order")
+{
+    pipelining_fixture entry;
+    std::string bytes;
+    std::vector<std::string> paths;
+    for (int request = 0; request < 20; ++request)
+    {
+        paths.push_back("/" + std::to_string(request));
+        bytes += pipelining_fixture::get(paths.back());
+    }
+    entry.send_bytes(bytes);
+    entry.stops = true;
+    entry.answers = 20;
+    entry.settle();
+    CHECK(entry.requests == paths);
+    const auto [read, fault] = entry.end();
+    CHECK(read.find("body of /19") != std::string::npos);
+    CHECK(fault == asio::error::eof);
+}
+
+// Guards against a reset in place of an answer: requests behind it were left
+// unread when the connection was closed.
+TEST_CASE("the last answer arrives although requests stay unread behind it")
+{
+    pipelining_fixture entry;
+    entry.send_bytes(pipelining_fixture::get("/a", "Connection: close\r\n") +
+                     pipelining_fixture::get("/b"));
+    entry.answers = 1;
+    entry.settle();
+    std::string read;
+    error_code fault;
+    asio::read(entry.caller, asio::dynamic_buffer(read), fault);
+    CHECK(read.find("body of /a") != std::string::npos);
+    CHECK(fault == asio::error::eof);
+    entry.caller.close();
+    entry.settle();
+    CHECK(entry.requests.size() == 1);
+    CHECK(entry.session.use_count() == 1);
+}
+
+// Guards against a connection that is kept forever for its unread bytes.
+TEST_CASE("a caller who keeps the connection is waited for three seconds")
+{
+    pipelining_fixture entry;
+    entry.send_bytes(pipelining_fixture::get("/a", "Connection: close\r\n") +
+                     pipelining_fixture::get("/b"));
+    entry.answers = 1;
+    entry.settle();
+    CHECK(entry.session.use_count() > 1);
+    for (int step = 0; step < 10; ++step)
+        entry.settle();
+    CHECK(entry.session.use_count() == 1);
+}
+
+// Guards against a request that is left without an answer since the idle limit
+// passed while only a part of it had arrived behind another one.
+TEST_CASE("a request that has arrived in part behind another one is answered")
+{
+    pipelining_fixture entry;
+    const std::string next = pipelining_fixture::get("/second");
+    entry.send_bytes(pipelining_fixture::get("/first") + next.substr(0, 9));
+    entry.stops = true;
+    entry.answers = 1;
+    entry.settle();
+    entry.session->close_if_idle();
+    entry.answers = 1;
+    entry.send_bytes(next.substr(9));
+    const auto [read, fault] = entry.end();
+    CHECK(read.find("body of /second") != std::string::npos);
+    CHECK(fault == asio::error::eof);
+}
+
+// Guards against half-closed callers who miss the answers to what they sent.
+TEST_CASE("requests before the end of the caller's data are answered")
+{
+    pipelining_fixture entry;
+    const std::string next = pipelining_fixture::get("/x");
+    entry.answers = 3;
+    asio::write(entry.caller, asio::buffer(next + next + next));
+    entry.caller.shutdown(tcp::socket::shutdown_send);
+    entry.settle();
+    CHECK(entry.requests.size() == 3);
+    CHECK(entry.end().second == asio::error::eof);
+}
+
 // Guards against a stopping entry that leaves requests unread which it could
 // still answer.
 TEST_CASE("a request behind one in progress is handled after it")
