Soak: stand-ins bound the memory of stage targets, keepers are told to stop

The stand-ins of stage targets kept results without bound and for ever, and ran the waiting calls of entries that were lost, so that no loss could leave a stage's memory full. They now hold as many results as the configuration states (room_mb by bytes), each for handle_s after its call, and answer 'room' for what has no place; a call whose caller closed while it waited is dropped. A record keeper whose host leaves gets SIGTERM instead of SIGKILL, and must exit with 0.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -129,6 +129,7 @@
             sent.is_complete = True
         finally:
             sent.body = response.body
+        sent.retry_after_s = float(response.field("retry-after") or 0)
         response_id = response.field("x-mangofold-request-id")
         if sent.status == 200 and response_id != sent.request_id:
             self.oracle.faults.append(
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -12,6 +12,7 @@
 DRAIN_S = 1.0  # By then, a draining target gets no new requests.
 CONFIG_S = 1.0  # By then, a published configuration is in force.
 RECOVERY_S = 2.0  # After a disturbance, until the bounds hold again.
+KEEPER_STOP_S = 3  # From SIGTERM, by then a record keeper has exited.
 HOSTS_PER_GAP = 6  # Of these hosts of engines, one has no record keeper.
 # Settings that can't be used, by the text that they replace.
 ABSURD_SETTINGS = (
@@ -80,6 +81,20 @@
         if process := self.processes.pop(host, None):
             self._end(host, process)
 
+    async def retire(self, host):
+        """Tells the keeper on a host that leaves to stop, until it exits."""
+        if not (process := self.processes.pop(host, None)):
+            return
+        process.send_signal(signal.SIGTERM)
+        until = asyncio.get_running_loop().time() + KEEPER_STOP_S
+        while process.poll() is None and \
+                asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.02)
+        if process.poll() != 0:
+            self.unexpected_exits.append((host, process.poll()))
+            process.kill()
+            process.wait()
+
     def _end(self, host, process):
         if process.poll() is not None:
             self.unexpected_exits.append((host, process.returncode))
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -85,6 +85,7 @@
         self.body = b""
         self.stream = Stream()  # That it began, or took up.
         self.event_count = 0
+        self.retry_after_s = 0.0
         self.ended_at = 0.0
         self.budget_s = 0.0
         self.last_byte_at = None  # When it had been sent as a whole.
--- a/tests/soak/pace.py
+++ b/tests/soak/pace.py
@@ -6,6 +6,7 @@
 SPELL_S = 0.6  # The duration of a slow spell.
 SPELL_PERIOD_S = 4.0  # From one slow spell to the next, on average.
 SPELL_FACTOR = 2.5
+MEAN_FACTOR = 1 + (SPELL_FACTOR - 1) * SPELL_S / SPELL_PERIOD_S
 ABSURD_SHARE = 0.2  # The share of responses that state an absurd load.
 ABSURD_LOADS = (
     "", ",", ",,,", "1", "1,2", "1,,8", "1,2,8,", "1,2,8,100,5", "one,two,8",
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -357,8 +357,23 @@
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self.call_s = PIECES_CALL_S
+        self.max_results = 0  # That its memory holds.
+        self.handle_s = 0.0
+        self.kept = set()  # Handles of results, also of those in progress.
+        self.memory_refusals = 0
         self.free_slot = asyncio.Lock()
 
+    def set_memory(self, settings):
+        """Takes the size of its memory from a configuration."""
+        pieces = next(service["pieces"] for service in settings["backends"]
+                      if service["name"] == self.service)
+        result_bytes = next(
+            stage["bytes"] for route in settings["routes"]
+            for stage in route.get("stages", ())
+            if stage["backend"] == self.service)
+        self.max_results = int(pieces["room_mb"] * 1e6 / result_bytes)
+        self.handle_s = pieces["handle_s"]
+
     def caller_request_id(self, message):
         return ""  # The id is that of the call.
 
@@ -366,7 +381,7 @@
         body = json.loads(message.body)
         if "handles" in body:
             for handle in body["handles"]:
-                self.log.results.pop(handle, None)
+                self.drop_result(handle)
             self.answer(message, writer, b"{}")
             return
         now = asyncio.get_running_loop().time()
@@ -380,18 +395,25 @@
         async with self.free_slot:
             self.waiting -= 1
             self.running = 1
-            are_present = [self.fetch_inputs(item) for item in body["items"]]
+            if writer.peer_has_closed():
+                return
+            items = [self.begin_item(item) for item in body["items"]]
             await asyncio.sleep(1 if self.mode == "slow" else
                                 self.duration(self.call_s))
             self.running = 0
+        for result in items:
+            asyncio.get_running_loop().call_later(
+                self.handle_s, self.drop_result, result.get("handle"))
         if self.mode == "lost":
             wire.reset(writer)
             return
         if self.mode == "endless":
             await self.send_endlessly(writer)
             return
-        items = [self.make_result(item) if is_present else {"why": "gone"}
-                 for item, is_present in zip(body["items"], are_present)]
+        for item, result in zip(body["items"], items):
+            if "handle" in result:
+                self.log.results[result["handle"]] = (item["id"],
+                                                      item["stage"])
         self.answer(message, writer, json.dumps({"items": items}).encode())
 
     def answer(self, message, writer, body):
@@ -435,7 +457,17 @@
                                    f"{len(inputs)} of {expected_count} inputs")
         return True
 
-    def make_result(self, item):
+    def begin_item(self, item):
+        """Returns the result of a piece, or why there is none."""
+        if not self.fetch_inputs(item):
+            return {"why": "gone"}
+        if len(self.kept) >= self.max_results:
+            self.memory_refusals += 1
+            return {"why": "room"}
         handle = f"{self.address}/{next(self._result_numbers):x}"
-        self.log.results[handle] = (item["id"], item["stage"])
+        self.kept.add(handle)
         return {"handle": handle}
+
+    def drop_result(self, handle):
+        self.kept.discard(handle)
+        self.log.results.pop(handle, None)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -32,11 +32,16 @@
 # Settings of a configuration whose streams may outlast a stop.
 LONG_ROUTE = {"timeout_ms": 15000}
 LONG_STREAM_S = 12  # The longest stream.
+# Settings of a configuration whose least urgent route has streams that can be
+# taken up, beside an urgent route that needs all that the stages can do.
+RUSH_URGENT = {"timeout_ms": 6000, "target_latency_ms": 1900, "priority": 0}
+RUSH_PATIENT = {"target_latency_ms": 1800, "priority": 2}
+RUSH_BYTES = 40000  # Of a result, so that few fill the memory of a target.
 SHORT_IDLE = {"idle_timeout_ms": 2000, "header_timeout_ms": 1000}
 
 
 def configuration(version, extra_routes=0, warm_up=None, has_bursts=False,
-                  has_long_streams=False):
+                  has_long_streams=False, has_rush=False):
     """Returns a version: the shared routes, its own one, and extra ones."""
     def route(name, route_type, service, **settings):
         return {"name": name, "host": "h.example", "prefix": f"/{name}/",
@@ -44,11 +49,13 @@
                 "target_latency_ms": 800, "priority": 0, "backend": service,
                 "max_attempts": 1, "public": False,
                 **(LONG_ROUTE if has_long_streams else {}), **settings}
-    stages = [{"backend": "encode", "after": [], "bytes": 8000},
+    stages = [{"backend": "encode", "after": [],
+               "bytes": RUSH_BYTES if has_rush else 8000},
               {"backend": "rank", "after": [0], "bytes": 6000}]
     pieces = {"capacity": 1, "queue": 2, "batch": 8, "call_ms": 30.0,
               "item_ms": 1.0, "room_mb": 1.0, "handle_s": 4.0,
-              "link_mbps": 1000, **(BURST_PIECES if has_bursts else {})}
+              "link_mbps": 1000,
+              **(BURST_PIECES if has_bursts or has_rush else {})}
     keys = ["always"] + [f"key-{key_version}"
                          for key_version in (version - 1, version)]
     return {
@@ -58,10 +65,12 @@
             route("book", "non_idempotent", "desk"),
             route("chat", "streaming", "models", stages=stages,
                   stream_resume=True, gap_aim_ms=300, max_attempts=2,
-                  **(URGENT if has_bursts else {})),
+                  **(URGENT if has_bursts else {}),
+                  **(RUSH_PATIENT if has_rush else {})),
             route("note", "streaming", "models", stages=stages,
-                  stream_resume=False, gap_aim_ms=300, priority=2,
-                  **(PATIENT if has_bursts else {})),
+                  stream_resume=False, gap_aim_ms=300,
+                  **{"priority": 2, **(PATIENT if has_bursts else {}),
+                     **(RUSH_URGENT if has_rush else {})}),
             route(f"v{version}", "idempotent", "desk", max_attempts=2),
             *(route(f"more{number}", "idempotent", "desk")
               for number in range(extra_routes))],
@@ -96,6 +105,7 @@
         self.warm_up = None  # WARM_UP, if engines start cold.
         self.has_bursts = False
         self.has_long_streams = False
+        self.has_rush = False  # See RUSH_URGENT.
         self.keepers = None  # RecordKeepers, if any run.
         self._engine_hosts = 0
         self._next_port = base + 1
@@ -116,7 +126,8 @@
 
     def configuration(self):
         return configuration(self.version, self.extra_routes, self.warm_up,
-                             self.has_bursts, self.has_long_streams)
+                             self.has_bursts, self.has_long_streams,
+                             self.has_rush)
 
     def allow_long_streams(self):
         self.has_long_streams = True
@@ -144,12 +155,15 @@
                    and target.mode == "ok" and target.state == "ready"
                    for target in self.targets)
 
+    def pieces_per_s(self, service):
+        """Returns what a slow stage's targets do at their usual speed."""
+        return BURST_PIECES["batch"] * sum(
+            1000 / BURST_PIECES["call_ms"] / target.pace.speed
+            for target in self.targets if target.service == service)
+
     def burst_rates(self):
         """Returns requests per second by kind."""
-        calls_per_s = sum(1000 / BURST_PIECES["call_ms"] / target.pace.speed
-                          for target in self.targets
-                          if target.service == "encode")
-        return {kind: share * calls_per_s * BURST_PIECES["batch"]
+        return {kind: share * self.pieces_per_s("encode")
                 for kind, share in BURST_RATES.items()}
 
     async def start(self, copies):
@@ -160,7 +174,7 @@
                 await self.add_target(service, "ab"[number % 2])
 
     async def add_target(self, service, zone, listed_address=None,
-                         target_id=None):
+                         target_id=None, version=None):
         """Starts a target.
 
         listed_address is the listed address of an earlier target to replace;
@@ -178,8 +192,10 @@
         self.proxies[listed_address].set_mode("open")
         target = SERVICES[service](self.log, service, listed_address, zone,
                                    self.new_pace(service), target_id)
-        target.version = self.new_version(service, target_id)
-        if self.has_bursts:
+        target.version = version or self.new_version(service, target_id)
+        if service in ("encode", "rank"):
+            target.set_memory(self.configuration())
+        if self.has_bursts or self.has_rush:
             target.call_s = BURST_PIECES["call_ms"] / 1000
         await target.start(target_address)
         self.targets.append(target)
@@ -253,9 +269,13 @@
             self.store.remove(f"servers/{target.id}")
         draining[target.id] = asyncio.get_running_loop().time()
         await asyncio.sleep(DRAIN_S * 4)
+        await self.leave(target)
+
+    async def leave(self, target):
+        """Ends a target; what else runs on its host is told to stop."""
         self.remove_target(target)
         if self.keepers:
-            self.keepers.stop(target.address.rsplit(":", 1)[0])
+            await self.keepers.retire(target.address.rsplit(":", 1)[0])
 
     def publish(self, published):
         self.version += 1
