--- a/tests/soak/total_loss.py
+++ b/tests/soak/total_loss.py
@@ -26,13 +26,15 @@
         self.platform = platform
         self.random = random.Random(seed)
         self.caller = Caller(oracle, seed, abandoned_share=0)
+        self.down_s = (0.05, 0.3)  # From its end to the start of an entry.
         self.taken_up = []
         self.begun = []
 
-    async def send(self, stream_of=None):
+    async def send(self, stream_of=None, budget_s=None):
         """Sends a request for a stream, a new one or that of a request."""
         entry = self.random.choice(self.oracle.fleet)
         sent = self.caller.new_request("chat", entry)
+        sent.budget_s = budget_s or sent.budget_s
         method, path, fields = REQUEST_KINDS["chat"]
         fields = {**fields, "Authorization": "Bearer always"}
         if stream_of:
@@ -50,7 +52,7 @@
         kills = []
         for entry in self.oracle.fleet:
             kills.append(asyncio.create_task(
-                entry.kill(self.random.uniform(0.05, 0.3))))
+                entry.kill(self.random.uniform(*self.down_s))))
             await asyncio.sleep(gap_s)
         for entry in self.oracle.fleet:
             while entry.incarnation == self.incarnations[entry]:
@@ -75,6 +77,11 @@
         return [target for target in self.platform.targets
                 if target.service == "models"]
 
+    async def run_all(self, options):
+        for gap_s in options.gaps:
+            await self.run(gap_s, options.restart_keeper,
+                           options.crash_engine)
+
     async def run(self, gap_s, restarts_keeper, crashes_engine):
         for engine in self.engines():
             engine.mode = "slow"
@@ -110,8 +117,8 @@
             self.oracle.faults.append("streams ended with the entries")
 
 
-async def run(options, folder):
-    platform = PlatformStandin(options.base, options.seed)
+async def run(options, folder, platform, make_loss):
+    """Runs a loss of all entries; make_loss(platform, oracle) returns it."""
     platform.keepers = RecordKeepers(options.program, options.base + 999,
                                      folder)
     await platform.start(options.copies)
@@ -123,46 +130,58 @@
     for entry in fleet:
         entry.keeper_port = platform.keepers.port
     oracle = Oracle(platform.log, fleet)
-    loss = TotalLoss(platform, oracle, options.seed)
+    loss = make_loss(platform, oracle)
     try:
         for entry in fleet:
             await entry.open()
         await wait_ready(fleet)
         await asyncio.sleep(1)
-        for gap_s in options.gaps:
-            await loss.run(gap_s, options.restart_keeper,
-                           options.crash_engine)
+        await loss.run_all(options)
     finally:
         for entry in fleet:
             entry.terminate()
         platform.keepers.terminate()
     loss.check()
+    for host, exit_code in platform.keepers.unexpected_exits:
+        oracle.faults.append(
+            f"the record keeper on {host} exited: {exit_code}")
     return oracle.faults
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
+def add_options(parser):
     parser.add_argument("program")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--entries", type=int, default=6)
-    parser.add_argument("--copies", type=int, default=4)
     parser.add_argument("--base", type=int, default=26000)
-    parser.add_argument("--gaps", type=float, nargs="+", default=[0, 0, 0.1],
-                        help="seconds between the kills of each loss")
-    parser.add_argument("--restart-keeper", action="store_true",
-                        help="restart a record keeper before each loss")
-    parser.add_argument("--crash-engine", action="store_true",
-                        help="crash an engine at each loss")
     parser.add_argument("--logs", help="folder for the processes' logs")
-    options = parser.parse_args()
+
+
+def run_in_folder(options, platform, make_loss):
+    """Runs a loss, prints its faults and exits."""
     with tempfile.TemporaryDirectory() as temporary_folder:
         folder = options.logs or temporary_folder
         os.makedirs(folder, exist_ok=True)
-        faults = asyncio.run(run(options, folder))
+        faults = asyncio.run(run(options, folder, platform, make_loss))
     for fault in faults[:20]:
         print(f"FAULT {fault}")
     sys.exit(1 if faults else 0)
 
 
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    add_options(parser)
+    parser.add_argument("--copies", type=int, default=4)
+    parser.add_argument("--gaps", type=float, nargs="+", default=[0, 0, 0.1],
+                        help="seconds between the kills of each loss")
+    parser.add_argument("--restart-keeper", action="store_true",
+                        help="restart a record keeper before each loss")
+    parser.add_argument("--crash-engine", action="store_true",
+                        help="crash an engine at each loss")
+    options = parser.parse_args()
+    run_in_folder(options, PlatformStandin(options.base, options.seed),
+                  lambda platform, oracle:
+                  TotalLoss(platform, oracle, options.seed))
+
+
 if __name__ == "__main__":
     main()
