--- a/tests/soak/late_returns.py
+++ b/tests/soak/late_returns.py
@@ -119,7 +119,9 @@
                                        version=engine.version)
 
     async def release(self, engines):
-        await asyncio.sleep(self.random.choice(AT_ONCE_S))
+        after_s = self.random.choice(AT_ONCE_S)
+        await asyncio.sleep(after_s)
+        print(f"keepers stop {after_s} s after the loss")
         await asyncio.gather(*map(self.platform.leave, engines))
 
     async def release_in_turn(self, engines):
