--- a/tests/soak/take_up_losses.py
+++ b/tests/soak/take_up_losses.py
@@ -32,13 +32,13 @@
         return content
 
     async def add_target(self, service, zone, listed_address=None,
-                         target_id=None):
+                         target_id=None, version=None):
         target = await super().add_target(service, zone, listed_address,
-                                          target_id)
+                                          target_id, version)
         number = len(self._versions) // 2 % self.version_count
         if service == "models":
             target.version = self._versions.setdefault(
-                target.address, ("v1", "v2")[number])
+                target.address, version or ("v1", "v2")[number])
             self.store.put(f"servers/{target.id}", target.record())
         return target
 
@@ -115,6 +115,25 @@
         await asyncio.sleep(1.0)
         await self._kill(self.fleet)
 
+    async def all_before_keepers_in_turn(self):
+        """All keepers are restarted once entries run, before clients return."""
+        loss = asyncio.create_task(self._kill(self.fleet))
+        await asyncio.sleep(DOWN_S + 1.0)
+        await self._restart_keepers(self._keepers(), 0.3)
+        await loss
+
+    async def all_and_hosts_that_leave(self):
+        """All old engines and their keepers leave while no entry runs."""
+        old = self.engines()
+        for engine in old:
+            await self.platform.add_target("models", engine.zone,
+                                           version=engine.version)
+        await asyncio.sleep(1.0)
+        loss = asyncio.create_task(self._kill(self.fleet, 2.0))
+        await asyncio.sleep(0.5)
+        await asyncio.gather(*map(self.platform.leave, old))
+        await loss
+
     async def all_twice(self):
         """The second time half a second after their restart."""
         first = asyncio.create_task(self._kill(self.fleet))
