Streams: successors are known at once, and newest without a start time

Targets without a start time are ordered by the revision of the list that described them last. A reply to the question for records confirms the keeper, and shows a restart, as a reply to a copy does.

--- a/packages/decision/streams/record_handover.cpp
+++ b/packages/decision/streams/record_handover.cpp
@@ -3,6 +3,7 @@
 #include "decision/election.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace mangofold::decision
 {
@@ -23,8 +24,10 @@
 {
     std::erase_if(candidates, [&keeper](const successor_candidate& candidate)
                   { return candidate.address == keeper; });
-    std::ranges::sort(candidates, std::ranges::greater(),
-                      &successor_candidate::started_ms);
+    std::ranges::sort(
+        candidates, std::ranges::greater(),
+        [](const successor_candidate& candidate)
+        { return std::tie(candidate.started_ms, candidate.revision); });
     const std::size_t choice =
         std::max(min_choice, candidates.size() / choice_share);
     candidates.resize(std::min(candidates.size(), choice));
--- a/packages/decision/streams/record_handover.hpp
+++ b/packages/decision/streams/record_handover.hpp
@@ -14,7 +14,10 @@
 struct successor_candidate
 {
     std::string address;
-    std::uint64_t started_ms = 0; ///< Unix time of the newest target beside it.
+    /// Of the newest target beside it: its start as Unix time, 0 if it is not
+    /// known, and the revision of the list that described it last.
+    std::uint64_t started_ms = 0;
+    std::uint64_t revision = 0;
 
     friend bool operator==(const successor_candidate&,
                            const successor_candidate&) = default;
--- a/packages/serving/records/keeper_client.cpp
+++ b/packages/serving/records/keeper_client.cpp
@@ -1,6 +1,5 @@
 #include "serving/records/keeper_client.hpp"
 
-#include "decision/streams/record_handover.hpp"
 #include "runtime/event.hpp"
 #include "serving/records/datagram.hpp"
 
@@ -56,9 +55,9 @@
 {
     std::vector<decision::successor_candidate> candidates;
     for (const std::string& keeper : m_roster.confirmed(m_context.now()))
-        if (const auto found = m_started_ms.find(keeper);
-            found != m_started_ms.end())
-            candidates.push_back({keeper, found->second});
+        if (const auto found = m_successors.find(keeper);
+            found != m_successors.end())
+            candidates.push_back(found->second);
     return decision::successors_of(address, std::move(candidates));
 }
 
@@ -80,7 +79,7 @@
                 for (const catalog::weighted_service& choice : route.services)
                     services.insert(choice.service);
     std::set<std::string> addresses;
-    m_started_ms.clear();
+    m_successors.clear();
     for (const decision::listed_target& target : m_context.directory.all())
     {
         if (target.address.empty() || !services.contains(target.service))
@@ -91,8 +90,11 @@
         addresses.insert(address);
         if (target.is_leaving)
             continue;
-        std::uint64_t& started_ms = m_started_ms[address];
-        started_ms = std::max(started_ms, target.incarnation.started_ms);
+        decision::successor_candidate& newest = m_successors[address];
+        newest.address = address;
+        newest.started_ms =
+            std::max(newest.started_ms, target.incarnation.started_ms);
+        newest.revision = std::max(newest.revision, target.revision);
     }
     m_roster.set_listed(addresses);
     std::erase_if(m_sent, [this](const auto& sent)
@@ -174,8 +176,13 @@
     send(*address, frame);
 }
 
+// Records show as well which process runs there, sooner than a probe would.
 void keeper_client::handle(const std::string& address, const peer::Frame& frame)
 {
+    if (frame.has_stream_origins() &&
+        m_roster.note_reply(address, 0, frame.stream_origins().born(),
+                            m_context.now()))
+        note_lost(address, "restarted");
     if (frame.has_kept())
     {
         const auto sent = m_sent.find(frame.kept().number());
--- a/packages/serving/records/keeper_client.hpp
+++ b/packages/serving/records/keeper_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/streams/keeper_roster.hpp"
+#include "decision/streams/record_handover.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/stream_registry.hpp"
 
@@ -67,8 +68,8 @@
     entry_context& m_context;
     asio::ip::udp::socket m_socket;
     decision::keeper_roster m_roster;
-    /// By address, when the newest target there started that does not leave.
-    std::map<std::string, std::uint64_t> m_started_ms;
+    /// By address, those beside targets that do not leave.
+    std::map<std::string, decision::successor_candidate> m_successors;
     frame_handler m_handler;
     std::map<std::uint64_t, sent_frame> m_sent; ///< Without a reply, by number.
     std::uint64_t m_last_number = 0;
--- a/tests/decision/streams/origin_records_simulation_test.cpp
+++ b/tests/decision/streams/origin_records_simulation_test.cpp
@@ -320,7 +320,7 @@
         adoption& at = m_adoptions.at(address);
         std::vector<successor_candidate> candidates;
         for (const auto& [other, state] : m_keepers)
-            candidates.push_back({other, state.born});
+            candidates.push_back({other, state.born, 0});
         found->second.successors = successors_of(found->first, candidates);
         std::uint64_t last = question.after;
         const auto records = found->second.records.changes_after(last, 3);
--- a/tests/decision/streams/record_handover_test.cpp
+++ b/tests/decision/streams/record_handover_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <utility>
 
 using namespace mangofold::decision;
 using namespace std::chrono_literals;
@@ -20,7 +21,7 @@
 {
     std::vector<successor_candidate> candidates;
     for (std::uint64_t number = 0; number < 40; ++number)
-        candidates.push_back({"k" + std::to_string(number), number});
+        candidates.push_back({"k" + std::to_string(number), number, 0});
     const auto successors = successors_of("k39", candidates);
     CHECK(successors.size() == record_handover::max_successors);
     for (const std::string& address : successors)
@@ -28,7 +29,10 @@
         CHECK(address >= "k31");
         CHECK(address != "k39");
     }
-    CHECK(successors_of("k1", {{"k1", 1}}).empty());
+    for (successor_candidate& candidate : candidates)
+        std::swap(candidate.started_ms, candidate.revision);
+    CHECK(successors_of("k39", candidates) == successors);
+    CHECK(successors_of("k1", {{"k1", 1, 0}}).empty());
 }
 
 // Guards against a keeper that stops before its records have arrived, or that
--- a/tests/serving/record_adoption_test.cpp
+++ b/tests/serving/record_adoption_test.cpp
@@ -1,9 +1,11 @@
 #include "serving/records/record_keeper.hpp"
+#include "serving/stream_messages.hpp"
 #include "serving/stream_registry.hpp"
 #include "support/serving_fixture.hpp"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace mangofold;
@@ -16,7 +18,9 @@
 using keeper_map =
     std::map<std::string, std::unique_ptr<serving::record_keeper>>;
 
-/// An entry without others that reaches the record keepers of a map.
+constexpr std::size_t header_bytes = 28; ///< Of IP and UDP.
+
+/// An entry that reaches the record keepers of a map.
 class entry_with_keepers : public serving_fixture,
                            public serving::stream_channel
 {
@@ -27,7 +31,7 @@
         context->has_all_targets = true;
     }
 
-    std::vector<std::string> stream_keepers() const override { return {}; }
+    std::vector<std::string> stream_keepers() const override { return others; }
     bool is_fleet_known() const override { return true; }
     std::vector<std::string> record_keepers() const override
     {
@@ -52,6 +56,9 @@
         const auto reply = found == m_keepers.end()
                                ? std::nullopt
                                : found->second->handle(frame);
+        bytes += frame.ByteSizeLong() + header_bytes;
+        bytes += reply ? reply->ByteSizeLong() + header_bytes : 0;
+        frames += reply ? 2 : 1;
         if (reply && reply->has_stream_answer())
             streams.handle_answer(address, reply->stream_answer());
         if (reply && reply->has_stream_origins())
@@ -83,6 +90,9 @@
     }
 
     serving::stream_registry streams{*context, *this};
+    std::vector<std::string> others; ///< Entries, which get nothing.
+    std::size_t frames = 0;          ///< Sent and received.
+    std::size_t bytes = 0;           ///< Of these, with headers.
 
 private:
     serving::awaitable<void>
@@ -138,3 +148,50 @@
     for (int number = 0; number < streams; ++number)
         CHECK(entry.origin_of(key_of(number)).origin == origin);
 }
+
+// Guards against adoption that takes the links of a fleet: what one entry sends
+// and receives after its start, at a growing number of entries with ten keepers
+// each, of which each has 65 records.
+TEST_CASE("what an entry adopts fits its share of the control traffic")
+{
+    constexpr std::size_t most_per_second = 21'000;
+    for (const int entries : {2, 6, 24, 300})
+    {
+        const runtime::paused_clock keeper_time;
+        keeper_map keepers;
+        peer::Frame frame;
+        for (int number = 0; number < entries * 10; ++number)
+            start_keeper(keepers, keeper_time, number);
+        for (int number = 0; number < entries * 10 * 65; ++number)
+        {
+            frame.mutable_stream_origins()->clear_origins();
+            serving::write_stream_origin(
+                key_of(number),
+                {origin, keeper_time.now(), keeper_time.now() + 2min, false},
+                keeper_time.now(),
+                *frame.mutable_stream_origins()->add_origins());
+            keepers["k" + std::to_string(number / 65)]->handle(frame);
+        }
+        entry_with_keepers entry(keepers);
+        for (int number = 1; number < entries; ++number)
+            entry.others.push_back("e" + std::to_string(number));
+        std::size_t most = 0;
+        std::size_t last = 0;
+        int quiet_after = 0;
+        for (int second = 0; second < 60; ++second)
+        {
+            entry.bytes = 0;
+            entry.frames = 0;
+            entry.maintain_for(1s);
+            most = std::max(most, entry.bytes);
+            last = entry.bytes;
+            quiet_after = last > most / 4 ? second + 1 : quiet_after;
+        }
+        MESSAGE(entries << " entries: at most " << most
+                        << " bytes a second, for " << quiet_after << " s; "
+                        << last << " in " << entry.frames
+                        << " frames after a minute");
+        CHECK(most <= most_per_second);
+        CHECK(last <= most_per_second / 4);
+    }
+}
