--- a/tests/serving/record_keeper_test.cpp
+++ b/tests/serving/record_keeper_test.cpp
@@ -120,3 +120,43 @@
     CHECK(ask_versions().since_ago_ns() ==
           std::chrono::nanoseconds(32s).count());
 }
+
+// Guards against records that end with a keeper that is told to stop, or that
+// it confirms although it is about to end.
+TEST_CASE_FIXTURE(keeper_fixture, "a record keeper that stops hands on")
+{
+    const auto set_key = [](std::uint64_t key)
+    {
+        return [key](peer::StreamOrigin& origin)
+        {
+            origin.set_key_low(key);
+            origin.set_is_ambiguous(key == 1);
+        };
+    };
+    for (std::uint64_t key = 1; key <= 30; ++key)
+        send_record(set_key(key));
+    peer::Frame question;
+    question.mutable_records_question()->set_after(25);
+    question.mutable_records_question()->add_successors("k");
+    const auto reply = keeper.handle(question);
+    CHECK(reply->stream_origins().origins_size() == 5);
+    CHECK(reply->stream_origins().next() == 30);
+    CHECK(reply->stream_origins().born() == born);
+    keeper.stop();
+    serving::record_keeper successor(time, 8);
+    for (const auto& [to, frame] : keeper.take_handover_frames())
+    {
+        CHECK_FALSE(keeper.is_handed_on());
+        CHECK(to == "k");
+        CHECK_FALSE(keeper.handle(frame)); // It keeps nothing any more.
+        keeper.handle_kept("k", successor.handle(frame)->kept());
+    }
+    CHECK(keeper.is_handed_on());
+    CHECK(successor.size() == 30);
+    peer::Frame asked;
+    asked.mutable_stream_question()->set_key_low(1);
+    CHECK(successor.handle(asked)->stream_answer().origin().is_ambiguous());
+    time.advance(21s);
+    successor.expire();
+    CHECK(successor.size() == 0);
+}
