--- a/tests/decision/streams/origin_records_test.cpp
+++ b/tests/decision/streams/origin_records_test.cpp
@@ -334,3 +334,24 @@
     last = 0;
     CHECK(keeper.changes_after(last, 10).empty());
 }
+
+// Guards against a flood of copies that their holders have already, and against
+// records that nobody finds where they were handed on to.
+TEST_CASE("adopted records are placed if their holders may lack them")
+{
+    const auto keepers = addresses(5);
+    origin_records entry;
+    entry.set_keepers(keepers, {keepers.begin(), keepers.end()});
+    const auto known = record_of(first_version);
+    for (const std::string& keeper : keepers)
+    {
+        const auto key = key_of(keeper);
+        const auto holders =
+            entry.keepers_for(key, origin_records::keeper_copies);
+        const bool is_holder = std::ranges::count(holders, keeper) == 1;
+        CHECK(entry.adopt(key, known, keeper, start) != is_holder);
+        CHECK(entry.take_new_holders(key).empty() == is_holder);
+        CHECK_FALSE(entry.adopt(key, known, keeper, start));
+        CHECK(entry.adopt(key_of("old" + keeper), known, keeper, start + 1s));
+    }
+}
