--- a/packages/decision/streams/version_reports.cpp
+++ b/packages/decision/streams/version_reports.cpp
@@ -38,4 +38,9 @@
     return true;
 }
 
+bool version_reports::take_new(const stream_origin& origin)
+{
+    return m_sent.insert(origin).second;
+}
+
 } // namespace mangofold::decision
--- a/packages/decision/streams/version_reports.hpp
+++ b/packages/decision/streams/version_reports.hpp
@@ -21,10 +21,7 @@
     /// Returns whether a stream that begins at \a origin is to be told of at
     /// once, as no report since the last regular one has that version. Notes
     /// that it is.
-    bool take_new(const stream_origin& origin)
-    {
-        return m_sent.insert(origin).second;
-    }
+    bool take_new(const stream_origin& origin);
 
 private:
     std::optional<instant> m_sent_at;
--- a/tests/decision/streams/version_fleet.hpp
+++ b/tests/decision/streams/version_fleet.hpp
@@ -52,7 +52,7 @@
 {
 public:
     version_fleet(std::uint64_t seed, const troubles& given)
-        : m_random(seed), m_given(given), m_entries(3), m_keepers(4)
+        : m_random(seed), m_given(given), m_entries(3), m_keepers(8)
     {
         list("v1");
         for (entry& one : m_entries)
@@ -152,7 +152,7 @@
         duration lag{};
         instant listed_at{}; ///< The list of this time is known.
         instant asked_at{};
-        int questions = 0;
+        std::size_t questions = 0;
         version_history history;
         version_answers answers;
         version_reports reports;
@@ -247,8 +247,9 @@
         if (m_now < one.asked_at + 200ms)
             return;
         one.asked_at = m_now;
-        ++one.questions;
-        for (std::size_t number = 0; number < m_keepers.size(); ++number)
+        const std::size_t receivers =
+            std::min<std::size_t>(m_keepers.size(), 3 + 2 * one.questions++);
+        for (std::size_t number = 0; number < receivers; ++number)
         {
             const keeper& asked = m_keepers[number];
             const auto known = asked.history.observation();
--- a/tests/mutants/search.py
+++ b/tests/mutants/search.py
@@ -21,7 +21,7 @@
         self.libraries = libraries
         self.folder = folder
         self.compiler = compiler
-        self.base = [compiler, "-std=c++20", "-O1", "-Ipackages"]
+        self.base = [compiler, "-std=c++20", "-O1", "-Ipackages", "-Itests"]
         with concurrent.futures.ThreadPoolExecutor(4) as pool:
             self.parts = list(pool.map(
                 lambda part: self.compile(part, part.replace("/", "-")),
--- a/tests/mutants/streams.py
+++ b/tests/mutants/streams.py
@@ -6,12 +6,16 @@
          "tests/decision/streams/keeper_roster_test.cpp",
          "tests/decision/streams/origin_records_test.cpp",
          "tests/decision/streams/origin_records_simulation_test.cpp",
+         "tests/decision/streams/version_answers_test.cpp",
+         "tests/decision/streams/version_history_simulation_test.cpp",
          "tests/decision/admission/take_up_admission_test.cpp",
          "tests/decision/target_directory_test.cpp"]
 ARGUMENTS = []
 
 RECORDS = "packages/decision/streams/origin_records.cpp"
 HISTORY = "packages/decision/streams/version_history.cpp"
+ANSWERS = "packages/decision/streams/version_answers.cpp"
+REPORTS = "packages/decision/streams/version_reports.cpp"
 ORIGIN = "packages/decision/streams/stream_origin.cpp"
 ROSTER = "packages/decision/streams/keeper_roster.cpp"
 FORECAST = "packages/decision/admission/admission_forecast.cpp"
@@ -51,6 +55,15 @@
      "last_seen = m_followed_since ? instant() : last_seen;"),
     ("what was seen before a loss does not count", HISTORY,
      "m_followed_since = std::min(*m_followed_since, other.since);", ""),
+    ("what one record keeper has watched counts", ANSWERS,
+     "if (keepers == 1)", "if (keepers > 0)"),
+    ("what either of two record keepers has watched counts", ANSWERS,
+     "std::max(seen.since, other.since)", "std::min(seen.since, other.since)"),
+    ("versions that one record keeper knows are dropped", ANSWERS,
+     "    history.note_last_seen(seen.last_seen);\n", ""),
+    ("record keepers are not told of a version before its first stream",
+     REPORTS, "m_sent.insert(origin).second;",
+     "m_sent.insert(origin).second && m_sent.empty();"),
     ("expired records are used", RECORDS,
      "found->second.known.expires_at > now", "true"),
     ("one of two origins is used", RECORDS,
