Serving: a request is read under the limits in force at its first byte

Cause: read_request() took max sizes from the configuration when it began to wait for a request; the parser kept them however long the wait was.

Change: the four limits are taken once, at the first byte of a request: both sizes, the time for its head and the longest pause in its body. Between requests the idle time in force counts, as before.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -297,36 +297,42 @@
     return 0;
 }
 
-// A configuration that allows callers more time counts for those that wait now,
-// too: their connections are not closed after the time of the one before.
-awaitable<bool>
-caller_session::wait_for_data(duration catalog::caller_limits::*limit)
+// A configuration that allows more time between requests counts for callers
+// that wait now, too: their connections are not closed after the time of the
+// one before.
+awaitable<bool> caller_session::wait_for_request()
 {
     const instant began_at = loop_clock::now();
     instant end = began_at;
     do
     {
-        end = began_at + m_handler.limits().*limit;
+        end = began_at + m_handler.limits().idle_time;
         const bool has_new_data =
             co_await m_data_received.wait(time_until(end, loop_clock::now()));
         if (has_new_data)
             co_return true;
-        end = began_at + m_handler.limits().*limit;
+        end = began_at + m_handler.limits().idle_time;
     } while (loop_clock::now() < end);
     co_return false;
 }
 
 awaitable<bool> caller_session::read_request()
 {
-    const catalog::caller_limits limits = m_handler.limits();
+    // Those in force at the first byte.
+    std::optional<catalog::caller_limits> limits;
     request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-    parser.body_limit(limits.body_bytes);
     m_body = std::make_shared<request_body>(m_handler.bodies());
     bool has_sent_continue = false;
     for (;;)
     {
         const bool has_started = parser.got_some() || !m_received.empty();
+        if (has_started && !limits)
+        {
+            limits = m_handler.limits();
+            parser.header_limit(
+                static_cast<std::uint32_t>(limits->header_bytes));
+            parser.body_limit(limits->body_bytes);
+        }
         if (const unsigned status = parse(parser))
         {
             co_await reject(status);
@@ -358,10 +364,13 @@
             co_await send("HTTP/1.1 100 Continue\r\n\r\n");
         }
         m_has_part_of_request = parser.got_some();
-        const bool has_new_data =
-            co_await wait_for_data(has_started && !parser.is_header_done()
-                                       ? &catalog::caller_limits::header_time
-                                       : &catalog::caller_limits::idle_time);
+        bool has_new_data = false;
+        if (!limits)
+            has_new_data = co_await wait_for_request();
+        else
+            has_new_data = co_await m_data_received.wait(
+                parser.is_header_done() ? limits->idle_time
+                                        : limits->header_time);
         if (m_closes_after_response && !has_started)
             co_return false;
         if (has_new_data || m_is_read_closed)
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -162,7 +162,8 @@
     void note_disconnect();
     /// Reads the next request. Returns whether there is one.
     awaitable<bool> read_request();
-    awaitable<bool> wait_for_data(duration catalog::caller_limits::*limit);
+    /// Waits for the first byte of a request, up to the idle time.
+    awaitable<bool> wait_for_request();
     /// Parses the received bytes. Returns the status to reject the request
     /// with, or 0.
     unsigned parse(request_parser& parser);
--- a/tests/serving/pipelined_requests_test.cpp
+++ b/tests/serving/pipelined_requests_test.cpp
@@ -50,7 +50,7 @@
         co_return;
     }
     const body_memory& bodies() const override { return memory; }
-    catalog::caller_limits limits() const override { return {}; }
+    catalog::caller_limits limits() const override { return limits_in_force; }
     bool is_stopping() const override { return stops; }
     duration loop_lag() const override { return {}; }
 
@@ -96,6 +96,7 @@
     tcp::socket caller{caller_loop};
     std::shared_ptr<caller_session> session;
     std::vector<std::string> requests;
+    catalog::caller_limits limits_in_force;
     int answers = 0;
     bool has_left = false;
     bool stops = false;
@@ -262,3 +263,62 @@
     entry.settle();
     CHECK(entry.has_left);
 }
+
+namespace
+{
+
+constexpr std::size_t small_limit = 100;
+constexpr std::size_t large_limit = 1000;
+
+/// Returns the status of the answer to a request with a header line of 200
+/// bytes or a body of 200 bytes. \a sent_before bytes of it are sent before the
+/// limits change, on a connection that has been used before.
+std::string status_after_change(bool has_long_header, std::size_t sent_before,
+                                std::size_t limit_before, std::size_t limit)
+{
+    pipelining_fixture entry;
+    const auto set_limit = [&](std::size_t bytes)
+    {
+        (has_long_header ? entry.limits_in_force.header_bytes
+                         : entry.limits_in_force.body_bytes) = bytes;
+    };
+    set_limit(limit_before);
+    entry.answers = 2;
+    entry.send("/before");
+    const std::string long_value(200, 'a');
+    const std::string request =
+        has_long_header
+            ? pipelining_fixture::get("/x", "L: " + long_value + "\r\n")
+            : "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n" +
+                  long_value;
+    if (sent_before > 0)
+        entry.send_bytes(request.substr(0, sent_before));
+    set_limit(limit);
+    entry.send_bytes(request.substr(sent_before));
+    const std::string read = entry.end().first;
+    return read.substr(read.rfind("HTTP/1.1 ") + 9, 3);
+}
+
+} // namespace
+
+// Guards against proper requests that are refused for good by the limits of an
+// earlier configuration, which their connection was opened or idle under.
+TEST_CASE("the limits in force at its first byte apply to a request")
+{
+    for (const bool has_long_header : {true, false})
+    {
+        const std::string refused = has_long_header ? "431" : "413";
+        CAPTURE(has_long_header);
+        CHECK(status_after_change(has_long_header, 0, small_limit,
+                                  large_limit) == "200");
+        CHECK(status_after_change(has_long_header, 0, large_limit,
+                                  small_limit) == refused);
+        CHECK(status_after_change(has_long_header, 10, small_limit,
+                                  large_limit) == refused);
+        CHECK(status_after_change(has_long_header, 10, large_limit,
+                                  small_limit) == "200");
+    }
+    constexpr std::size_t in_body = 100;
+    CHECK(status_after_change(false, in_body, large_limit, small_limit) ==
+          "200");
+}
