Streams: each request that takes up a stream ends with one line, also at the exit

Callers' requests that waited when their entry exited left no outcome. The exit counts and logs them as cut, once; the line take_up_ended names its reason as why, as other lines do. The new case of test_stream_take_ups failed to count them before. Exceptions are not covered.

--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -99,7 +99,12 @@
                 m_stages->abort();
         });
     m_session->set_on_shutdown([this] { prepare_for_shutdown(); });
-    m_session->set_on_exit([this] { log_cut_answer(); });
+    m_session->set_on_exit(
+        [this]
+        {
+            log_cut_answer();
+            count_take_up();
+        });
     co_await wait_for_catalog();
     if (admit())
     {
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -290,6 +290,7 @@
     std::shared_ptr<target_call> m_call;
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
     bool m_is_head_sent = false;
+    bool m_is_take_up_counted = false;
     std::string m_target_version; ///< Of the target of the newest attempt.
     /// Where the stream began; unset before its first event.
     std::optional<decision::stream_origin> m_origin;
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -3,6 +3,7 @@
 #include "serving/stream_registry.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangofold::serving
 {
@@ -128,9 +129,10 @@
 // A stream that goes on may break again; its next request counts by itself.
 void exchange::count_take_up()
 {
-    if (m_route == nullptr || !is_taking_up_stream())
+    if (m_route == nullptr || !is_taking_up_stream() ||
+        std::exchange(m_is_take_up_counted, true))
         return;
-    std::string_view outcome = "answered";
+    std::string_view outcome = m_answer_status != 0 ? "answered" : "cut";
     if (m_is_head_sent)
         outcome = "went_on";
     else if (m_session->has_disconnected())
@@ -142,7 +144,7 @@
     runtime::event("take_up_ended")
         .with("request", m_metadata.id)
         .with("resumes", m_metadata.resumed_request)
-        .with("outcome", outcome)
+        .with("why", outcome)
         .with("route", m_route->name)
         .with("waited_ms",
               whole_milliseconds((m_is_head_sent ? m_first_byte_at : now) -
--- a/tests/serving/stream_take_ups_test.cpp
+++ b/tests/serving/stream_take_ups_test.cpp
@@ -197,6 +197,47 @@
     CHECK(count("answered") == 0);
 }
 
+// Guards against requests without an outcome: the process ends, or the caller
+// leaves, while they wait for stages.
+TEST_CASE(
+    "requests that take up a stream and wait are counted once as they end")
+{
+    starting_entry entry;
+    entry.add_engine("v1");
+    entry.context->has_all_targets = true;
+    entry.streams.record(
+        decision::make_stream_key("club", "h", "/staged/r1", "r1"),
+        {"events", "v1"}, 5s);
+    const auto count = [&entry](const char* outcome)
+    {
+        return entry.context->metrics
+            .count(
+                {"streams_taken_up_ended", runtime::label("outcome", outcome)})
+            .load();
+    };
+    const auto left = entry.connect();
+    entry.send(*left,
+               request_text("/staged/r1", "r2", resumes_r1 + "Pieces: 11\r\n"));
+    entry.run_until([&] { return entry.jobs.size() == 1; });
+    left->socket.close();
+    entry.run_until(
+        [&]
+        {
+            entry.time.advance(1ms);
+            return count("caller_left") == 1;
+        });
+    const auto cut = entry.connect();
+    entry.send(*cut,
+               request_text("/staged/r1", "r3", resumes_r1 + "Pieces: 11\r\n"));
+    entry.run_until([&] { return entry.jobs.size() == 2; });
+    entry.server->log_cut_answers();
+    CHECK(count("cut") == 1);
+    cut->socket.close();
+    entry.settle();
+    CHECK(count("caller_left") == 1);
+    CHECK(count("cut") == 1);
+}
+
 // Guards against a caller who has part of a stream and competes for the stages
 // as one who has nothing: an entry that has just started knows no caller.
 TEST_CASE("the stages of a stream that is taken up are those of a return")
