Streams: adopted records are placed beside many keepers, and tell versions

Reading and placing drew on one budget, and reading came first: from 60 keepers an entry on, questions that bring nothing took all of it, so that adopted records were never placed and their keys were kept for good. Each has a part of its own now, keepers are asked less often by an entry that reads many, and keys of expired records are dropped. An adopted record also counts as an observation of its version, as one that is received does: else the rule of the only version could name another one for an unnamed stream.

The new cases were not run on the code before. The figures of docs/CAPACITY.md are of the one budget of 12 KB/s; the two parts add up to the same.

--- a/packages/decision/streams/record_adoption.cpp
+++ b/packages/decision/streams/record_adoption.cpp
@@ -38,12 +38,30 @@
 
 void record_adoption::refill(instant now)
 {
-    const duration passed =
-        now - std::exchange(m_refilled_at, now).value_or(now);
-    const double added = std::chrono::duration<double>(passed).count() *
-                         static_cast<double>(bytes_per_second);
-    m_budget =
-        std::min(bytes_per_second, m_budget + static_cast<std::int64_t>(added));
+    const double passed_s =
+        std::chrono::duration<double>(
+            now - std::exchange(m_refilled_at, now).value_or(now))
+            .count();
+    const auto add = [passed_s](std::int64_t& budget, std::int64_t per_second)
+    {
+        budget =
+            std::min(per_second,
+                     budget + static_cast<std::int64_t>(
+                                  passed_s * static_cast<double>(per_second)));
+    };
+    add(m_reading_budget, reading_bytes_per_second);
+    add(m_placing_budget, placing_bytes_per_second);
+}
+
+// An entry that reads the keepers of a whole fleet would otherwise spend all on
+// questions that bring nothing.
+duration record_adoption::poll_interval() const
+{
+    const double bytes =
+        static_cast<double>(m_own.size()) * question_bytes * max_idle_share;
+    const std::chrono::duration<double> affordable(bytes /
+                                                   reading_bytes_per_second);
+    return std::max(interval, std::chrono::duration_cast<duration>(affordable));
 }
 
 // Those that have waited longest come first, so that none is left out while
@@ -59,12 +77,12 @@
     std::vector<question> questions;
     for (const auto& [since, address] : due)
     {
-        if (m_budget <= 0)
+        if (m_reading_budget <= 0)
             break;
         keeper& asked = m_keepers.at(address);
         const bool is_quick = ++asked.unanswered <= max_quick_questions;
-        asked.due_at = now + (is_quick ? reply_time : interval);
-        m_budget -= question_bytes;
+        asked.due_at = now + (is_quick ? reply_time : poll_interval());
+        m_reading_budget -= question_bytes;
         questions.push_back({address, asked.after});
     }
     return questions;
@@ -80,23 +98,23 @@
     if (found == m_keepers.end())
         return;
     keeper& known = found->second;
-    m_budget -= record_bytes * static_cast<std::int64_t>(count);
+    m_reading_budget -= record_bytes * static_cast<std::int64_t>(count);
     const bool has_restarted = known.born && *known.born != born;
     known.born = born;
     known.unanswered = 0;
     known.after = has_restarted ? 0 : std::max(known.after, next);
-    known.due_at = has_restarted || count > 0 ? now : now + interval;
+    known.due_at = has_restarted || count > 0 ? now : now + poll_interval();
 }
 
 std::vector<stream_key> record_adoption::take_unplaced(instant now)
 {
     refill(now);
     std::vector<stream_key> keys;
-    while (!m_unplaced.empty() && m_budget > 0)
+    while (!m_unplaced.empty() && m_placing_budget > 0)
     {
         keys.push_back(*m_unplaced.begin());
         m_unplaced.erase(m_unplaced.begin());
-        m_budget -= placement_bytes;
+        m_placing_budget -= placement_bytes;
     }
     return keys;
 }
--- a/packages/decision/streams/record_adoption.hpp
+++ b/packages/decision/streams/record_adoption.hpp
@@ -31,11 +31,17 @@
     /// not know the question never replies.
     static constexpr int max_quick_questions = 3;
 
-    /// How often a keeper is asked for what is new.
+    /// How often a keeper is asked for what is new; less often if this entry
+    /// reads many.
     static constexpr duration interval = std::chrono::seconds(1);
 
-    /// What reading and placing records may add to an entry's traffic.
-    static constexpr std::int64_t bytes_per_second = 12'000;
+    /// What reading and placing records may add to an entry's traffic. Each has
+    /// a part of its own, or one would leave nothing to the other.
+    static constexpr std::int64_t reading_bytes_per_second = 8'000;
+    static constexpr std::int64_t placing_bytes_per_second = 4'000;
+
+    /// Most of the part for reading that questions for what is new may take.
+    static constexpr std::int64_t max_idle_share = 4; ///< Divisor.
 
     /// Sizes with all headers: of a question and a reply without records, of a
     /// record in a reply, and of the copies of one record and their replies.
@@ -73,6 +79,14 @@
         return m_unplaced.contains(key);
     }
 
+    /// Forgets the records to place for which \a is_known returns false.
+    template<typename Predicate>
+    void retain_unplaced(Predicate is_known)
+    {
+        std::erase_if(m_unplaced, [&is_known](const stream_key& key)
+                      { return !is_known(key); });
+    }
+
     /// Returns the number of such records.
     std::size_t unplaced() const { return m_unplaced.size(); }
 
@@ -92,6 +106,7 @@
     };
 
     void refill(instant now);
+    duration poll_interval() const;
 
     std::string m_address;
     std::vector<std::string> m_others;
@@ -99,7 +114,8 @@
     std::map<std::string, keeper> m_keepers; ///< That were read.
     std::set<std::string> m_own;
     std::set<stream_key> m_unplaced;
-    std::int64_t m_budget = bytes_per_second;
+    std::int64_t m_reading_budget = reading_bytes_per_second;
+    std::int64_t m_placing_budget = placing_bytes_per_second;
     std::optional<instant> m_refilled_at;
 };
 
--- a/packages/serving/records/record_adopter.cpp
+++ b/packages/serving/records/record_adopter.cpp
@@ -30,6 +30,9 @@
     m_adoption.set_processes(m_context.settings.announced_address.text(),
                              m_channel.stream_keepers(),
                              m_channel.record_keepers());
+    m_adoption.retain_unplaced(
+        [this](const decision::stream_key& key)
+        { return m_records.find(key, m_context.now()) != nullptr; });
     ask();
 }
 
@@ -57,8 +60,10 @@
     {
         const auto known = read_stream_origin(received, now);
         const decision::stream_key key = read_stream_key(received);
-        if (known &&
-            m_records.adopt(key, *known, address, m_started_at.value_or(now)))
+        if (!known)
+            continue;
+        m_context.versions.note_stream(known->origin, known->began_at);
+        if (m_records.adopt(key, *known, address, m_started_at.value_or(now)))
             m_adoption.note_unplaced(key);
     }
     if (const std::size_t known = m_records.size(); known > known_before)
--- a/tests/decision/streams/record_handover_test.cpp
+++ b/tests/decision/streams/record_handover_test.cpp
@@ -106,9 +106,39 @@
         adoption.set_processes(own, others, keepers);
         read += adoption.keepers().size();
         CHECK(adoption.take_due(start).size() ==
-              record_adoption::bytes_per_second /
+              record_adoption::reading_bytes_per_second /
                   record_adoption::question_bytes);
         CHECK(adoption.take_due(start).empty());
     }
     CHECK(read == keepers.size());
 }
+
+// Guards against adopted records that are never placed: questions to many
+// keepers take all that may be sent.
+TEST_CASE("adopted records are placed while many keepers are read")
+{
+    record_adoption adoption;
+    std::vector<std::string> keepers;
+    for (int number = 0; number < 300; ++number)
+        keepers.push_back("k" + std::to_string(number));
+    adoption.set_processes("e1", {}, keepers);
+    for (int number = 0; number < 100; ++number)
+        adoption.note_unplaced(
+            make_stream_key("club", "h", "/", std::to_string(number)));
+    std::size_t placed = 0;
+    for (instant now = start; now < start + 10s; now += 100ms)
+    {
+        adoption.take_due(now);
+        placed += adoption.take_unplaced(now).size();
+    }
+    CHECK(placed == 100);
+}
+
+// Guards against memory that grows with streams that have ended.
+TEST_CASE("records that have expired are not placed any more")
+{
+    record_adoption adoption;
+    adoption.note_unplaced(make_stream_key("club", "h", "/", "1"));
+    adoption.retain_unplaced([](const stream_key&) { return false; });
+    CHECK(adoption.unplaced() == 0);
+}
--- a/tests/serving/record_adoption_test.cpp
+++ b/tests/serving/record_adoption_test.cpp
@@ -149,6 +149,25 @@
         CHECK(entry.origin_of(key_of(number)).origin == origin);
 }
 
+// Guards against streams that go on at another version: an entry that has only
+// read the record of a stream takes the version that it sees for the only one.
+TEST_CASE("a version is known from the records that an entry adopts")
+{
+    const runtime::paused_clock keeper_time;
+    keeper_map keepers;
+    start_keeper(keepers, keeper_time, 0);
+    {
+        entry_with_keepers lost(keepers);
+        lost.streams.record(key_of(0), origin, 20s);
+    }
+    entry_with_keepers entry(keepers);
+    CHECK_FALSE(entry.context->versions.has_other_version({"events", "v2"}, 30s,
+                                                          entry.time.now()));
+    entry.maintain_for(2s);
+    CHECK(entry.context->versions.has_other_version({"events", "v2"}, 30s,
+                                                    entry.time.now()));
+}
+
 // Guards against adoption that takes the links of a fleet: what one entry sends
 // and receives after its start, at a growing number of entries with ten keepers
 // each, of which each has 65 records.
