Streams: what one record keeper watched does not count while others are silent

Found by the review: the number of keepers that must agree was that of those that respond, so that an entry which reaches one of many trusted it alone.

--- a/packages/serving/records/keeper_client.hpp
+++ b/packages/serving/records/keeper_client.hpp
@@ -33,6 +33,10 @@
     /// Returns those of them that have responded.
     std::set<std::string> confirmed() const;
 
+    /// Returns the number of addresses where record keepers may run, silent
+    /// ones included.
+    std::size_t listed() const { return m_roster.size(); }
+
     bool is_listed(const std::string& address) const
     {
         return m_roster.is_listed(address);
@@ -98,6 +102,10 @@
     {
         return m_keepers.candidates();
     }
+    std::size_t listed_record_keepers() const override
+    {
+        return m_keepers.listed();
+    }
     std::set<std::string> confirmed_record_keepers() const override
     {
         return m_keepers.confirmed();
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -399,7 +399,7 @@
     // be missing from the longer span.
     note_versions();
     if (!m_version_answers.note(address, *seen,
-                                m_channel.record_keepers().size(),
+                                m_channel.listed_record_keepers(),
                                 m_context.versions))
         return;
     m_version_questions = max_version_questions;
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -35,6 +35,12 @@
     /// Returns the addresses where record keepers may run.
     virtual std::vector<std::string> record_keepers() const { return {}; }
 
+    /// Returns the number of hosts where one may run, silent ones included.
+    virtual std::size_t listed_record_keepers() const
+    {
+        return record_keepers().size();
+    }
+
     /// Returns those of them that have responded.
     virtual std::set<std::string> confirmed_record_keepers() const
     {
