--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -404,19 +404,23 @@
 
 awaitable<void> caller_session::linger()
 {
+    const instant begin = loop_clock::now();
+    const duration limit = m_handler.limits().header_time;
     // A longer wait would delay the exit of a stopping process.
-    const duration limit = m_handler.is_stopping()
-                               ? max_linger_time_while_stopping
-                               : m_handler.limits().header_time;
-    const instant end = loop_clock::now() + limit;
+    const auto end = [&]
+    {
+        return begin + (m_handler.is_stopping()
+                            ? std::min(limit, max_linger_time_while_stopping)
+                            : limit);
+    };
     // The first wait lets a caller who has closed already acknowledge the end.
     do
     {
-        co_await m_data_received.wait(
-            std::min(close_check_interval, time_until(end, loop_clock::now())));
+        co_await m_data_received.wait(std::min(
+            close_check_interval, time_until(end(), loop_clock::now())));
     } while (!m_is_read_closed && m_socket.is_open() &&
              (m_discards || end_of_peer(m_socket) == peer_end::none) &&
-             loop_clock::now() < end);
+             loop_clock::now() < end());
 }
 
 awaitable<bool> caller_session::send(std::string bytes)
