--- a/packages/decision/streams/record_adoption.cpp
+++ b/packages/decision/streams/record_adoption.cpp
@@ -106,15 +106,21 @@
     known.due_at = has_restarted || count > 0 ? now : now + poll_interval();
 }
 
+// Placing also takes what reading leaves.
 std::vector<stream_key> record_adoption::take_unplaced(instant now)
 {
     refill(now);
+    constexpr std::int64_t kept_for_reading = reading_bytes_per_second / 2;
     std::vector<stream_key> keys;
-    while (!m_unplaced.empty() && m_placing_budget > 0)
+    while (!m_unplaced.empty())
     {
+        std::int64_t& budget =
+            m_placing_budget > 0 ? m_placing_budget : m_reading_budget;
+        if (&budget == &m_reading_budget && budget <= kept_for_reading)
+            break;
         keys.push_back(*m_unplaced.begin());
         m_unplaced.erase(m_unplaced.begin());
-        m_placing_budget -= placement_bytes;
+        budget -= placement_bytes;
     }
     return keys;
 }
