Sessions, admission: comments of the read-through

What a reader of the whole change stumbled over: which bytes m_received holds, an empty service name, a forecast that is made anew. No change of behaviour.

--- a/packages/decision/stages/call_planner_admission.cpp
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -205,7 +205,7 @@
             all += outlook.time_per_piece * pieces;
             longest_work = std::max(longest_work, all);
         };
-        add({}, candidate->pieces);
+        add({}, candidate->pieces); // The planner's own service.
         for (const downstream_pieces& stage : candidate->job->downstream)
             add(stage.service, stage.pieces);
         const duration left = candidate->job->expires - now - chain;
@@ -316,7 +316,7 @@
         if (state.job.is_started || std::exchange(state.has_been_started, true))
             continue;
         m_admission.note_start(state.job, now);
-        // Others go first in the next call.
+        // A new forecast lets the next streams go first in the next call.
         if (state.goes_first && state.job.continues_stream)
             m_forecast_at = {};
         admission_counts& counts = m_admission_counts[state.job.urgency];
--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -64,6 +64,8 @@
                                                       : peer_end::closed;
 }
 
+/// How long a stopping process waits for a caller to close a connection with
+/// unread data: its exit waits, too.
 constexpr duration max_linger_time_while_stopping =
     std::chrono::milliseconds(300);
 
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -187,7 +187,9 @@
     auto_reset_event m_data_received;
     auto_reset_event m_may_read;
     auto_reset_event m_room_decided;
-    std::string m_received;        ///< Ends with the bytes that were not taken.
+    /// What was received and not parsed. While a request is being read, its
+    /// last m_untaken bytes are still in the socket, too.
+    std::string m_received;
     std::size_t m_untaken = 0;     ///< Looked at, but still in the socket.
     std::uint64_t m_body_left = 0; ///< Bytes to take without a look at them.
     std::array<char, 4096> m_chunk{};
