--- a/tests/decision/admission/take_up_admission_test.cpp
+++ b/tests/decision/admission/take_up_admission_test.cpp
@@ -1,3 +1,4 @@
+#include "decision/admission/admission_forecast.hpp"
 #include "overload_simulation.hpp"
 
 #include <doctest/doctest.h>
@@ -89,3 +90,36 @@
     const overload_simulation simulation = return_after_loss(true, 150);
     CHECK(served_share(simulation, 2, true) > 0.95);
 }
+
+// Guards against streams that get no part of a call ahead of others at a time,
+// and then wait behind new requests of their rank, or are rejected.
+TEST_CASE(
+    "a forecast puts a stream that is taken up first and rejects it never")
+{
+    const auto start = overload_simulation::start;
+    std::vector<stage_job> jobs(8, job_of(2, "club"));
+    for (std::size_t number = 0; number < jobs.size(); ++number)
+    {
+        jobs[number].number = number;
+        jobs[number].due = start + 700ms;
+        jobs[number].expires = start + 700ms;
+    }
+    stage_job& stream = jobs.back();
+    stream.continues_stream = true;
+    for (const bool is_in_time : {true, false})
+    {
+        stream.due = start + (is_in_time ? 710ms : 100ms);
+        std::vector<admission_candidate> found(jobs.size());
+        for (std::size_t index = 0; index < jobs.size(); ++index)
+        {
+            found[index].job = &jobs[index];
+            found[index].pieces = 1;
+        }
+        admission_forecast(start, {0ms, 0ms, 200ms, 200ms, 1},
+                           [](const std::string&) { return service_outlook(); })
+            .evaluate(found);
+        CHECK(found.back().is_late == !is_in_time);
+        CHECK_FALSE(found.back().is_hopeless);
+        CHECK(std::ranges::any_of(found, &admission_candidate::is_hopeless));
+    }
+}
