--- a/packages/decision/stages/call_planner_admission.cpp
+++ b/packages/decision/stages/call_planner_admission.cpp
@@ -217,10 +217,10 @@
     return share;
 }
 
-// The caller of a stream that is taken up has more to lose than one who has
-// nothing yet. Late, it would wait behind all new requests that are in time,
-// until its caller leaves. Only a part of each call goes to such streams, so
-// that they mostly delay urgent requests instead of making them late.
+// A late job of a resumed stream would wait behind all new jobs that are in
+// time, until its caller disconnects, and the part that was already generated
+// would be wasted. Only a part of each call goes to such streams, so that they
+// mostly delay urgent requests instead of making them late.
 void call_planner::choose_continued_streams(
     std::vector<admission_candidate>& candidates, admission_forecast& forecast,
     instant now)
--- a/packages/decision/streams/record_adoption.hpp
+++ b/packages/decision/streams/record_adoption.hpp
@@ -19,8 +19,9 @@
 /// after the loss of the entries that placed them, and how far it has read
 /// each.
 ///
-/// Each keeper is read by the entry that comes first for it. Entries that
-/// disagree about who that is both read it, which does no harm.
+/// Each keeper is read by the entry that comes first for it. If entries
+/// disagree about which one that is, each of them reads it; records are
+/// immutable, so that duplicates are merged.
 class record_adoption
 {
 public:
--- a/packages/decision/streams/record_handover.cpp
+++ b/packages/decision/streams/record_handover.cpp
@@ -11,8 +11,9 @@
 namespace
 {
 
-/// Among how many of the newest candidates successors are chosen: keepers that
-/// stop together would otherwise all choose the same ones.
+/// Successors are chosen among this many of the newest candidates, or among
+/// this fraction of them if that is more. Otherwise keepers that stop at the
+/// same time would all choose the same ones.
 constexpr std::size_t min_choice = 8;
 constexpr std::size_t choice_share = 8;
 
--- a/packages/decision/streams/version_reports.hpp
+++ b/packages/decision/streams/version_reports.hpp
@@ -18,9 +18,9 @@
     bool take_due(const version_observation& seen, duration interval,
                   instant now);
 
-    /// Returns whether a stream that begins at \a origin is to be told of at
-    /// once, as no report since the last regular one has that version. Notes
-    /// that it is.
+    /// Returns whether the version of \a origin, at which a stream begins, has
+    /// to be reported at once because no report since the last regular one
+    /// contains it. Marks it as reported.
     bool take_new(const stream_origin& origin);
 
 private:
--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -415,7 +415,8 @@
                             ? std::min(limit, max_linger_time_while_stopping)
                             : limit);
     };
-    // The first wait lets a caller who has closed already acknowledge the end.
+    // Waits at least once, so that a caller that has already closed its side
+    // can acknowledge the end of the answer.
     do
     {
         co_await m_data_received.wait(std::min(
--- a/tests/decision/streams/origin_records_test.cpp
+++ b/tests/decision/streams/origin_records_test.cpp
@@ -335,8 +335,8 @@
     CHECK(keeper.changes_after(last, 10).empty());
 }
 
-// Guards against a flood of copies that their holders have already, and against
-// records that nobody finds where they were handed on to.
+// Guards against copies that are sent to holders which already have them, and
+// against handed-over records that lookups by key do not find.
 TEST_CASE("adopted records are placed if their holders may lack them")
 {
     const auto keepers = addresses(5);
