Log: lines are written in parts that collectors take whole

In the moment of a reset an entry logs a hundred lines; it wrote them in one write of up to 32 KB, and what collects the log kept the first 8 KB of each write. The rest was lost, and the broken line was joined to the next one.

Now each write holds whole lines of at most PIPE_BUF bytes, which a pipe takes whole. Lines longer than that are written in parts, as before.

Test: a reader that takes 4 KB of each message got 4,096 of 25,100 bytes before, all of them now.

--- a/packages/runtime/bounded_sink.cpp
+++ b/packages/runtime/bounded_sink.cpp
@@ -3,7 +3,9 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <climits>
 
 namespace mangofold::runtime
 {
@@ -42,13 +44,25 @@
         flush_();
 }
 
+// A write of at most PIPE_BUF bytes to a pipe is atomic, and collectors take it
+// whole. Of longer writes some keep only the first kilobytes.
+std::size_t bounded_sink::next_write_size(std::size_t from) const
+{
+    const std::size_t limit =
+        std::min<std::size_t>(m_buffer.size() - from, PIPE_BUF);
+    const std::size_t line_end = m_buffer.rfind('\n', from + limit - 1);
+    const bool has_whole_line =
+        line_end != std::string::npos && line_end >= from;
+    return has_whole_line ? line_end + 1 - from : limit;
+}
+
 void bounded_sink::flush_()
 {
     std::size_t written = 0;
     while (written < m_buffer.size())
     {
         const ssize_t count = write(m_descriptor, m_buffer.data() + written,
-                                    m_buffer.size() - written);
+                                    next_write_size(written));
         if (count < 0 && errno == EINTR)
             continue;
         if (count <= 0)
--- a/packages/runtime/bounded_sink.hpp
+++ b/packages/runtime/bounded_sink.hpp
@@ -27,6 +27,10 @@
     void flush_() override;
 
 private:
+    /// Returns how many of the bytes from \a from on the next write takes:
+    /// whole lines where possible.
+    std::size_t next_write_size(std::size_t from) const;
+
     int m_descriptor;
     std::string m_buffer;
     std::uint64_t m_dropped = 0;
--- a/tests/runtime/bounded_sink_test.cpp
+++ b/tests/runtime/bounded_sink_test.cpp
@@ -3,9 +3,11 @@
 #include <doctest/doctest.h>
 #include <spdlog/logger.h>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
+#include <climits>
 
 using mangofold::runtime::bounded_sink;
 
@@ -51,3 +53,32 @@
     close(pipe_ends[0]);
     close(pipe_ends[1]);
 }
+
+// Guards against lines that a log collector cuts off: it takes each write as
+// one message and keeps only the first kilobytes of it.
+TEST_CASE("a reader that takes a part of each long write gets whole lines")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends.data()) == 0);
+    spdlog::logger logger("log", std::make_shared<bounded_sink>(ends[1]));
+    logger.set_pattern("%v");
+    constexpr std::size_t lines = 100;
+    constexpr std::size_t line_bytes = 250;
+    const std::string line(line_bytes, 'x');
+    for (std::size_t logged = 0; logged < lines; ++logged)
+        logger.info(line);
+    logger.flush();
+    std::string received;
+    std::array<char, PIPE_BUF> message{};
+    for (;;)
+    {
+        const ssize_t count =
+            recv(ends[0], message.data(), message.size(), MSG_DONTWAIT);
+        if (count <= 0)
+            break;
+        received.append(message.data(), static_cast<std::size_t>(count));
+    }
+    CHECK(received.size() == lines * (line_bytes + 1));
+    close(ends[0]);
+    close(ends[1]);
+}
