Stages: a forecast of waits does not end a stream in progress

Callers who took up a stream right after all connections of the entries were reset were refused as stages_late, 17 to 32 ms after their requests came, with 16 to 18 s left, and 0.25 to 0.9 s after in the second of two resets.

Cause: a job was ended as expired when the forecast of its own and later stages, waits included, ended after it expires. After a reset the targets of a service are backed off, so that the forecast says many seconds for some tenths of one.

Now a job of a stream in progress is ended when idle targets could no longer do it in time. Jobs of new requests end as before, so that these can try elsewhere.

--- a/packages/decision/stages/call_planner.hpp
+++ b/packages/decision/stages/call_planner.hpp
@@ -41,6 +41,10 @@
     std::function<duration(const stage_job&, duration call, bool is_late)>
         remaining_time = [](const stage_job&, duration, bool)
     { return duration::zero(); };
+    /// Returns the time that the downstream stages of a job take if nothing
+    /// waits there.
+    std::function<duration(const stage_job&)> least_time = [](const stage_job&)
+    { return duration::zero(); };
     /// Returns what is known of the load of a downstream service.
     std::function<service_outlook(const std::string& service)> outlook =
         [](const std::string&) { return service_outlook(); };
--- a/packages/decision/stages/call_planner_jobs.cpp
+++ b/packages/decision/stages/call_planner_jobs.cpp
@@ -105,8 +105,9 @@
     return jobs;
 }
 
-// Streams that are taken up don't wait behind all work in time at the services
-// of their later stages.
+// A job of a stream in progress is given up when even idle targets could not do
+// it in time. The forecast of waits may be wrong by seconds right after a
+// disturbance, and its caller has spent much to get here.
 std::vector<call_planner::removed_job>
 call_planner::take_expired(instant now, const downstream_estimates& downstream)
 {
@@ -119,9 +120,11 @@
         if (!state.is_in_progress() &&
             state.job.expires <
                 earliest + m_profile.time_per_call +
-                    downstream.remaining_time(
-                        state.job, m_profile.time_per_call,
-                        state.job.is_late && !state.job.continues_stream))
+                    (state.job.continues_stream
+                         ? downstream.least_time(state.job)
+                         : downstream.remaining_time(state.job,
+                                                     m_profile.time_per_call,
+                                                     state.job.is_late)))
             jobs.push_back(remove(entry));
         entry = next;
     }
--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -32,6 +32,14 @@
     m_estimates.remaining_time =
         [this](const decision::stage_job& job, duration call_time, bool is_late)
     { return forecast_for(job, call_time, is_late).remaining_time; };
+    m_estimates.least_time = [this](const decision::stage_job& job)
+    {
+        duration sum{};
+        for (const decision::downstream_pieces& stage : job.downstream)
+            if (const auto* profile = call_profile_of(stage.service))
+                sum += profile->time_per_call;
+        return sum;
+    };
     m_estimates.may_start =
         [this](const decision::stage_job& job, duration call_time, bool yields)
     {
--- a/tests/decision/stages/call_planner_test.cpp
+++ b/tests/decision/stages/call_planner_test.cpp
@@ -440,6 +440,26 @@
     }
 }
 
+// Guards against streams that are refused with seconds left because a wait of
+// seconds is forecast, as in the moment after the connections to all targets
+// were reset.
+TEST_CASE("a job of a stream in progress ends only when it can't be in time")
+{
+    call_planner planner = make_planner(1);
+    stage_job job = make_job(1, 6, 3s);
+    job.downstream = {{"later", 6}};
+    job.continues_stream = true;
+    planner.add(job);
+    downstream_estimates downstream;
+    downstream.remaining_time = [](const stage_job&, duration, bool)
+    { return duration(30s); };
+    downstream.least_time = [](const stage_job&) { return duration(400ms); };
+    const instant latest = job.expires - profile().time_per_call - 400ms;
+    CHECK(planner.take_expired(start, downstream).empty());
+    CHECK(planner.take_expired(latest, downstream).empty());
+    CHECK(planner.take_expired(latest + 1ms, downstream).size() == 1);
+}
+
 TEST_CASE("pieces of a cancelled job are not executed")
 {
     call_planner planner = make_planner(1);
