Streams: one decision gives up a stream in progress, on its caller's bounds

Cause: each part of a request gave a stream up by a limit of its own, taken over from new requests: two rounds of stages, six rounds in all, three refused sends, to which sends that reached no target counted, a retry budget that these used up, a patience and an objective counted from the beginning of the request although the caller has had events since. Class: a limit that is right for a request with nothing to lose ends one whose caller has already spent the time.

decision/streams/stream_progress now decides after each failed round, whatever has ended it, whether there is another one: as long as that can bring an event before the caller gives the stream up, its time or this process ends, and its route allows a send. Sends that reached no target count neither as refusals nor as repeats. The bound that ends a stream is in the logs (stream_round_failed, request_refused), and where it is the caller's patience, the caller may return at once. New requests keep their limits.

--- a/packages/decision/retry_budget.hpp
+++ b/packages/decision/retry_budget.hpp
@@ -29,6 +29,9 @@
     /// Spends one retry. Returns whether the budget allowed it.
     bool try_spend();
 
+    /// Takes back a retry that was spent and reached no target.
+    void take_back() { m_tokens = std::min(m_tokens + 1, m_reserve); }
+
 private:
     double m_share;
     double m_reserve;
--- a/packages/decision/sending_record.hpp
+++ b/packages/decision/sending_record.hpp
@@ -26,10 +26,22 @@
 
     void note_sent() { ++m_possible_runs; }
 
-    /// Records that the newest send did not run and never will.
+    /// Records that the target refused the newest send, which did not run and
+    /// never will.
     void note_not_run();
 
-    std::uint32_t sends() const { return m_possible_runs + m_refusals; }
+    /// Records that the newest send reached no target.
+    void note_unsent();
+
+    /// Lets targets refuse the request as often as there is time for: its
+    /// caller has a part of the answer.
+    void allow_refusals() { m_are_refusals_limited = false; }
+
+    /// Returns the number of all sends, also of those that reached no target.
+    std::uint32_t sends() const { return arrivals() + m_unsent; }
+
+    /// Returns the number of sends that may have reached a target.
+    std::uint32_t arrivals() const { return m_possible_runs + m_refusals; }
 
 private:
     /// The maximum number of refused sends per request. A refusal costs the
@@ -40,11 +52,13 @@
     std::uint32_t m_max_targets;
     std::uint32_t m_possible_runs = 0;
     std::uint32_t m_refusals = 0;
+    std::uint32_t m_unsent = 0;
+    bool m_are_refusals_limited = true;
 };
 
 inline bool sending_record::may_send() const
 {
-    if (m_refusals >= max_refused_sends)
+    if (m_are_refusals_limited && m_refusals >= max_refused_sends)
         return false;
     return m_possible_runs == 0 ||
            (m_is_repeatable && m_possible_runs < m_max_targets);
@@ -56,4 +70,10 @@
     ++m_refusals;
 }
 
+inline void sending_record::note_unsent()
+{
+    --m_possible_runs;
+    ++m_unsent;
+}
+
 } // namespace mangofold::decision
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -138,43 +138,59 @@
         co_return;
     m_context.retry_budget_for(m_service).note_first_attempt();
     constexpr int max_rounds = 6;
-    for (int round = 0; round < max_rounds; ++round)
+    for (int round = 0; round < max_rounds || is_stream_in_progress(); ++round)
     {
-        if (m_session->check_disconnected())
+        const bool may_start = co_await is_servable();
+        if (!may_start)
             co_return;
-        const bool is_refused = co_await is_quarantined_before_stages();
-        if (is_refused)
+        const attempt_outcome outcome = co_await run_round(has_stages);
+        if (outcome == attempt_outcome::answered)
             co_return;
-        if (is_service_evacuated(!m_stages))
-        {
-            m_refusal = refusal::evacuated;
-            co_return;
-        }
-        if (is_version_gone())
-        {
-            m_refusal = refusal::version_gone;
-            co_return;
-        }
-        if (are_targets_unavailable())
-        {
-            note_no_target();
-            co_return;
-        }
-        if (has_stages && !m_stages)
+        if (outcome == attempt_outcome::redo_stages)
+            release_stages();
+        if (is_stream_in_progress())
         {
-            const bool are_done = co_await run_stages();
-            if (!are_done)
+            const bool goes_on = co_await wait_for_next_round();
+            if (!goes_on)
                 co_return;
         }
-        const attempt_outcome outcome = co_await attempt();
-        if (outcome == attempt_outcome::answered ||
-            outcome == attempt_outcome::given_up)
-            co_return;
-        if (!m_sends->may_send() || is_past_deadline())
+        else if (outcome == attempt_outcome::given_up || !m_sends->may_send() ||
+                 is_past_deadline())
             co_return;
-        if (outcome == attempt_outcome::redo_stages)
+    }
+}
+
+awaitable<bool> exchange::is_servable()
+{
+    if (m_session->check_disconnected())
+        co_return false;
+    const bool is_refused = co_await is_quarantined_before_stages();
+    if (is_refused)
+        co_return false;
+    if (is_service_evacuated(!m_stages))
+        m_refusal = refusal::evacuated;
+    else if (is_version_gone())
+        m_refusal = refusal::version_gone;
+    else if (are_targets_unavailable())
+        note_no_target();
+    else
+        co_return true;
+    co_return false;
+}
+
+awaitable<exchange::attempt_outcome> exchange::run_round(bool has_stages)
+{
+    m_has_round_sent = false;
+    if (has_stages && !m_stages)
+    {
+        const bool are_done = co_await run_stages();
+        if (!are_done)
+        {
             release_stages();
+            co_return attempt_outcome::given_up;
+        }
     }
+    co_return co_await attempt();
 }
 
 // A repeatable request does not wait for a silent target until its deadline:
@@ -198,6 +214,7 @@
     m_tried_targets.insert(target);
     m_last_target = target;
     m_sends->note_sent();
+    m_has_round_sent = true;
     if (m_verdict.outcome != decision::quarantine::admission::unrestricted)
         m_context.quarantine.note_sent(m_verdict.suspect, target);
     m_context.cold_targets.note_sent(target, m_context.warm_up_of(m_service),
@@ -226,7 +243,9 @@
         m_refusal = refusal::too_late;
         co_return attempt_outcome::given_up;
     }
-    const bool is_retry = m_sends->sends() > 0;
+    // A send that reached no target is no load for any.
+    const bool is_retry = m_sends->arrivals() > 0;
+    const bool is_first_send = m_sends->sends() == 0;
     if (!m_sends->may_send())
         co_return attempt_outcome::given_up;
     const bool is_refused = co_await is_quarantined();
@@ -237,22 +256,26 @@
         m_refusal = refusal::stopping;
         co_return attempt_outcome::given_up;
     }
+    m_is_retry_spent = false;
     if (is_retry && !m_context.retry_budget_for(m_service).try_spend())
     {
         if (m_refusal == refusal::none)
             m_refusal = refusal::retries_spent;
         co_return attempt_outcome::given_up;
     }
+    m_is_retry_spent = is_retry;
     const auto* target = co_await wait_for_target_choice();
     if (target != nullptr && is_engine_service())
         target = co_await place_generation(target);
     if (target == nullptr)
     {
+        take_back_retry();
         note_no_target();
         co_return attempt_outcome::given_up;
     }
     if (!is_still_admitted())
     {
+        take_back_retry();
         if (!m_scheduler.empty())
             cancel_placement();
         co_return attempt_outcome::retry;
@@ -281,7 +304,7 @@
     schedule_early_release(id);
     const instant sent_at = m_context.now();
     m_sent_at = sent_at;
-    if (!is_retry)
+    if (is_first_send)
         m_context.times_by_route[m_route->name].time_to_send.add(sent_at -
                                                                  m_started_at);
     const auto send_result = co_await m_call->send_request(
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -4,6 +4,7 @@
 #include "decision/digest.hpp"
 #include "decision/sending_record.hpp"
 #include "decision/streams/stream_origin.hpp"
+#include "decision/streams/stream_progress.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/placement_messages.hpp"
@@ -113,11 +114,24 @@
     instant latest_send_time() const;
     const std::string& choose_service();
     awaitable<void> serve();
+    /// Whether the request can be served at all now; if not, records why.
+    awaitable<bool> is_servable();
+    /// Makes the stages and sends the request to one target.
+    awaitable<attempt_outcome> run_round(bool has_stages);
+    /// Whether the caller has a part of the stream that it requests.
+    bool is_stream_in_progress() const;
+    /// Decides whether a stream in progress gets another round after a failed
+    /// one, and waits until that starts.
+    awaitable<bool> wait_for_next_round();
+    /// Returns the shortest time in which the stages can run.
+    duration least_stages_time() const;
+    bool is_another_round_useless() const;
     decision::urgency urgency() const;
     stage_terms stage_terms_for(const entry_context::route_times& times) const;
     instant stages_deadline() const;
     std::string expected_engine_zone();
     awaitable<bool> run_stages();
+    awaitable<decision::job_status> run_stages_once(bool accepts_rejection);
     void release_stages();
     /// Releases the stage results once \a engine must have fetched them, if it
     /// does so at once.
@@ -193,6 +207,9 @@
     /// Returns how long the next attempt may wait for the answer's head.
     duration attempt_timeout() const;
     void record_attempt_start(const decision::target_incarnation& target);
+    /// Returns what the newest attempt took from the retry budget: it reached
+    /// no target.
+    void take_back_retry();
     void record_attempt_end(const decision::target_incarnation& target);
     /// Returns the engine for the request: \a own_choice or the one that the
     /// scheduler chooses; null if the request is not to be sent any more.
@@ -274,6 +291,8 @@
     bool m_has_returned = false; ///< Whether the caller was refused before.
     refusal m_refusal = refusal::none;
     std::optional<decision::sending_record> m_sends;
+    bool m_is_retry_spent = false; ///< Of the budget, for the newest attempt.
+    bool m_has_round_sent = false; ///< The newest round chose a target.
     std::set<decision::target_incarnation> m_tried_targets;
     decision::quarantine::verdict m_verdict;
     /// Whether this is a trial run of quarantined content.
@@ -291,6 +310,10 @@
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
     bool m_is_head_sent = false;
     bool m_is_take_up_counted = false;
+    /// Set for requests of streams.
+    std::optional<decision::stream_progress> m_progress;
+    /// What gave up the stream in progress.
+    decision::stream_bound m_stream_bound = decision::stream_bound::none;
     std::string m_target_version; ///< Of the target of the newest attempt.
     /// Where the stream began; unset before its first event.
     std::optional<decision::stream_origin> m_origin;
--- a/packages/serving/exchange_admission.cpp
+++ b/packages/serving/exchange_admission.cpp
@@ -101,6 +101,10 @@
     const bool may_repeat =
         m_route->is_stream ? m_route->is_resumable : m_route->is_repeatable;
     m_sends.emplace(may_repeat, m_route->max_targets);
+    if (m_route->is_stream)
+        m_progress.emplace(m_started_at, m_deadline, m_route->patience);
+    if (is_taking_up_stream())
+        m_sends->allow_refusals();
     m_service = choose_service();
     return true;
 }
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -160,6 +160,8 @@
                     m_stages->release();
             }
             m_last_event_id = events.last_id();
+            m_progress->note_event(m_context.now());
+            m_sends->allow_refusals();
             if (!co_await send_events(call, std::move(complete_events)))
             {
                 call.abort();
--- a/packages/serving/exchange_failures.cpp
+++ b/packages/serving/exchange_failures.cpp
@@ -1,5 +1,7 @@
 #include "serving/exchange.hpp"
 
+#include <utility>
+
 namespace mangofold::serving
 {
 
@@ -11,7 +13,10 @@
     m_call->abort();
     const bool is_unsent = result == target_call::outcome::not_sent;
     if (is_unsent)
-        m_sends->note_not_run();
+    {
+        m_sends->note_unsent();
+        take_back_retry();
+    }
     if (is_engine_service())
         report_generation(decision::generation_event::failed);
     else
@@ -43,6 +48,12 @@
     return attempt_outcome::retry;
 }
 
+void exchange::take_back_retry()
+{
+    if (std::exchange(m_is_retry_spent, false))
+        m_context.retry_budget_for(m_service).take_back();
+}
+
 exchange::attempt_outcome exchange::handle_not_run(const target_call& call)
 {
     const instant now = m_context.now();
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -79,6 +79,10 @@
     if (m_refusal == refusal::stopping &&
         m_context.others_while_stopping() != decision::other_entries::few)
         return std::to_string(min_delay_s).substr(0, 5);
+    // The caller's patience begins anew with its next request.
+    if (m_stream_bound == decision::stream_bound::patience ||
+        m_stream_bound == decision::stream_bound::sends)
+        return std::to_string(min_delay_s).substr(0, 5);
     const double remaining_s =
         seconds(m_metadata.budget
                     ? *m_metadata.budget - (m_context.now() - m_started_at)
@@ -230,6 +234,8 @@
         line.with("resumes", m_metadata.resumed_request);
     if (m_origin)
         line.with("version", m_origin->version);
+    if (m_stream_bound != decision::stream_bound::none)
+        line.with("bound", to_string(m_stream_bound));
     if (m_refusal == refusal::quarantined ||
         m_refusal == refusal::part_quarantined)
         line.with("content", to_text(m_verdict.suspect))
--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -16,15 +16,17 @@
 instant exchange::stages_deadline() const
 {
     const auto known = m_context.times_by_route.find(m_route->name);
+    // How much of a stream in progress is left to generate is unknown.
+    const bool is_time_unknown =
+        known == m_context.times_by_route.end() || is_stream_in_progress();
     const duration generation_time =
-        known == m_context.times_by_route.end()
+        is_time_unknown
             ? duration::zero()
             : known->second.time_per_token.mean() * max_output_tokens();
     const instant latest_end = m_deadline - generation_time;
-    return m_route->patience == duration::zero()
-               ? latest_end
-               : std::min(latest_end, m_started_at + m_route->patience -
-                                          answer_transit_time);
+    return m_progress ? std::min(latest_end, m_progress->next_event_by() -
+                                                 answer_transit_time)
+                      : latest_end;
 }
 
 // The engine that gets the request fetches the stage results. Its zone is
@@ -41,19 +43,21 @@
 // The caller of a request counts its latency from its first try. A returning
 // request that counted as new would take the place of one that can still be in
 // time. A caller who has part of a stream waits for the next event instead, so
-// that the time which the earlier ones took does not make it late.
+// that neither the time which the earlier ones took nor that of failed rounds
+// makes it late.
 stage_terms
 exchange::stage_terms_for(const entry_context::route_times& times) const
 {
     stage_terms terms;
     terms.urgency = urgency();
     terms.account = m_account == nullptr ? std::string() : m_account->name;
-    terms.continues_stream = is_taking_up_stream();
+    terms.continues_stream = is_stream_in_progress();
     terms.is_returning =
         m_waited_before > duration::zero() || terms.continues_stream;
-    const duration waited =
-        terms.continues_stream ? duration::zero() : m_waited_before;
-    terms.due = m_started_at - waited + m_route->latency_objective -
+    const instant waits_since = terms.continues_stream
+                                    ? m_context.now()
+                                    : m_started_at - m_waited_before;
+    terms.due = waits_since + m_route->latency_objective -
                 times.time_to_first_event.mean_plus(1);
     terms.expires =
         std::min(stages_deadline() - times.time_to_first_event.mean(),
@@ -61,30 +65,39 @@
     return terms;
 }
 
-awaitable<bool> exchange::run_stages()
+awaitable<decision::job_status>
+exchange::run_stages_once(bool accepts_rejection)
 {
-    constexpr int max_attempts = 2;
-    auto status = decision::job_status::failed;
+    release_stages();
     // The engine's time depends on the prompt and the answer, and so differs by
     // route.
-    const auto& times = m_context.times_by_route[m_route->name];
+    stage_terms terms =
+        stage_terms_for(m_context.times_by_route[m_route->name]);
+    terms.accepts_rejection = accepts_rejection;
+    log_take_up_wait(terms);
+    m_stages = std::make_unique<stage_runner>(m_context, *m_route, m_metadata,
+                                              content_digest(),
+                                              expected_engine_zone(), terms);
+    const auto status = co_await m_stages->run();
+    m_stages_done_at = m_context.now();
+    m_are_stages_late = m_stages->is_late();
+    m_stage_times = m_stages->completion_times(m_started_at);
+    co_return status;
+}
+
+awaitable<bool> exchange::run_stages()
+{
+    // A stream in progress has further rounds instead.
+    const int max_attempts = is_stream_in_progress() ? 1 : 2;
+    auto status = decision::job_status::failed;
     for (int attempts = 0; attempts < max_attempts && !is_past_deadline();
          ++attempts)
     {
-        release_stages();
-        stage_terms terms = stage_terms_for(times);
         // Results of this request may exist already, and its caller has waited.
-        terms.accepts_rejection = attempts == 0 && m_sends->sends() == 0;
-        log_take_up_wait(terms);
-        m_stages = std::make_unique<stage_runner>(
-            m_context, *m_route, m_metadata, content_digest(),
-            expected_engine_zone(), terms);
-        status = co_await m_stages->run();
+        const bool accepts_rejection = attempts == 0 && m_sends->sends() == 0;
+        status = co_await run_stages_once(accepts_rejection);
         if (m_session->check_disconnected())
             co_return false;
-        m_stages_done_at = m_context.now();
-        m_are_stages_late = m_stages->is_late();
-        m_stage_times = m_stages->completion_times(m_started_at);
         if (status == decision::job_status::completed)
             co_return true;
         if (status == decision::job_status::rejected)
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -13,6 +13,91 @@
     return m_route->is_stream && !m_metadata.last_event_id.empty();
 }
 
+bool exchange::is_stream_in_progress() const
+{
+    return m_route->is_stream && (is_taking_up_stream() || m_is_head_sent);
+}
+
+duration exchange::least_stages_time() const
+{
+    std::vector<duration> ends(m_route->stages.size());
+    duration longest{};
+    for (std::size_t index = 0; index < ends.size(); ++index)
+    {
+        const catalog::stage& stage = m_route->stages[index];
+        for (const std::size_t input : stage.dependencies)
+            ends[index] = std::max(ends[index], ends.at(input));
+        const auto* service = m_catalog->find_service(stage.service);
+        const bool is_needed =
+            index < m_metadata.pieces.size() && m_metadata.pieces[index] > 0;
+        if (is_needed && service != nullptr && service->calls)
+            ends[index] += service->calls->time_per_call;
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+// What these say does not change within the caller's time, or the caller does
+// better to turn to another entry at once.
+bool exchange::is_another_round_useless() const
+{
+    switch (m_refusal)
+    {
+    case refusal::quarantined:
+    case refusal::part_quarantined:
+    case refusal::evacuated:
+    case refusal::stopping:
+    case refusal::version_gone:
+        return true;
+    default:
+        return m_is_aborted_by_shutdown;
+    }
+}
+
+awaitable<bool> exchange::wait_for_next_round()
+{
+    if (m_session->check_disconnected() || is_another_round_useless())
+        co_return false;
+    const duration least_time =
+        (m_stages ? duration::zero() : least_stages_time()) +
+        m_context.times_by_route[m_route->name].time_to_first_event.mean() +
+        answer_transit_time;
+    const auto targets = serving_targets();
+    const bool has_untried_target = std::ranges::any_of(
+        targets, [this](const decision::listed_target* target)
+        { return !m_tried_targets.contains(target->incarnation); });
+    const decision::next_round next = m_progress->note_failed_round(
+        {least_time, latest_send_time(), m_sends->may_send(),
+         has_untried_target && m_has_round_sent},
+        m_context.now());
+    m_stream_bound = next.bound;
+    m_context.count("stream_rounds_failed", "why", to_string(m_refusal));
+    runtime::event("stream_round_failed")
+        .with("request", m_metadata.id)
+        .with("why", to_string(m_refusal))
+        .with("rounds", m_progress->failed_rounds())
+        .with("bound", to_string(next.bound))
+        .with("pause_ms", whole_milliseconds(next.pause))
+        .with("left_ms", whole_milliseconds(remaining_time()))
+        .with("silence_left_ms",
+              whole_milliseconds(m_progress->next_event_by() - m_context.now()))
+        .info();
+    if (next.bound != decision::stream_bound::none)
+    {
+        if (m_refusal == refusal::none)
+            m_refusal = refusal::too_late;
+        co_return false;
+    }
+    loop_timer timer(m_context.loop, next.pause);
+    error_code ignored; // The timer is never cancelled.
+    co_await timer.async_wait(store_error_in(ignored));
+    // A target that refused the request may take it by now.
+    if (!has_untried_target)
+        m_tried_targets.clear();
+    m_refusal = refusal::none;
+    co_return true;
+}
+
 decision::stream_key
 exchange::stream_key_of(const std::string& request_id) const
 {
@@ -154,6 +239,8 @@
                   ? 0
                   : whole_milliseconds(m_stages_done_at - m_started_at))
         .with("left_ms", whole_milliseconds(remaining_time()))
+        .with("bound", to_string(m_stream_bound))
+        .with("rounds", m_progress ? m_progress->failed_rounds() : 0)
         .info();
 }
 
