--- a/packages/decision/streams/stream_progress.cpp
+++ b/packages/decision/streams/stream_progress.cpp
@@ -31,6 +31,12 @@
     return names.at(static_cast<std::size_t>(value));
 }
 
+void stream_progress::note_event(instant now)
+{
+    m_silent_since = now;
+    m_failed_rounds = 0;
+}
+
 instant stream_progress::next_event_by() const
 {
     return m_patience == duration::zero()
--- a/packages/decision/streams/stream_progress.hpp
+++ b/packages/decision/streams/stream_progress.hpp
@@ -56,11 +56,7 @@
     }
 
     /// Notes that the caller was sent an event.
-    void note_event(instant now)
-    {
-        m_silent_since = now;
-        m_failed_rounds = 0;
-    }
+    void note_event(instant now);
 
     /// Returns when the next event must reach the caller at the latest.
     instant next_event_by() const;
--- a/tests/mutants/streams.py
+++ b/tests/mutants/streams.py
@@ -7,6 +7,7 @@
          "tests/decision/streams/origin_records_test.cpp",
          "tests/decision/streams/origin_records_simulation_test.cpp",
          "tests/decision/streams/record_handover_test.cpp",
+         "tests/decision/streams/stream_progress_test.cpp",
          "tests/decision/streams/version_answers_test.cpp",
          "tests/decision/streams/version_history_simulation_test.cpp",
          "tests/decision/admission/take_up_admission_test.cpp",
@@ -21,11 +22,26 @@
 REPORTS = "packages/decision/streams/version_reports.cpp"
 ORIGIN = "packages/decision/streams/stream_origin.cpp"
 ROSTER = "packages/decision/streams/keeper_roster.cpp"
+PROGRESS = "packages/decision/streams/stream_progress.cpp"
 FORECAST = "packages/decision/admission/admission_forecast.cpp"
 DIRECTORY = "packages/decision/target_directory.cpp"
 
 # Name, file, removed text, replacement.
 MUTANTS = [
+    ("a stream is given up by the time since its begin", PROGRESS,
+     "m_silent_since = now;", "(void)now;"),
+    ("the pause does not count against the caller's time", PROGRESS,
+     "now + pause + terms.least_time", "now + terms.least_time"),
+    ("a stream is given up one pause early", PROGRESS,
+     "now + pause + terms.least_time", "now + 2 * max_pause + terms.least_time"),
+    ("rounds do not pause", PROGRESS,
+     "std::min(min_pause * (1U << doublings), max_pause)", "duration()"),
+    ("a round to another target waits", PROGRESS,
+     "? duration::zero()", "? pause_after(m_failed_rounds)"),
+    ("a stream is sent more often than its route allows", PROGRESS,
+     "!terms.may_send", "false"),
+    ("a stream outlasts the process", PROGRESS,
+     "earliest_event > terms.latest_start", "false"),
     ("an entry that was lost counts as one that has its copies", RECORDS,
      "stored.sent_to.erase(address);", "(void)stored;"),
     ("new holders are sent nothing", RECORDS,
