--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -196,11 +196,9 @@
 // A repeatable request does not wait for a silent target until its deadline:
 // the time within which nearly all answers arrive leaves enough for a second
 // target.
-duration exchange::attempt_timeout()
+duration exchange::attempt_timeout() const
 {
     const bool has_other = m_sends->sends() < m_route->max_targets;
-    if (is_stream_in_progress())
-        return silence_timeout();
     if (m_route->is_stream || !m_route->is_repeatable || !has_other)
         return remaining_time();
     const auto usual_time = m_context.target_health.usual_max_latency();
@@ -211,28 +209,6 @@
         static_cast<double>(remaining_time().count()) * first_attempt_share));
 }
 
-// The caller of a stream in progress gives up a silent one. Half of the time
-// until then leaves enough for another target, if there is one.
-duration exchange::silence_timeout()
-{
-    const bool may_go_on = is_stream_in_progress() && m_sends->may_send() &&
-                           has_untried_target() &&
-                           m_context.retry_budget_for(m_service).has_retry();
-    if (!may_go_on)
-        return remaining_time();
-    const duration silence_left =
-        time_until(m_progress->next_event_by(), m_context.now());
-    return std::min(remaining_time(), silence_left / 2);
-}
-
-bool exchange::has_untried_target() const
-{
-    const auto targets = serving_targets();
-    return std::ranges::any_of(
-        targets, [this](const decision::listed_target* target)
-        { return !m_tried_targets.contains(target->incarnation); });
-}
-
 void exchange::record_attempt_start(const decision::target_incarnation& target)
 {
     m_tried_targets.insert(target);
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -205,10 +205,7 @@
     bool may_wait_for_cold_target() const;
     forwarding_metadata forwarding_metadata_for();
     /// Returns how long the next attempt may wait for the answer's head.
-    duration attempt_timeout();
-    /// Returns how long a target may be silent in its answer.
-    duration silence_timeout();
-    bool has_untried_target() const;
+    duration attempt_timeout() const;
     void record_attempt_start(const decision::target_incarnation& target);
     /// Returns what the newest attempt took from the retry budget: it reached
     /// no target.
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -170,7 +170,7 @@
         }
         if (call.is_complete())
             break;
-        const auto result = co_await call.read_more(silence_timeout());
+        const auto result = co_await call.read_more(remaining_time());
         if (m_session->has_disconnected())
         {
             call.abort();
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -62,10 +62,13 @@
         (m_stages ? duration::zero() : least_stages_time()) +
         m_context.times_by_route[m_route->name].time_to_first_event.mean() +
         answer_transit_time;
-    const bool has_other = has_untried_target();
+    const auto targets = serving_targets();
+    const bool has_untried_target = std::ranges::any_of(
+        targets, [this](const decision::listed_target* target)
+        { return !m_tried_targets.contains(target->incarnation); });
     const decision::next_round next = m_progress->note_failed_round(
         {least_time, latest_send_time(), m_sends->may_send(),
-         has_other && m_has_round_sent},
+         has_untried_target && m_has_round_sent},
         m_context.now());
     m_stream_bound = next.bound;
     m_context.count("stream_rounds_failed", "why", to_string(m_refusal));
@@ -89,7 +92,7 @@
     error_code ignored; // The timer is never cancelled.
     co_await timer.async_wait(store_error_in(ignored));
     // A target that refused the request may take it by now.
-    if (!has_other)
+    if (!has_untried_target)
         m_tried_targets.clear();
     m_refusal = refusal::none;
     co_return true;
