Stages: jobs of streams in progress wait for targets that rest

Where all targets of a late stage rest, a job there failed at once, so that the rounds of a stream in progress made its earlier stages again and again, before new requests. The job now waits until its targets may be called or it expires; in evacuated zones it fails at once as before.

No test of its own: the fixture's stages are scripted, and the planner's test shows that a job is kept until it can no longer be in time.

--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -88,7 +88,7 @@
                         fetched_callback fetched)
 {
     service_queue* queue = queue_of(service);
-    if (queue == nullptr || is_unavailable(service))
+    if (queue == nullptr || is_unavailable(service, job.continues_stream))
     {
         done({decision::job_status::failed, {}, false});
         return;
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -173,9 +173,13 @@
     /// Returns when this entry may send \a target the next call or release.
     instant next_call_at(const decision::target_incarnation& target,
                          instant now);
-    /// Whether no target of \a service may get calls: all are evacuated or
-    /// resting.
-    bool is_unavailable(const std::string& service) const;
+    /// Whether no target of \a service takes calls now. A stream in progress
+    /// waits for targets that rest, but not for those of evacuated zones.
+    bool is_unavailable(const std::string& service,
+                        bool continues_stream) const;
+    /// Whether the job \a number of \a queue is of a stream in progress.
+    static bool continues_stream(const service_queue& queue,
+                                 std::uint64_t number);
     void hold_back_releases(service_queue& queue, const std::string& address,
                             const decision::target_incarnation& producer,
                             std::vector<std::string> handles);
--- a/packages/serving/piece_batcher_results.cpp
+++ b/packages/serving/piece_batcher_results.cpp
@@ -227,10 +227,11 @@
                  done.job.is_late});
 }
 
-bool piece_batcher::is_unavailable(const std::string& service) const
+bool piece_batcher::is_unavailable(const std::string& service,
+                                   bool continues_stream) const
 {
-    if (m_context.directory.is_evacuated(service))
-        return true;
+    if (m_context.directory.is_evacuated(service) || continues_stream)
+        return m_context.directory.is_evacuated(service);
     const decision::resting_targets& resting = m_context.resting_targets;
     const auto& targets = m_context.directory.serving(service);
     const instant now = m_context.now();
@@ -241,13 +242,21 @@
                { return resting.rests_until(target->incarnation, now) > now; });
 }
 
+bool piece_batcher::continues_stream(const service_queue& queue,
+                                     std::uint64_t number)
+{
+    const decision::stage_job* job = queue.planner.find(number);
+    return job != nullptr && job->continues_stream;
+}
+
 // Pieces that no request waits for, or that can't be done in time, only take
 // memory and time from others. Where all targets are evacuated or resting,
 // waiting jobs fail at once instead of when they expire.
 void piece_batcher::end_unwanted_jobs(const std::string& service,
                                       service_queue& queue)
 {
-    const bool has_no_target = is_unavailable(service);
+    const bool has_no_target = is_unavailable(service, false);
+    const bool has_none_for_streams = is_unavailable(service, true);
     std::vector<std::pair<std::uint64_t, decision::job_status>> ended;
     for (const auto& [number, accepted] : queue.jobs)
     {
@@ -256,7 +265,9 @@
         else if (accepted.failure)
             ended.emplace_back(number, *accepted.failure);
         else if (accepted.lost_calls >= max_lost_calls ||
-                 (has_no_target && !queue.planner.is_in_progress(number)))
+                 ((continues_stream(queue, number) ? has_none_for_streams
+                                                   : has_no_target) &&
+                  !queue.planner.is_in_progress(number)))
             ended.emplace_back(number, decision::job_status::failed);
     }
     for (const auto& [number, status] : ended)
