Soak: all connections of the entries are reset beside a cut entry

The soak never reset more than the connections of one process, its stages had no backlog, its callers left 3 s, and its logs were files, which take a write of any size.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -34,6 +34,7 @@
         self.reader = self.writer = None
         self.incarnation = 0
         self.opening = asyncio.Lock()
+        self.is_reset = False  # By a disturbance.
 
     async def send(self, sent, method, path, fields, abandon_after_s=None):
         """Sends a request; a caller that gives up closes the connection."""
@@ -92,6 +93,7 @@
                 self.reader, self.writer = await asyncio.open_connection(
                     host, int(port), limit=1 << 20)
                 self.incarnation = self.entry.incarnation
+                self.oracle.connections.add(self)
 
     async def _write(self, sent, method, path, extra_fields, body_delay_s=0):
         await self._open()
@@ -136,9 +138,15 @@
                 f"{sent.request_id}: got the response to {response_id}")
         return response.field("connection") == "close"
 
+    def reset(self):
+        """Resets it, as a disturbance of the network does."""
+        self.is_reset = True
+        wire.reset(self.writer)
+
     def close(self):
         if self.writer:
             self.writer.close()
+        self.oracle.connections.discard(self)
         self.reader = self.writer = None
 
 
--- a/tests/soak/disorder.py
+++ b/tests/soak/disorder.py
@@ -14,13 +14,31 @@
 OPT_IN_KINDS = ("roll", "evacuate", "cold", "limit", "rest", "uneven",
                 "kill_all", "break_streams", "bad_part", "busy_entry",
                 "loss_series", "hangups", "keeper", "keeper_pause", "leave",
-                "long_roll", "endless", "foreign_keys", "late_answers")
+                "long_roll", "endless", "foreign_keys", "late_answers",
+                "reset_all")
 LOSS_KINDS = ("kill_all", "loss_series")
 MAX_START_S = 10  # Of all entries, after they were lost.
 MAX_RESERVE_S = 6  # Until no entry is stopping, which takes GRACE_S at most.
 GROW_INTERVAL_S = 3  # So that a narrow link can carry all versions.
 
 
+def reset_all_connections(platform, oracle):
+    """Resets the connections of all entries: to callers, to the store, to
+    targets and to each other."""
+    for entry in oracle.fleet:
+        entry.begin_disturbance()
+        entry.store_proxy.reset()
+        entry.peer_proxy.reset()
+    for proxy in platform.proxies.values():
+        proxy.reset()
+    for connection in list(oracle.connections):
+        connection.reset()
+    for entry in oracle.fleet:
+        entry.end_disturbance()
+    oracle.targets_undisturbed_since = max(oracle.targets_undisturbed_since,
+                                           oracle.now())
+
+
 # Runs disturbances of random kinds at random times, drawn from a seed. Each
 # method do_<kind> runs one disturbance; <kind> is its name in --only.
 class DisturbanceInjector:
@@ -366,6 +384,13 @@
             proxies[target.address].reset()
         await self._disturb_target(disturb, undo)
 
+    async def do_reset_all(self):
+        """Resets all connections of all entries, sometimes twice."""
+        for _ in range(self.random.choice((1, 2))):
+            self.log("reset all connections")
+            reset_all_connections(self.platform, self.oracle)
+            await asyncio.sleep(self.random.uniform(0.3, 1.5))
+
     async def do_target_crash(self):
         if target := self.pick_target():
             self.log(f"crash {target.service} {target.id}")
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -232,15 +232,17 @@
     def start(self):
         self.write_settings()
         self.started_at = asyncio.get_running_loop().time()
-        log = open(self.log_path, "a", encoding="utf-8")
-        self.process = subprocess.Popen(
-            [self.program], stdout=log, stderr=log,
-            env={**os.environ, "MANGOFOLD_CONFIG": self.path})
-        log.close()
+        with self.open_log() as log:
+            self.process = subprocess.Popen(
+                [self.program], stdout=log, stderr=log,
+                env={**os.environ, "MANGOFOLD_CONFIG": self.path})
         self.incarnation += 1
         self.starts[self.incarnation] = self.started_at
         self.is_stopping = False
 
+    def open_log(self):
+        return open(self.log_path, "a", encoding="utf-8")
+
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -143,6 +143,7 @@
         self.log = log
         self.fleet = fleet
         self.requests = {}
+        self.connections = set()  # Of callers, that are open.
         self.faults = log.faults
         self.published = {}  # Version -> time of its acknowledgement
         self.draining = {}  # Target id -> start of its draining
--- a/tests/soak/total_loss.py
+++ b/tests/soak/total_loss.py
@@ -117,15 +117,15 @@
             self.oracle.faults.append("streams ended with the entries")
 
 
-async def run(options, folder, platform, make_loss):
+async def run(options, folder, platform, make_loss, entry_type):
     """Runs a loss of all entries; make_loss(platform, oracle) returns it."""
     platform.keepers = RecordKeepers(options.program, options.base + 999,
                                      folder)
     await platform.start(options.copies)
     seeds = [f"127.0.0.1:{options.base + 1004 + 10 * number}"
              for number in (0, 1)]
-    fleet = [Entry(options.program, number, options.base + 1000,
-                   platform.store_address, folder, seeds, {})
+    fleet = [entry_type(options.program, number, options.base + 1000,
+                        platform.store_address, folder, seeds, {})
              for number in range(options.entries)]
     for entry in fleet:
         entry.keeper_port = platform.keepers.port
@@ -156,12 +156,13 @@
     parser.add_argument("--logs", help="folder for the processes' logs")
 
 
-def run_in_folder(options, platform, make_loss):
+def run_in_folder(options, platform, make_loss, entry_type=Entry):
     """Runs a loss, prints its faults and exits."""
     with tempfile.TemporaryDirectory() as temporary_folder:
         folder = options.logs or temporary_folder
         os.makedirs(folder, exist_ok=True)
-        faults = asyncio.run(run(options, folder, platform, make_loss))
+        faults = asyncio.run(run(options, folder, platform, make_loss,
+                                 entry_type))
     for fault in faults[:20]:
         print(f"FAULT {fault}")
     sys.exit(1 if faults else 0)
