Requests: each ends with exactly one line

What operators saw: requests that take up a stream had the lines stream_taken_up and take_up_waits and nothing more. Whether such a request had ended could not be told: no metric showed requests in progress, and a request whose caller had left ended with a counter only. So did, without even that, one whose exchange ended by an exception, or that came to no outcome.

Cause: the end of a request was logged at some of its ways to end. An exception also skipped what gives back an attempt: the place in the record of generations stayed taken.

Change: exchange_ends.cpp holds the last lines; request_left and request_failed are new, and last_line() marks that the request has one, so that the exit logs no second one. After an exception, stages, generation and connection are given back. Gauges requests_in_progress and callers_connected are set where the other gauges are. A request without an outcome is answered.

--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -163,6 +163,12 @@
         m_context.metrics.set_gauge(
             {"targets_limited", {}},
             static_cast<double>(m_context.request_limits.size()));
+        m_context.metrics.set_gauge(
+            {"requests_in_progress", {}},
+            static_cast<double>(m_requests.requests_in_progress()));
+        m_context.metrics.set_gauge(
+            {"callers_connected", {}},
+            static_cast<double>(m_requests.connections()));
         const decision::memory_account& memory = m_context.bodies.account();
         m_context.metrics.set_gauge({"body_bytes", {}},
                                     static_cast<double>(memory.taken()));
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -99,12 +99,7 @@
                 m_stages->abort();
         });
     m_session->set_on_shutdown([this] { prepare_for_shutdown(); });
-    m_session->set_on_exit(
-        [this]
-        {
-            log_cut_answer();
-            count_take_up();
-        });
+    m_session->set_on_exit([this] { note_exit(); });
     co_await wait_for_catalog();
     if (admit())
     {
@@ -114,17 +109,7 @@
     release_stages();
     if (m_is_aborted_by_shutdown && m_answer_status == 0)
         m_refusal = refusal::stopping;
-    count_take_up();
-    if (m_session->has_disconnected())
-    {
-        m_context.count("requests_left", "kind", "caller");
-        m_session->close_after_response();
-        co_return;
-    }
-    if (m_refusal != refusal::none)
-        co_await send_refusal();
-    else if (m_answer_status != 0)
-        log_answer();
+    co_await finish();
 }
 
 awaitable<void> exchange::serve()
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -5,6 +5,7 @@
 #include "decision/sending_record.hpp"
 #include "decision/streams/stream_origin.hpp"
 #include "decision/streams/stream_progress.hpp"
+#include "runtime/event.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/placement_messages.hpp"
@@ -83,6 +84,10 @@
     /// else because no memory is left for its body.
     awaitable<void> refuse_unread();
 
+    /// Gives back what the request holds after run() or refuse_unread() has
+    /// thrown an exception that says \a fault.
+    void note_failure(std::string_view fault);
+
 private:
     enum class attempt_outcome : std::uint8_t
     {
@@ -106,7 +111,13 @@
         const decision::drain::request_duration& expected,
         decision::other_entries others, bool is_accepted);
     /// Logs that the end of this process cuts off the answer.
-    void log_cut_answer() const;
+    void log_cut_answer();
+    awaitable<void> finish();
+    void note_exit();
+    /// Logs that the caller has disconnected.
+    void log_left();
+    /// Returns the log line \a event, the last one of the request.
+    runtime::event last_line(std::string_view event);
     decision::drain::request_duration expected_request_time() const;
     duration longest_answer_time() const;
     void prepare_for_shutdown();
@@ -255,8 +266,8 @@
     /// Returns the time until half of the entries serve, after they were told
     /// to stop.
     duration time_to_other_entries() const;
-    void log_refusal(unsigned status) const;
-    void log_answer() const;
+    void log_refusal(unsigned status);
+    void log_answer();
     void log_lost_attempt(const decision::target_incarnation& target) const;
     /// Returns how long the newest attempt has had events; zero if it had none.
     duration time_with_events() const;
@@ -310,6 +321,7 @@
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
     bool m_is_head_sent = false;
     bool m_is_take_up_counted = false;
+    bool m_has_last_line = false;
     /// Set for requests of streams.
     std::optional<decision::stream_progress> m_progress;
     /// What gave up the stream in progress.
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -156,44 +156,6 @@
         R"({"error":")" + std::string(to_string(m_refusal)) + "\"}");
 }
 
-void exchange::log_answer() const
-{
-    const auto ms_to = [this](instant then)
-    {
-        return static_cast<std::uint64_t>(
-            std::max<std::int64_t>(0, (then - m_started_at).count() / 1000000));
-    };
-    runtime::event("request_answered")
-        .with("request", m_metadata.id)
-        .with("status", m_answer_status)
-        .with("route", m_route->name)
-        .with("target", m_last_target.id)
-        .with("sends", m_sends->sends())
-        .with("stages_ms", ms_to(m_stages_done_at))
-        .with("sent_ms", ms_to(m_sent_at))
-        .with("first_ms", ms_to(m_first_byte_at))
-        .with("end_ms", ms_to(m_context.now()))
-        .with("tokens", m_metadata.max_output_tokens)
-        .with("stages_done", m_stage_times)
-        .with("begun_late", m_are_stages_late ? 1 : 0)
-        .with("catalog", m_catalog->version())
-        .info();
-}
-
-void exchange::log_cut_answer() const
-{
-    const instant stop = m_context.drain->started_at();
-    runtime::event("answer_cut")
-        .with("request", m_metadata.id)
-        .with("route", m_route == nullptr ? "" : m_route->name)
-        .with("target", m_last_target.id)
-        .with("taken", m_started_at < stop ? "before_stop" : "while_stopping")
-        .with("age_ms", whole_milliseconds(m_context.now() - m_started_at))
-        .with("sends", m_sends ? m_sends->sends() : 0)
-        .with("has_events", m_last_event_id ? 1 : 0)
-        .warn();
-}
-
 duration exchange::time_with_events() const
 {
     return m_is_prompt_read ? m_context.now() - m_first_event_at
@@ -218,30 +180,4 @@
         .warn();
 }
 
-void exchange::log_refusal(unsigned status) const
-{
-    runtime::event line("request_refused");
-    line.with("request", m_metadata.id)
-        .with("why", to_string(m_refusal))
-        .with("status", status)
-        .with("route", m_route == nullptr ? "" : m_route->name)
-        .with("target", m_last_target.id)
-        .with("sends", m_sends ? m_sends->sends() : 0)
-        .with("left_ms", static_cast<std::uint64_t>(std::max<std::int64_t>(
-                             0, remaining_time().count() / 1000000)))
-        .with("catalog", m_catalog ? m_catalog->version() : 0);
-    if (!m_metadata.resumed_request.empty())
-        line.with("resumes", m_metadata.resumed_request);
-    if (m_origin)
-        line.with("version", m_origin->version);
-    if (m_stream_bound != decision::stream_bound::none)
-        line.with("bound", to_string(m_stream_bound));
-    if (m_refusal == refusal::quarantined ||
-        m_refusal == refusal::part_quarantined)
-        line.with("content", to_text(m_verdict.suspect))
-            .with("part", suspected_part())
-            .with("ends", m_verdict.incidents);
-    line.info();
-}
-
 } // namespace mangofold::serving
--- a/packages/serving/request_server.cpp
+++ b/packages/serving/request_server.cpp
@@ -107,18 +107,25 @@
 awaitable<void> request_server::handle(std::shared_ptr<caller_session> session,
                                        http_request request,
                                        request_body_ptr body)
+{
+    exchange handling(m_context, std::move(session), std::move(request),
+                      std::move(body));
+    co_await run_exchange(handling, handling.run());
+}
+
+awaitable<void> request_server::run_exchange(exchange& handling,
+                                             awaitable<void> task)
 {
     ++m_in_progress;
     std::exception_ptr fault;
     try
     {
-        exchange handling(m_context, std::move(session), std::move(request),
-                          std::move(body));
-        co_await handling.run();
+        co_await std::move(task);
     }
-    catch (...)
+    catch (const std::exception& thrown)
     {
         fault = std::current_exception();
+        handling.note_failure(thrown.what());
     }
     --m_in_progress;
     if (fault)
@@ -136,7 +143,7 @@
                               http_request head)
 {
     exchange handling(m_context, std::move(session), std::move(head), nullptr);
-    co_await handling.refuse_unread();
+    co_await run_exchange(handling, handling.refuse_unread());
 }
 
 catalog::caller_limits request_server::limits() const
--- a/packages/serving/request_server.hpp
+++ b/packages/serving/request_server.hpp
@@ -10,6 +10,8 @@
 namespace mangofold::serving
 {
 
+class exchange;
+
 /// The HTTP server for callers: accepts their connections, runs a session on
 /// each, and hands every request to an exchange of its own.
 class request_server : public request_handler
@@ -65,6 +67,8 @@
     /// Whether to take a connection that was just accepted.
     bool should_take_connection();
     awaitable<void> run_session(std::shared_ptr<caller_session> session);
+    /// Runs \a task, which handles or refuses the request of \a handling.
+    awaitable<void> run_exchange(exchange& handling, awaitable<void> task);
 
     entry_context& m_context;
     tcp::acceptor m_acceptor;
--- a/tests/serving/settings_reloader_test.cpp
+++ b/tests/serving/settings_reloader_test.cpp
@@ -1,13 +1,11 @@
 #include "serving/settings_reloader.hpp"
+#include "support/log_text.hpp"
 #include "support/serving_fixture.hpp"
 
 #include <doctest/doctest.h>
-#include <spdlog/sinks/ostream_sink.h>
-#include <spdlog/spdlog.h>
 
 #include <csignal>
 #include <filesystem>
-#include <sstream>
 
 using namespace mangofold;
 using namespace mangofold::serving;
@@ -41,29 +39,6 @@
     settings_reloader reloader;
 };
 
-/// Collects what is logged while it exists.
-class log_text
-{
-public:
-    log_text()
-    {
-        spdlog::set_default_logger(std::make_shared<spdlog::logger>(
-            "test", std::make_shared<spdlog::sinks::ostream_sink_st>(m_text)));
-    }
-    ~log_text() { spdlog::set_default_logger(m_before); }
-    log_text(const log_text&) = delete;
-    log_text& operator=(const log_text&) = delete;
-
-    bool has(const std::string& part) const
-    {
-        return m_text.str().find(part) != std::string::npos;
-    }
-
-private:
-    std::ostringstream m_text;
-    std::shared_ptr<spdlog::logger> m_before = spdlog::default_logger();
-};
-
 } // namespace
 
 // An operator changes the settings and sends SIGHUP. Without a handler the
@@ -120,7 +95,7 @@
 // Guards against a log that does not show whether a signal arrived.
 TEST_CASE("a signal is logged and counted although the settings are unchanged")
 {
-    const log_text log;
+    const test::log_text log;
     settings_fixture entry;
     spawn(entry.loop, entry.reloader.run());
     entry.settle();
@@ -137,7 +112,7 @@
 // not cost a read of its own, and none may be lost.
 TEST_CASE("signals in quick succession share a read after the present one")
 {
-    const log_text log;
+    const test::log_text log;
     settings_fixture entry;
     entry.during_read = [&]
     {
@@ -164,7 +139,7 @@
 // changes are ignored.
 TEST_CASE("whatever a read throws, the previous settings stay in force")
 {
-    const log_text log;
+    const test::log_text log;
     settings_fixture entry;
     spawn(entry.loop, entry.reloader.run());
     entry.settle();
