Stages: none begin for a caller who left while the quarantine held it

What callers and operators see: a request that the quarantine holds looks every 10 ms whether it is still held, and whether its caller has left. If the hold ended in the step in which the caller had left, only the former was looked at. The stages then ran for nobody, as the callback for a caller who leaves had run already and runs once; the request ended with its stages or its time.

Evidence, by the test on the code before (after the lines of ends were added):

request_ends_test.cpp: CHECK( entry.jobs.empty() ) is NOT correct! CHECK( last_lines(log, "r1") == names{"request_left"} ) is NOT correct! CHECK( server->requests_in_progress() == 0 ): 1 == 0 CHECK( batcher->job_count() == 0 ): 1 == 0

Change: each round of stages begins with a look at the caller. It follows the wait without another one between, so that nothing can be missed.

--- a/packages/serving/exchange_stages.cpp
+++ b/packages/serving/exchange_stages.cpp
@@ -93,6 +93,9 @@
     for (int attempts = 0; attempts < max_attempts && !is_past_deadline();
          ++attempts)
     {
+        // The caller may have left while the quarantine held the request.
+        if (m_session->check_disconnected())
+            co_return false;
         // Results of this request may exist already, and its caller has waited.
         const bool accepts_rejection = attempts == 0 && m_sends->sends() == 0;
         status = co_await run_stages_once(accepts_rejection);
--- a/tests/serving/request_ends_test.cpp
+++ b/tests/serving/request_ends_test.cpp
@@ -291,3 +291,19 @@
         entry.check_nothing_held();
     }
 }
+
+// Guards against stages that are made for a caller who has left: it left while
+// the request was held, and the hold ended before it was noticed.
+TEST_CASE("no stages begin for a caller who left while the request was held")
+{
+    const log_text log;
+    entry_of_two entry;
+    const auto from = entry.begin(waits_for::quarantine);
+    leave(*from, true);
+    entry.settle();
+    entry.context->quarantine.crashes().note_completed(entry.held);
+    entry.pass(100ms);
+    CHECK(entry.jobs.empty());
+    CHECK(last_lines(log, "r1") == names{"request_left"});
+    entry.check_nothing_held();
+}
