Logs: who holds a record, was asked for it, or got it handed on

What operators saw: a refusal as stream_unknown did not tell whether the record was lost, lay at a process that was not asked, or at one that did not answer; a keeper's records_handed_on told how many successors had confirmed, not which.

Change: stream_begun and stream_resumed name the holders that were sent the record. stream_taken_up names, if the origin is not known, the first eight that were asked and those of them that stayed silent; the refusal has the same request id. records_handed_on names the receivers and the silent successors. The lines stay bounded: eight names, or as many as a record has holders.

--- a/packages/decision/streams/origin_records.cpp
+++ b/packages/decision/streams/origin_records.cpp
@@ -134,6 +134,13 @@
     return holders;
 }
 
+std::set<std::string> origin_records::holders(const stream_key& key) const
+{
+    const auto found = m_records.find(key);
+    return found == m_records.end() ? std::set<std::string>()
+                                    : found->second.sent_to;
+}
+
 // The entry that placed the copies left itself out, and this entry leaves
 // itself out, so the holders are among one more here. The entry may also have
 // passed over keepers that did not respond to it.
--- a/packages/decision/streams/origin_records.hpp
+++ b/packages/decision/streams/origin_records.hpp
@@ -94,6 +94,10 @@
     /// \a key and were not sent it yet, and notes that they are.
     std::vector<std::string> take_new_holders(const stream_key& key);
 
+    /// Returns the entries and record keepers that were sent the record of
+    /// \a key, or had it.
+    std::set<std::string> holders(const stream_key& key) const;
+
     /// Returns the entries and record keepers to ask for a record that is not
     /// known here: those that keep it by this entry's view, which may differ
     /// from another one's.
--- a/packages/decision/streams/record_handover.cpp
+++ b/packages/decision/streams/record_handover.cpp
@@ -108,18 +108,28 @@
 
 bool record_handover::is_done(instant now) const
 {
-    const auto silent = static_cast<std::size_t>(
-        std::ranges::count_if(m_successors, &successor::is_silent));
     const std::size_t wanted =
-        std::min(receivers, m_successors.size() - silent);
+        std::min(receivers, m_successors.size() - silent().size());
     return m_parts == 0 || now >= m_started_at + time_limit ||
-           confirmed() >= wanted;
+           confirmed().size() >= wanted;
 }
 
-std::size_t record_handover::confirmed() const
+std::vector<std::string> record_handover::confirmed() const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_successors, &successor::has_all));
+    std::vector<std::string> addresses;
+    for (const successor& receiver : m_successors)
+        if (receiver.has_all())
+            addresses.push_back(receiver.address);
+    return addresses;
+}
+
+std::vector<std::string> record_handover::silent() const
+{
+    std::vector<std::string> addresses;
+    for (const successor& receiver : m_successors)
+        if (receiver.is_silent)
+            addresses.push_back(receiver.address);
+    return addresses;
 }
 
 } // namespace mangofold::decision
--- a/packages/decision/streams/record_handover.hpp
+++ b/packages/decision/streams/record_handover.hpp
@@ -75,8 +75,11 @@
     /// Whether all is confirmed, or nothing more can be done.
     bool is_done(instant now) const;
 
-    /// Returns the number of successors that have confirmed all records.
-    std::size_t confirmed() const;
+    /// Returns the successors that have confirmed all records.
+    std::vector<std::string> confirmed() const;
+
+    /// Returns the successors that did not reply.
+    std::vector<std::string> silent() const;
 
 private:
     struct part_state
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -254,8 +254,9 @@
     decision::stream_key stream_key_of(const std::string& request_id) const;
     duration stream_time_limit() const;
     /// Logs and counts an \a event of the stream, whose newest target has
-    /// \a version.
-    void note_stream(std::string_view event, const std::string& version);
+    /// \a version, and was recorded at \a holders.
+    void note_stream(std::string_view event, const std::string& version,
+                     const std::set<std::string>& holders = {});
     /// Counts how a request that takes up a stream ended.
     void count_take_up();
     /// Logs that a request that takes up a stream waits for its stages.
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -2,6 +2,8 @@
 #include "serving/exchange.hpp"
 #include "serving/stream_registry.hpp"
 
+#include <boost/algorithm/string/join.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -133,6 +135,8 @@
         .with("known_from", to_string(found.from))
         .with("age_ms", whole_milliseconds(found.age))
         .with("version", found.origin.version)
+        .with("asked", boost::algorithm::join(found.asked, " "))
+        .with("silent", boost::algorithm::join(found.silent, " "))
         .info();
     if (m_session->check_disconnected())
         co_return false;
@@ -196,18 +200,20 @@
         return false;
     }
     const bool is_taken_up = is_taking_up_stream() && !m_is_head_sent;
-    note_stream(is_taken_up    ? "stream_resumed"
-                : is_continued ? "stream_continued"
-                               : "stream_begun",
-                version);
-    if (!is_continued)
-        m_origin = {m_service, version};
+    const decision::stream_origin began =
+        m_origin.value_or(decision::stream_origin{m_service, version});
     const bool is_recorded = m_route->is_resumable && !version.empty() &&
                              (!is_continued || (is_taken_up && m_taken_up_key));
+    std::set<std::string> holders;
     if (is_recorded && m_context.streams != nullptr)
-        m_context.streams->record(
-            m_taken_up_key.value_or(stream_key_of(m_metadata.id)), *m_origin,
+        holders = m_context.streams->record(
+            m_taken_up_key.value_or(stream_key_of(m_metadata.id)), began,
             stream_time_limit());
+    note_stream(is_taken_up    ? "stream_resumed"
+                : is_continued ? "stream_continued"
+                               : "stream_begun",
+                version, holders);
+    m_origin = began;
     return true;
 }
 
@@ -258,7 +264,8 @@
         .info();
 }
 
-void exchange::note_stream(std::string_view event, const std::string& version)
+void exchange::note_stream(std::string_view event, const std::string& version,
+                           const std::set<std::string>& holders)
 {
     m_context.count("streams", "event", event);
     runtime::event(event)
@@ -268,6 +275,7 @@
         .with("born", m_last_target.started_ms)
         .with("version", version)
         .with("before", m_origin ? m_origin->version : std::string())
+        .with("holders", boost::algorithm::join(holders, " "))
         .info();
 }
 
--- a/packages/serving/records/record_keeper.cpp
+++ b/packages/serving/records/record_keeper.cpp
@@ -6,6 +6,8 @@
 #include "serving/stream_messages.hpp"
 #include "serving/target_losses.hpp"
 
+#include <boost/algorithm/string/join.hpp>
+
 namespace mangofold::serving
 {
 
@@ -121,10 +123,16 @@
 
 void record_keeper::log_handover() const
 {
+    const auto receivers =
+        m_handover ? m_handover->confirmed() : std::vector<std::string>();
+    const auto silent =
+        m_handover ? m_handover->silent() : std::vector<std::string>();
     runtime::event("records_handed_on")
         .with("records", size())
         .with("successors", m_successors.size())
-        .with("confirmed", m_handover ? m_handover->confirmed() : 0)
+        .with("confirmed", receivers.size())
+        .with("receivers", boost::algorithm::join(receivers, " "))
+        .with("silent", boost::algorithm::join(silent, " "))
         .info();
 }
 
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace mangofold::serving
 {
@@ -42,6 +43,9 @@
 constexpr duration report_interval = std::chrono::seconds(1);
 constexpr duration report_interval_per_entry = std::chrono::milliseconds(20);
 
+/// How many of those that were asked for a record are named.
+constexpr std::size_t max_named = 8;
+
 /// The key by which they are chosen, the same for all entries.
 constexpr decision::stream_key version_key{};
 
@@ -94,9 +98,10 @@
 
 // Nothing waits for the copies: if they are lost together with this entry, the
 // stream is not continued, and never at another version.
-void stream_registry::record(const decision::stream_key& key,
-                             const decision::stream_origin& origin,
-                             duration time_limit)
+std::set<std::string>
+stream_registry::record(const decision::stream_key& key,
+                        const decision::stream_origin& origin,
+                        duration time_limit)
 {
     const instant now = m_context.now();
     const duration lifetime = lifetime_for(time_limit);
@@ -113,6 +118,7 @@
     const auto seen = m_context.versions.observation();
     if (seen && m_version_reports.take_new(origin))
         report_versions(*seen);
+    return m_records.holders(key);
 }
 
 void stream_registry::update_holders()
@@ -253,6 +259,8 @@
         const bool is_new = asked.sent_to.insert(holder).second;
         if (is_new)
             asked.unanswered.insert(holder);
+        if (is_new && asked.asked.size() < max_named)
+            asked.asked.push_back(holder);
         const bool may_be_lost = asked.unanswered.contains(holder) &&
                                  m_channel.is_record_keeper(holder);
         if (is_new || may_be_lost)
@@ -311,7 +319,16 @@
     const bool is_doubtful =
         asked->is_ambiguous ||
         (answer.from == source::history && asked->is_history_doubtful);
-    co_return is_doubtful ? finding{} : answer;
+    if (is_doubtful)
+        answer = finding{};
+    if (answer.from == source::none)
+    {
+        answer.asked = asked->asked;
+        std::ranges::copy_if(answer.asked, std::back_inserter(answer.silent),
+                             [&asked](const std::string& holder)
+                             { return asked->unanswered.contains(holder); });
+    }
+    co_return answer;
 }
 
 void stream_registry::handle_origins(const peer::StreamOrigins& message)
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -93,14 +93,19 @@
         source from = source::none;
         decision::stream_origin origin{};
         duration age{}; ///< Of the record.
+        /// If the origin is not known: the entries and record keepers that were
+        /// asked first, and those among them that did not answer.
+        std::vector<std::string> asked{};
+        std::vector<std::string> silent{};
 
         friend bool operator==(const finding&, const finding&) = default;
     };
 
     /// Records that the stream \a key has events of a target of \a origin. Its
-    /// caller waits for \a time_limit at most.
-    void record(const decision::stream_key& key,
-                const decision::stream_origin& origin, duration time_limit);
+    /// caller waits for \a time_limit at most. Returns who was sent the record.
+    std::set<std::string> record(const decision::stream_key& key,
+                                 const decision::stream_origin& origin,
+                                 duration time_limit);
 
     /// How long the caller of a stream waits.
     struct caller_time
@@ -155,6 +160,7 @@
         explicit question(asio::io_context& loop) : is_changed(loop) {}
 
         std::set<std::string> sent_to;    ///< Entries and record keepers.
+        std::vector<std::string> asked;   ///< The first of these.
         std::set<std::string> unanswered; ///< Of these.
         std::optional<finding> answer;
         bool is_ambiguous = false; ///< The caller used a request id twice.
--- a/tests/decision/streams/record_handover_test.cpp
+++ b/tests/decision/streams/record_handover_test.cpp
@@ -46,13 +46,14 @@
         if (sent.to == "a")
             handover.note_reply("a", sent.number);
     handover.note_reply("c", first.back().number); // It was sent to b.
-    CHECK(handover.confirmed() == 1);
+    CHECK(handover.confirmed() == std::vector<std::string>{"a"});
     CHECK(handover.take_due(start + 59ms).empty());
     const auto again = handover.take_due(start + 60ms);
     REQUIRE(again.size() == 2);
     CHECK(again.front().to == "b");
     const auto others = handover.take_due(start + 120ms);
     REQUIRE(others.size() == 2);
+    CHECK(handover.silent() == std::vector<std::string>{"b"});
     CHECK(others.front().to == "c");
     CHECK_FALSE(handover.is_done(start + 120ms));
     for (const auto& sent : others)
