Streams: a version is certain only by a list that is up to date

What callers saw: during a release one entry was out of step for some seconds while servers of a new version joined. Streams that had begun at them through other entries were taken up there and went on at the other version.

Cause: where no record is found, the only version of a service counts. The rule compared the start of the time in which the list was followed with the age of the stream, and never its end with the present. Besides, the list counted as up to date from when an answer of the source was read, which may have waited at a process that stood still, and another entry's answer counted however old its list was.

Change: the list must be up to date as of a watch that was sent after the stream was taken up. Where that decides, the entry has the source confirm it by a watch that does not wait, at most ten times a second, in a large fleet every 5 ms times its entries. Without a confirmation the stream is refused with a Retry-After of 0.5 s or more. Another entry answers up to when it has seen one version only; that must not be before this one began to follow the list.

Tests of the decisions now say up to when the list is known; what they expect is unchanged. The model's take-ups no longer leave out the newest streams.

--- a/packages/decision/streams/version_history.cpp
+++ b/packages/decision/streams/version_history.cpp
@@ -79,8 +79,8 @@
 }
 
 std::optional<std::string>
-version_history::only_version(const std::string& service, duration lifetime,
-                              instant now) const
+version_history::only_seen_version(const std::string& service,
+                                   duration lifetime, instant now) const
 {
     const instant since = now - lifetime - interval;
     if (!m_followed_since || *m_followed_since > since || lifetime > memory)
@@ -97,4 +97,26 @@
     return only;
 }
 
+// A stream that is taken up may have begun a moment ago, through another entry
+// and at a version that an older list does not show.
+std::optional<std::string>
+version_history::only_version(const std::string& service, duration lifetime,
+                              instant taken_up_at) const
+{
+    if (m_up_to_date_at < taken_up_at)
+        return std::nullopt;
+    return only_seen_version(service, lifetime, taken_up_at);
+}
+
+// While the other entry stood still or was cut off, a version may have come and
+// gone before this process began to follow the list.
+bool version_history::confirms(const single_version& answer,
+                               const std::string& service, duration lifetime,
+                               instant taken_up_at) const
+{
+    return m_up_to_date_at >= taken_up_at && m_followed_since &&
+           *m_followed_since <= answer.until &&
+           !has_other_version({service, answer.version}, lifetime, taken_up_at);
+}
+
 } // namespace mangofold::decision
--- a/packages/decision/streams/version_history.hpp
+++ b/packages/decision/streams/version_history.hpp
@@ -23,6 +23,17 @@
                            const version_observation&) = default;
 };
 
+/// What an entry answers another one: all targets of a service had one version
+/// from before a stream can have begun until the list was last up to date.
+struct single_version
+{
+    std::string version;
+    instant until{};
+
+    friend bool operator==(const single_version&,
+                           const single_version&) = default;
+};
+
 /// Which software versions the targets of each service had lately. While a
 /// service has had a single one for as long as any stream can live, the origin
 /// of a stream of that service is certain although no entry recorded it.
@@ -43,12 +54,17 @@
     /// Notes that changes of the list were missed, until note_gap().
     void note_missed() { m_followed_since.reset(); }
 
-    /// Notes that the list was known to be up to date at \a now.
-    void note_up_to_date(instant now)
+    /// Notes that all changes of the list up to \a at have been seen by this
+    /// process itself.
+    void note_up_to_date(instant at)
     {
-        m_followed_until = std::max(m_followed_until, now);
+        m_followed_until = std::max(m_followed_until, at);
+        m_up_to_date_at = std::max(m_up_to_date_at, at);
     }
 
+    /// Returns up to when this process itself has seen all changes.
+    instant up_to_date_at() const { return m_up_to_date_at; }
+
     /// Notes the versions that targets had since the last call.
     void note_versions(const std::set<stream_origin>& seen, instant now);
 
@@ -79,14 +95,26 @@
                            instant now) const;
 
     /// Returns the version that all targets of \a service had for at least
-    /// \a lifetime, or nothing.
+    /// \a lifetime before \a now as far as the list has been seen, or nothing.
+    std::optional<std::string> only_seen_version(const std::string& service,
+                                                 duration lifetime,
+                                                 instant now) const;
+
+    /// Returns the same for a stream that was taken up at \a taken_up_at, or
+    /// nothing unless the list has been up to date since then.
     std::optional<std::string> only_version(const std::string& service,
                                             duration lifetime,
-                                            instant now) const;
+                                            instant taken_up_at) const;
+
+    /// Whether what another entry has seen and what this process has seen since
+    /// leave no other version than that of \a answer.
+    bool confirms(const single_version& answer, const std::string& service,
+                  duration lifetime, instant taken_up_at) const;
 
 private:
     std::optional<instant> m_followed_since;
     instant m_followed_until{};
+    instant m_up_to_date_at{};
     std::map<stream_origin, instant> m_last_seen;
 };
 
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -146,6 +146,8 @@
     /// be taken up.
     stream_registry* streams = nullptr;
     decision::version_history versions;
+    /// Has the source confirm soon that the list of targets is up to date.
+    std::function<void()> confirm_list = [] {};
     decision::quarantine quarantine;
     /// Returns the rank of this entry among all entries for a subject. The
     /// default ranks this entry as the only one.
--- a/packages/serving/entry_process.cpp
+++ b/packages/serving/entry_process.cpp
@@ -61,6 +61,7 @@
     m_context.is_fleet_size_known = [this] { return m_mesh.is_settled(); };
     m_context.others_while_stopping = [this]
     { return m_mesh.others_while_stopping(); };
+    m_context.confirm_list = [this] { m_source.confirm(); };
     m_context.half_back_at = [this](duration stop_time)
     { return m_mesh.half_back_at(stop_time); };
     m_keepers.set_handler(
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -296,6 +296,7 @@
     std::optional<decision::stream_origin> m_origin;
     /// Key of the stream that the caller takes up, if it is recorded.
     std::optional<decision::stream_key> m_taken_up_key;
+    bool m_is_list_old = false; ///< That would tell the stream's version.
     /// Milliseconds from the start of the request to the end of each stage.
     std::string m_stage_times;
     /// When there will be capacity, if the stages were rejected.
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -71,6 +71,10 @@
     constexpr double discovery_s = 0.5;
     const bool is_discovering =
         m_context.streams != nullptr && m_context.streams->is_discovering();
+    if (m_refusal == refusal::stream_unknown && m_is_list_old)
+        return std::to_string(
+                   seconds(m_context.streams->confirmation_delay()).count())
+            .substr(0, 5);
     if (m_refusal == refusal::stream_unknown)
         return std::to_string(is_discovering ? discovery_s : min_delay_s)
             .substr(0, 5);
--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -47,6 +47,10 @@
         .with("after", m_metadata.last_event_id)
         .with("known_from", to_string(found.from))
         .with("age_ms", whole_milliseconds(found.age))
+        .with("list_old", found.is_list_old)
+        .with("list_seen_ms",
+              whole_milliseconds(m_context.now() -
+                                 m_context.versions.up_to_date_at()))
         .with("version", found.origin.version)
         .info();
     if (m_session->check_disconnected())
@@ -57,6 +61,9 @@
                     { return choice.service == found.origin.service; });
     if (!is_of_route)
     {
+        m_is_list_old = found.is_list_old;
+        if (found.is_list_old)
+            ++m_context.metrics.count({"streams_unknown_list_old", {}});
         m_refusal = refusal::stream_unknown;
         co_return false;
     }
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -37,7 +37,8 @@
 source_reader::source_reader(entry_context& context,
                              const source_dialect& dialect)
     : m_context(context), m_dialect(dialect),
-      m_connections(context.loop, context.time, body_memory())
+      m_connections(context.loop, context.time, body_memory()),
+      m_confirmation_asked(context.loop)
 {
 }
 
@@ -199,8 +200,10 @@
 awaitable<bool> source_reader::watch()
 {
     const duration adoption_time = m_context.settings.max_configuration_delay;
-    const duration wait = watch_wait();
-    m_watch_started_at = m_context.now();
+    m_is_confirming = co_await m_confirmation_asked.wait(duration::zero());
+    const duration wait = m_is_confirming ? duration::zero() : watch_wait();
+    const instant sent_at = m_context.now();
+    m_watch_started_at = sent_at;
     unsigned status = 0;
     const auto body = co_await fetch(
         m_dialect.watch_request(m_revision, wait), wait + watch_slack,
@@ -224,10 +227,18 @@
     if (m_failures > 0)
         m_next_page_at = m_context.now();
     m_context.list_current_at = m_context.now();
+    m_context.versions.note_versions(m_context.directory.take_seen_versions(),
+                                     m_context.now());
+    // The answer may have waited at this process while it stood still.
+    m_context.versions.note_up_to_date(sent_at);
     m_revision = std::max(m_revision, page.revision);
-    if (!page.changes.empty())
-        co_await sleep(decision::source_polling::pause_after_changes(
+    if (page.changes.empty())
+        co_return true;
+    const bool is_asked = co_await m_confirmation_asked.wait(
+        decision::source_polling::pause_after_changes(
             m_context.settings.max_configuration_delay));
+    if (is_asked)
+        m_confirmation_asked.set();
     co_return true;
 }
 
@@ -262,6 +273,20 @@
     m_current_call->abort();
 }
 
+// While the source fails, the next watch is short anyway, and one that is ended
+// would hide the failure.
+void source_reader::confirm()
+{
+    m_confirmation_asked.set();
+    const bool is_waiting = m_watch_started_at && !m_is_watch_aborted &&
+                            !m_is_confirming && m_failures == 0 &&
+                            m_current_call->received_bytes() == 0;
+    if (!is_waiting)
+        return;
+    m_is_watch_aborted = true;
+    m_current_call->abort();
+}
+
 awaitable<void> source_reader::run()
 {
     for (;;)
--- a/packages/serving/source_reader.hpp
+++ b/packages/serving/source_reader.hpp
@@ -2,6 +2,7 @@
 
 #include "decision/catch_up.hpp"
 #include "decision/list_walk.hpp"
+#include "serving/auto_reset_event.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/source.hpp"
 #include "serving/target_call.hpp"
@@ -52,6 +53,10 @@
     /// responding entries now permits.
     void end_long_watch();
 
+    /// Has the source confirm at once that the list is up to date, or send what
+    /// has changed: the next watch does not wait, and one that waits is ended.
+    void confirm();
+
     /// Returns whether the source is reachable and is sending an answer. Other
     /// components use it to decide whether to request a copy from an entry.
     decision::catch_up::source_state source_state() const;
@@ -121,7 +126,9 @@
     unsigned m_last_status = 0;                  ///< 0 if there was no answer.
     std::shared_ptr<target_call> m_current_call; ///< The last request.
     std::optional<instant> m_watch_started_at;   ///< The current watch.
-    bool m_is_watch_aborted = false; ///< end_long_watch() aborted the watch.
+    bool m_is_watch_aborted = false; ///< By end_long_watch() or confirm().
+    bool m_is_confirming = false;    ///< The current watch does not wait.
+    auto_reset_event m_confirmation_asked;
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -42,6 +42,17 @@
 constexpr duration report_interval = std::chrono::seconds(1);
 constexpr duration report_interval_per_entry = std::chrono::milliseconds(20);
 
+/// How often an entry has the list of targets confirmed at most, since each
+/// time is a read of the source, which all entries share.
+constexpr duration confirmation_interval_min = std::chrono::milliseconds(100);
+constexpr duration confirmation_interval_per_entry =
+    std::chrono::milliseconds(5);
+
+/// How long a caller waits for a confirmation that is due: many round trips to
+/// the source.
+constexpr duration confirmation_timeout = std::chrono::milliseconds(500);
+constexpr duration confirmation_step = std::chrono::milliseconds(5);
+
 /// The key by which they are chosen, the same for all entries.
 constexpr decision::stream_key version_key{};
 
@@ -199,20 +210,79 @@
                                      m_context.now());
 }
 
-// Requires a list of targets that is up to date: another entry may use a
-// version that this one does not know.
-std::optional<stream_registry::finding>
+bool stream_registry::depends_on_list(const std::string& service,
+                                      const caller_time& time,
+                                      instant taken_up_at,
+                                      const finding& answer) const
+{
+    const duration age = longest_age(time);
+    const decision::version_history& versions = m_context.versions;
+    const bool is_answered =
+        answer.from == source::history &&
+        !versions.has_other_version(answer.origin, age, taken_up_at);
+    return is_answered ||
+           versions.only_seen_version(service, age, taken_up_at).has_value();
+}
+
+stream_registry::finding
 stream_registry::find_in_history(const std::string& service,
-                                 const caller_time& time) const
+                                 const caller_time& time, instant taken_up_at,
+                                 const finding& answer) const
 {
-    if (service.empty() || !m_context.directory.is_source_available())
-        return std::nullopt;
-    note_versions();
-    const auto version = m_context.versions.only_version(
-        service, longest_age(time), m_context.now());
-    if (!version)
-        return std::nullopt;
-    return finding{source::history, {service, *version}, duration::zero()};
+    const duration age = longest_age(time);
+    const decision::version_history& versions = m_context.versions;
+    if (const auto version = versions.only_version(service, age, taken_up_at))
+        return {source::history, {service, *version}};
+    if (answer.from == source::history &&
+        versions.confirms({answer.origin.version, answer.seen_until}, service,
+                          age, taken_up_at))
+        return answer;
+    finding unknown;
+    unknown.is_list_old = versions.up_to_date_at() < taken_up_at &&
+                          depends_on_list(service, time, taken_up_at, answer);
+    return unknown;
+}
+
+duration stream_registry::confirmation_interval() const
+{
+    return std::max(confirmation_interval_min,
+                    confirmation_interval_per_entry *
+                        static_cast<std::int64_t>(m_context.fleet_size()));
+}
+
+duration stream_registry::confirmation_delay() const
+{
+    const instant now = m_context.now();
+    return std::max(
+        confirmation_timeout,
+        time_until(m_list_confirmed_at.value_or(now) + confirmation_interval(),
+                   now));
+}
+
+awaitable<void> stream_registry::confirm_list(instant needed_at,
+                                              duration timeout)
+{
+    const instant until = m_context.now() + timeout;
+    loop_timer timer(m_context.loop);
+    for (;;)
+    {
+        const instant now = m_context.now();
+        if (m_context.versions.up_to_date_at() >= needed_at || now >= until)
+            co_return;
+        const bool is_due =
+            !m_list_confirmed_at ||
+            now >= *m_list_confirmed_at + confirmation_interval();
+        const bool is_asked =
+            m_list_confirmed_at && *m_list_confirmed_at >= needed_at;
+        if (is_due && !is_asked)
+        {
+            m_list_confirmed_at = now;
+            m_context.confirm_list();
+        }
+        error_code ignored; // The timer is never cancelled.
+        timer.expires_after(std::min(confirmation_step, until - now));
+        co_await timer.async_wait(store_error_in(ignored));
+    }
 }
 
 awaitable<stream_registry::finding>
@@ -221,20 +291,25 @@
 {
     if (const auto own = find_own(key))
         co_return *own;
+    const instant taken_up_at = m_context.now();
     const finding answer = co_await ask(key, service, time);
     // A copy may have arrived meanwhile.
     if (const auto own = find_own(key))
         co_return *own;
     if (answer.from == source::entry || answer.from == source::keeper)
         co_return answer;
-    if (const auto certain = find_in_history(service, time))
-        co_return *certain;
-    // The list of the entry that answered may lag behind this one.
     note_versions();
-    if (m_context.versions.has_other_version(answer.origin, longest_age(time),
-                                             m_context.now()))
-        co_return finding{};
-    co_return answer;
+    if (!service.empty() && depends_on_list(service, time, taken_up_at, answer))
+    {
+        const duration wait = confirmation_interval() + confirmation_timeout;
+        const bool is_left_known = time.left > duration::zero();
+        co_await confirm_list(taken_up_at,
+                              is_left_known ? std::min(wait, time.left) : wait);
+        note_versions();
+    }
+    if (const auto own = find_own(key))
+        co_return *own;
+    co_return find_in_history(service, time, taken_up_at, answer);
 }
 
 void stream_registry::send_question(const decision::stream_key& key,
@@ -339,11 +414,20 @@
     { return std::clamp(duration(ns), duration::zero(), max_stream_lifetime); };
     const caller_time time{bounded(message.limit_ns()),
                            bounded(message.left_ns())};
-    if (const auto found = find_in_history(message.service(), time))
+    if (message.service().empty() || !m_context.directory.is_source_available())
+        return frame;
+    note_versions();
+    const decision::version_history& versions = m_context.versions;
+    if (const auto version = versions.only_seen_version(message.service(),
+                                                        longest_age(time), now))
     {
         answer.set_source(peer::StreamAnswer::HISTORY);
-        write_stream_origin(key, {found->origin, now, now, false}, now,
-                            *answer.mutable_origin());
+        write_stream_origin(key,
+                            {{message.service(), *version},
+                             versions.up_to_date_at(),
+                             now,
+                             false},
+                            now, *answer.mutable_origin());
     }
     return frame;
 }
@@ -375,8 +459,22 @@
         asked.answer = {m_channel.is_record_keeper(address) ? source::keeper
                                                             : source::entry,
                         known->origin, now - known->began_at};
-    else if (message.source() == peer::StreamAnswer::HISTORY && !asked.answer)
-        asked.answer = {source::history, known->origin, duration::zero()};
+    else if (message.source() == peer::StreamAnswer::HISTORY)
+        note_history_answer(*known, asked);
+}
+
+// Of several entries that saw the same version, the one counts that has seen
+// the list last.
+void stream_registry::note_history_answer(
+    const decision::origin_records::record& known, question& asked)
+{
+    if (asked.answer && asked.answer->from != source::history)
+        return;
+    const instant seen_until =
+        asked.answer ? std::max(asked.answer->seen_until, known.began_at)
+                     : known.began_at;
+    asked.answer = {source::history, known.origin, duration::zero(),
+                    seen_until};
 }
 
 void stream_registry::note_lost(const std::string& address)
@@ -462,7 +560,6 @@
         !m_context.directory.is_source_available())
         return;
     note_versions();
-    m_context.versions.note_up_to_date(m_context.list_current_at);
     const auto seen = m_context.versions.observation();
     if (!seen)
         return;
--- a/packages/serving/stream_registry.hpp
+++ b/packages/serving/stream_registry.hpp
@@ -93,6 +93,11 @@
         source from = source::none;
         decision::stream_origin origin{};
         duration age{}; ///< Of the record.
+        /// Up to when the entry that answered has seen one version only.
+        instant seen_until{};
+        /// The list of targets could not be confirmed in time: the origin may
+        /// be known later.
+        bool is_list_old = false;
 
         friend bool operator==(const finding&, const finding&) = default;
     };
@@ -116,13 +121,18 @@
     /// is the version of \a service, provided that this has had a single one
     /// since the stream can have begun. Asks other entries if need be: for a
     /// tenth of a second at most, after half a second at most in which an entry
-    /// that has just started gets to know them.
+    /// that has just started gets to know them; and has the list of targets
+    /// confirmed where it decides.
     awaitable<finding> find(decision::stream_key key, std::string service,
                             caller_time time);
 
     /// Whether this entry has not seen yet who keeps records.
     bool is_discovering() const;
 
+    /// Returns after what time a caller whose stream was not known, as the list
+    /// was old, had better return.
+    duration confirmation_delay() const;
+
     /// Keeps the records that another entry has sent.
     void handle_origins(const peer::StreamOrigins& message);
 
@@ -171,11 +181,23 @@
     void send_question(const decision::stream_key& key,
                        const peer::Frame& frame, std::size_t round,
                        question& asked);
+    static void
+    note_history_answer(const decision::origin_records::record& known,
+                        question& asked);
     /// Notes the versions that targets have now.
     void note_versions() const;
     std::optional<finding> find_own(const decision::stream_key& key) const;
-    std::optional<finding> find_in_history(const std::string& service,
-                                           const caller_time& time) const;
+    /// Finds the origin of a stream that was taken up at \a taken_up_at by
+    /// what this entry has seen, and the one that sent \a answer.
+    finding find_in_history(const std::string& service, const caller_time& time,
+                            instant taken_up_at, const finding& answer) const;
+    /// Whether the list would make the origin certain if it were up to date.
+    bool depends_on_list(const std::string& service, const caller_time& time,
+                         instant taken_up_at, const finding& answer) const;
+    /// Waits until the list is known to have been up to date at \a needed_at or
+    /// later, or \a timeout has passed.
+    awaitable<void> confirm_list(instant needed_at, duration timeout);
+    duration confirmation_interval() const;
     /// Returns how long ago the stream can have begun.
     duration longest_age(const caller_time& time) const;
     duration longest_lifetime() const;
@@ -204,6 +226,7 @@
     std::optional<instant> m_holders_updated_at;
     bool m_have_holders_changed = false; ///< Since the last maintenance.
     std::optional<instant> m_versions_asked_at;
+    std::optional<instant> m_list_confirmed_at; ///< Last asked for.
     int m_version_questions = 0; ///< Since the list was last read anew.
     instant m_observed_since{};  ///< See decision::version_observation.
     decision::version_answers m_version_answers;
--- a/tests/decision/streams/origin_records_test.cpp
+++ b/tests/decision/streams/origin_records_test.cpp
@@ -158,7 +158,10 @@
 {
     version_history history;
     const auto only = [&](duration at)
-    { return history.only_version("chat", 10s, start + at); };
+    {
+        history.note_up_to_date(start + at);
+        return history.only_version("chat", 10s, start + at);
+    };
     CHECK_FALSE(only(0s));
     history.note_gap(start);
     for (duration at{}; at <= 20s; at += 1s)
@@ -182,9 +185,11 @@
     version_history history;
     history.note_gap(start);
     history.note_versions({first_version}, start + 20s);
+    history.note_up_to_date(start + 20s);
     CHECK(history.only_version("chat", 10s, start + 20s));
     history.note_gap(start + 20s);
     history.note_versions({first_version}, start + 30s);
+    history.note_up_to_date(start + 31s);
     CHECK_FALSE(history.only_version("chat", 10s, start + 30s));
     CHECK(history.only_version("chat", 10s, start + 31s));
 }
@@ -233,6 +238,7 @@
     version_history history;
     history.note_gap(start);
     history.note_versions({first_version}, start);
+    history.note_up_to_date(start + 1s);
     CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
     history.merge(observed(start - 40s, start - 5s, first_version));
     CHECK(history.only_version("chat", 20s, start + 1s) == "v1");
@@ -246,6 +252,7 @@
     version_history history;
     history.note_gap(start);
     history.note_versions({first_version}, start);
+    history.note_up_to_date(start + 20s);
     history.merge(observed(start - 40s, start - 11s, first_version));
     CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
     history.merge(observed(start - 40s, start - 5s, second_version));
@@ -265,6 +272,7 @@
     CHECK(history.observation()->since == start - 5s);
     history.merge(observed(start - 60s, start - 30s, second_version));
     CHECK(history.observation()->since == start - 5s);
+    history.note_up_to_date(start);
     CHECK_FALSE(history.only_version("chat", 40s, start));
 }
 
@@ -297,6 +305,38 @@
     CHECK_FALSE(history.has_other_version({"note", "v1"}, 20s, start));
 }
 
+// Guards against a version that joined after the list was last up to date.
+TEST_CASE("no version is certain after the last list")
+{
+    version_history history;
+    history.note_gap(start);
+    history.note_versions({first_version}, start + 30s);
+    history.note_up_to_date(start + 30s);
+    CHECK(history.only_version("chat", 10s, start + 30s));
+    CHECK_FALSE(history.only_version("chat", 10s, start + 30s + 1ns));
+    CHECK(history.only_seen_version("chat", 10s, start + 40s));
+}
+
+// Guards against an answer of an entry whose list is older than this one's
+// span, or that does not show a version known here.
+TEST_CASE("another entry's answer counts where the spans leave no gap")
+{
+    version_history history;
+    history.note_gap(start);
+    history.note_versions({first_version}, start + 2s);
+    history.note_up_to_date(start + 2s);
+    const auto confirms = [&](duration until, duration taken_up_at)
+    {
+        return history.confirms({"v1", start + until}, "chat", 10s,
+                                start + taken_up_at);
+    };
+    CHECK(confirms(0s, 2s));
+    CHECK_FALSE(confirms(-1ns, 2s));
+    CHECK_FALSE(confirms(2s, 3s));
+    history.note_versions({second_version}, start + 2s);
+    CHECK_FALSE(confirms(0s, 2s));
+}
+
 // Guards against a span without a gap that hides missed changes of the list.
 TEST_CASE("nothing is told of a list whose changes were missed")
 {
@@ -307,6 +347,7 @@
     history.note_up_to_date(start + 20s);
     CHECK(history.observation()->until == start + 20s);
     history.note_missed();
+    history.note_up_to_date(start + 30s);
     CHECK_FALSE(history.observation());
     CHECK_FALSE(history.only_version("chat", 10s, start + 30s));
 }
--- a/tests/decision/streams/version_fleet.hpp
+++ b/tests/decision/streams/version_fleet.hpp
@@ -27,12 +27,18 @@
     duration max_lag{}; ///< Of the lists of entries.
     bool are_keepers_lost = false;
     bool is_history_lost = false;
+    bool are_lists_cut = false; ///< Entries do not reach the list at times.
+    bool are_peers_cut = false; ///< Nor all other entries and record keepers.
+    bool are_entries_lost = true;
+    /// How long targets serve after they have left the list.
+    duration serving_after_removal = version_history::interval;
 };
 
 struct tally
 {
     int streams = 0; ///< That were taken up.
-    int certain = 0; ///< Of these, with one version all the while.
+    int certain = 0; ///< Of these, with one version all the while, at entries
+                     ///< that reach the list.
     int known = 0;   ///< Of those that are certain.
     int wrong = 0;
 
@@ -47,7 +53,7 @@
 };
 
 /// Simulates entries that follow a list of targets and record keepers that they
-/// tell of its versions. Callers take up streams without a name.
+/// tell of its versions. Callers take up streams with and without a name.
 class version_fleet
 {
 public:
@@ -77,6 +83,8 @@
             one.is_up = false;
     }
 
+    void kill_entry(std::size_t number) { m_entries[number].is_up = false; }
+
     void start_entries()
     {
         for (entry& one : m_entries)
@@ -91,7 +99,8 @@
     bool begin_stream(const std::string& version)
     {
         for (entry& one : m_entries)
-            if (one.is_up && versions_at(one.listed_at).contains(version))
+            if (one.is_up && is_serving(version) &&
+                versions_at(one.listed_at).contains(version))
             {
                 begin_stream(one, version);
                 return true;
@@ -123,20 +132,43 @@
         }
     }
 
+    /// Has an entry stand still, or reach no list, or no record keeper and no
+    /// other entry; or ends that.
+    void freeze(std::size_t number, bool is_frozen)
+    {
+        m_entries[number].is_frozen = is_frozen;
+    }
+    void cut_list(std::size_t number, bool is_cut)
+    {
+        m_entries[number].is_list_cut = is_cut;
+    }
+    void cut_peers(std::size_t number, bool is_cut)
+    {
+        m_entries[number].are_peers_cut = is_cut;
+    }
+
     /// Takes up each stream that still lives at a random entry.
     tally take_up()
     {
         tally found;
-        std::erase_if(m_streams, [this](const stream& known)
-                      { return known.began_at + lifetime <= m_now; });
+        expire_streams();
         for (const stream& known : m_streams)
             if (entry& at = m_entries[m_random.below(m_entries.size())];
-                at.is_up && !at.is_frozen &&
-                known.began_at + m_given.max_lag < m_now)
+                at.is_up && !at.is_frozen)
                 found += take_up(known, at);
         return found;
     }
 
+    /// Takes up each stream that still lives at one entry.
+    tally take_up_at(std::size_t number)
+    {
+        tally found;
+        expire_streams();
+        for (const stream& known : m_streams)
+            found += take_up(known, m_entries[number]);
+        return found;
+    }
+
 private:
     struct listing
     {
@@ -149,6 +181,8 @@
     {
         bool is_up = false;
         bool is_frozen = false;
+        bool is_list_cut = false;
+        bool are_peers_cut = false;
         duration lag{};
         instant listed_at{}; ///< The list of this time is known.
         instant asked_at{};
@@ -168,8 +202,16 @@
     {
         std::string version;
         instant began_at;
+        bool is_named = false;
+        std::vector<std::size_t> keepers; ///< That were sent its record.
     };
 
+    void expire_streams()
+    {
+        std::erase_if(m_streams, [this](const stream& known)
+                      { return known.began_at + lifetime <= m_now; });
+    }
+
     std::set<std::string> versions_at(instant time) const
     {
         return versions_between(time, time);
@@ -184,9 +226,15 @@
         return versions;
     }
 
-    bool is_lost()
+    bool is_serving(const std::string& version) const
+    {
+        return versions_between(m_now - m_given.serving_after_removal, m_now)
+            .contains(version);
+    }
+
+    bool is_lost(const entry& from)
     {
-        return m_are_keepers_cut ||
+        return m_are_keepers_cut || from.are_peers_cut ||
                m_random.fraction() < m_given.lost_datagrams;
     }
 
@@ -217,7 +265,13 @@
 
     void follow_list(entry& one) const
     {
-        const instant until = std::max(one.listed_at, m_now - one.lag);
+        follow_list(one, std::max(one.listed_at, m_now - one.lag));
+    }
+
+    void follow_list(entry& one, instant until) const
+    {
+        if (one.is_list_cut)
+            return;
         note(one, versions_between(one.listed_at, until));
         one.listed_at = until;
         one.history.note_up_to_date(until);
@@ -239,7 +293,7 @@
         if (one.questions < 10)
             return ask(one);
         if (one.reports.take_due(*seen, 1s, m_now))
-            report(*seen);
+            report(one, *seen);
     }
 
     void ask(entry& one)
@@ -253,7 +307,7 @@
         {
             const keeper& asked = m_keepers[number];
             const auto known = asked.history.observation();
-            if (!asked.is_up || !known || is_lost())
+            if (!asked.is_up || !known || is_lost(one))
                 continue;
             if (one.answers.note(std::to_string(number), *known,
                                  m_keepers.size(), one.history))
@@ -261,25 +315,39 @@
         }
     }
 
-    void report(const version_observation& seen)
+    void report(const entry& from, const version_observation& seen)
     {
         for (std::size_t number = 0; number < 3; ++number)
-            if (keeper& to = m_keepers[number]; to.is_up && !is_lost())
+            if (keeper& to = m_keepers[number]; to.is_up && !is_lost(from))
                 to.history.merge(seen);
     }
 
+    void restart(keeper& one)
+    {
+        const auto number = static_cast<std::size_t>(&one - m_keepers.data());
+        one = {m_random.below(2) == 0, {}};
+        for (stream& known : m_streams)
+            std::erase(known.keepers, number);
+    }
+
     void begin_stream(entry& at, const std::string& version)
     {
         const stream_origin origin{service, version};
+        stream begun{version, m_now, m_random.below(2) == 0, {}};
         for (int copy = 0; copy < 2; ++copy)
-            if (keeper& to = m_keepers[m_random.below(m_keepers.size())];
-                to.is_up && !is_lost())
+        {
+            const std::size_t number = m_random.below(m_keepers.size());
+            if (keeper& to = m_keepers[number]; to.is_up && !is_lost(at))
+            {
                 to.history.note_stream(origin, m_now);
+                begun.keepers.push_back(number);
+            }
+        }
         at.history.note_stream(origin, m_now);
         const auto seen = at.history.observation();
         if (seen && at.reports.take_new(origin))
-            report(*seen);
-        m_streams.push_back({version, m_now});
+            report(at, *seen);
+        m_streams.push_back(begun);
     }
 
     void disturb()
@@ -295,10 +363,13 @@
         case 2:
             return unlist(version);
         case 3:
-            one.is_up = false;
+            if (m_given.are_entries_lost)
+                one.is_up = false;
             return;
         case 4:
-            return kill_entries();
+            if (m_given.are_entries_lost)
+                kill_entries();
+            return;
         case 5:
         case 6:
         case 7:
@@ -306,31 +377,67 @@
         case 8:
             one.is_frozen = !one.is_frozen;
             return;
+        case 12:
+            if (m_given.are_lists_cut)
+                one.is_list_cut = !one.is_list_cut;
+            return;
+        case 13:
+            if (m_given.are_peers_cut)
+                one.are_peers_cut = !one.are_peers_cut;
+            return;
         case 9:
             if (m_given.are_keepers_lost)
-                other = {m_random.below(2) == 0, {}};
+                restart(other);
             return;
         case 10:
             other.is_up = true;
             return;
         case 11:
-            if (m_given.is_history_lost && one.is_up && !one.is_frozen)
+            if (m_given.is_history_lost && one.is_up && !one.is_frozen &&
+                !one.is_list_cut)
                 read_list(one);
             return;
         default:
             if (!one.is_up || one.is_frozen)
                 return;
             for (const std::string& at : versions_at(one.listed_at))
-                return begin_stream(one, at);
+                if (is_serving(at))
+                    return begin_stream(one, at);
         }
     }
 
-    tally take_up(const stream& known, entry& at) const
+    /// Returns the version that \a at takes for that of a stream, as
+    /// serving::stream_registry does.
+    std::optional<std::string> find_version(const stream& known, entry& at)
     {
         const duration age = m_now - known.began_at;
-        const auto answer = at.history.only_version(service, age, m_now);
+        for (const std::size_t number : known.keepers)
+            if (known.is_named && m_keepers[number].is_up && !is_lost(at))
+                return known.version;
+        follow_list(at, m_now);
+        if (const auto own = at.history.only_version(service, age, m_now))
+            return own;
+        for (const entry& other : m_entries)
+        {
+            if (&other == &at || !other.is_up || other.is_frozen ||
+                other.are_peers_cut || at.are_peers_cut)
+                continue;
+            const auto seen =
+                other.history.only_seen_version(service, age, m_now);
+            if (seen &&
+                at.history.confirms({*seen, other.history.up_to_date_at()},
+                                    service, age, m_now))
+                return seen;
+        }
+        return std::nullopt;
+    }
+
+    tally take_up(const stream& known, entry& at)
+    {
+        const auto answer = find_version(known, at);
         const bool is_certain =
-            versions_between(known.began_at - 2s, m_now).size() == 1;
+            versions_between(known.began_at - 2s, m_now).size() == 1 &&
+            !at.is_list_cut;
         return {1, is_certain ? 1 : 0, is_certain && answer ? 1 : 0,
                 answer && *answer != known.version ? 1 : 0};
     }
@@ -345,4 +452,21 @@
     bool m_are_keepers_cut = false;
 };
 
+/// Takes up streams between random events, in a run for each seed.
+inline tally play(const troubles& given, std::uint64_t seeds)
+{
+    tally all;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        version_fleet simulated(seed, given);
+        simulated.run_for(20s);
+        for (int round = 0; round < 60; ++round)
+        {
+            simulated.disturb_for(1s);
+            all += simulated.take_up();
+        }
+    }
+    return all;
+}
+
 } // namespace mangofold::test
--- a/tests/mutants/streams.py
+++ b/tests/mutants/streams.py
@@ -72,6 +72,13 @@
     ("spans are joined over any gap", HISTORY,
      "other.since <= m_followed_until + max_unobserved &&\n"
      "        *m_followed_since <= other.until + max_unobserved", "true"),
+    ("a list that is not up to date counts", HISTORY,
+     "if (m_up_to_date_at < taken_up_at)", "if (false)"),
+    ("another entry's old list counts", HISTORY,
+     "*m_followed_since <= answer.until &&", ""),
+    ("another entry's answer needs no list", HISTORY,
+     "m_up_to_date_at >= taken_up_at && m_followed_since &&",
+     "m_followed_since &&"),
     ("versions that others saw are dropped", HISTORY,
      "last_seen = std::max(last_seen, seen_at);",
      "last_seen = m_followed_since ? instant() : last_seen;"),
--- a/tests/serving/source_reader_test.cpp
+++ b/tests/serving/source_reader_test.cpp
@@ -192,3 +192,45 @@
         CHECK(entry.source.watch_requests == 2);
     }
 }
+
+// Guards against an entry that stood still and takes an answer that has waited
+// for it for one about the present list.
+TEST_CASE("the list is confirmed as of the request, not of the answer")
+{
+    starting_entry entry(100, 1ms);
+    entry.source.is_changing = true;
+    entry.advance(1s);
+    REQUIRE(entry.context->catalog);
+    entry.source.pause = 100ms;
+    const auto& versions = entry.context->versions;
+    const instant before = versions.up_to_date_at();
+    for (int step = 0; step < 100 && versions.up_to_date_at() == before; ++step)
+    {
+        entry.time.advance(50ms);
+        entry.settle();
+    }
+    REQUIRE(versions.up_to_date_at() > before);
+    CHECK(entry.context->list_current_at - versions.up_to_date_at() >= 900ms);
+}
+
+// Guards against streams that are refused although the source would tell their
+// version at once: the entry waits for the end of its watch.
+TEST_CASE("a list is confirmed at once where this is asked for")
+{
+    starting_entry entry(100, 1ms);
+    entry.advance(1s);
+    REQUIRE(entry.context->catalog);
+    entry.run_until([&] { return entry.source.watch_requests == 1; });
+    entry.time.advance(200ms);
+    const instant asked_at = entry.time.now();
+    entry.source.is_changing = true;
+    entry.reader.confirm();
+    entry.run_until([&] { return entry.source.watch_requests == 2; });
+    entry.reader.confirm();
+    for (int step = 0; step < 30; ++step)
+    {
+        entry.time.advance(1ms);
+        entry.settle();
+    }
+    CHECK(entry.context->versions.up_to_date_at() >= asked_at);
+}
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -63,6 +63,13 @@
     {
         context->streams = &streams;
         context->has_all_targets = true;
+        context->confirm_list = [this]
+        {
+            if (!is_list_reachable)
+                return;
+            list_changes();
+            context->versions.note_up_to_date(time.now());
+        };
         if (m_fleet != nullptr)
             (*m_fleet)[m_address] = this;
     }
@@ -189,6 +196,9 @@
 
     serving::stream_registry streams{*context, *this};
     bool is_silent = false; ///< It gets nothing from other entries.
+    bool is_list_reachable = true;
+    /// Applies what has changed in the list since it was last up to date.
+    std::function<void()> list_changes = [] {};
 
 private:
     fleet* m_fleet;
@@ -216,7 +226,7 @@
             entry.context->versions.note_versions(
                 entry.context->directory.take_seen_versions(),
                 entry.time.now());
-            entry.context->list_current_at = entry.time.now();
+            entry.context->versions.note_up_to_date(entry.time.now());
             entry.streams.maintain();
             entry.time.advance(1s);
             time.advance(1s);
@@ -527,6 +537,44 @@
         "data: v1"));
 }
 
+// Guards against a stream that goes on at another version than it began at: its
+// entry stood still, or did not reach the source, while that version joined.
+TEST_CASE_FIXTURE(keepers_test, "an old list makes no version certain")
+{
+    const std::string unnamed = "After: 2\r\n";
+    versioned_entry entry;
+    entry.add_engine("v1");
+    serve_for(entry, 20);
+    entry.is_list_reachable = false;
+    entry.time.advance(2s);
+    const std::string got = entry.stream("r2", unnamed);
+    CHECK(contains(got, "stream_unknown"));
+    CHECK(contains(got, "Retry-After: 0.5"));
+    entry.is_list_reachable = true;
+    CHECK(contains(entry.stream("r3", unnamed), "data: v1"));
+    entry.time.advance(2s);
+    entry.list_changes = [&entry] { entry.add_engine("v2"); };
+    CHECK(contains(entry.stream("r4", unnamed), "stream_unknown"));
+}
+
+// Guards against the same where an entry that has just started believes one
+// whose list is old.
+TEST_CASE_FIXTURE(keepers_test, "another entry's old list is not believed")
+{
+    const std::string unnamed = "After: 2\r\n";
+    fleet entries;
+    versioned_entry lagging(&entries, "b");
+    lagging.add_engine("v1");
+    serve_for(lagging, 20);
+    lagging.time.advance(3s);
+    versioned_entry restarted(&entries, "a");
+    restarted.add_engine("v1");
+    restarted.context->versions.note_gap(restarted.time.now());
+    CHECK(contains(restarted.stream("r2", unnamed), "stream_unknown"));
+    lagging.context->versions.note_up_to_date(lagging.time.now());
+    CHECK(contains(restarted.stream("r3", unnamed), "data: v1"));
+}
+
 // Guards against streams that end when all entries are lost at once, although
 // engines of their version serve.
 TEST_CASE_FIXTURE(keepers_test,
