--- a/packages/serving/exchange_streams.cpp
+++ b/packages/serving/exchange_streams.cpp
@@ -2,7 +2,7 @@
 #include "serving/exchange.hpp"
 #include "serving/stream_registry.hpp"
 
-#include <boost/algorithm/string/join.hpp>
+#include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
 #include <utility>
@@ -161,8 +161,8 @@
               whole_milliseconds(m_context.now() -
                                  m_context.versions.up_to_date_at()))
         .with("version", found.origin.version)
-        .with("asked", boost::algorithm::join(found.asked, " "))
-        .with("silent", boost::algorithm::join(found.silent, " "))
+        .with("asked", fmt::format("{}", fmt::join(found.asked, " ")))
+        .with("silent", fmt::format("{}", fmt::join(found.silent, " ")))
         .info();
     if (m_session->check_disconnected())
         co_return false;
@@ -304,7 +304,7 @@
         .with("born", m_last_target.started_ms)
         .with("version", version)
         .with("before", m_origin ? m_origin->version : std::string())
-        .with("holders", boost::algorithm::join(holders, " "))
+        .with("holders", fmt::format("{}", fmt::join(holders, " ")))
         .info();
 }
 
--- a/packages/serving/records/record_keeper.cpp
+++ b/packages/serving/records/record_keeper.cpp
@@ -6,7 +6,7 @@
 #include "serving/stream_messages.hpp"
 #include "serving/target_losses.hpp"
 
-#include <boost/algorithm/string/join.hpp>
+#include <spdlog/fmt/fmt.h>
 
 namespace mangofold::serving
 {
@@ -131,8 +131,8 @@
         .with("records", size())
         .with("successors", m_successors.size())
         .with("confirmed", receivers.size())
-        .with("receivers", boost::algorithm::join(receivers, " "))
-        .with("silent", boost::algorithm::join(silent, " "))
+        .with("receivers", fmt::format("{}", fmt::join(receivers, " ")))
+        .with("silent", fmt::format("{}", fmt::join(silent, " ")))
         .info();
 }
 
