Sidecar: an address in use ends the start with its reason, not with a crash

Found as 6 of 26 failed starts of test_signals in a run beside other runs of the same test, which use the same ports: exit code -11 of the sidecar.

Cause: start() throws when it can't listen, and the destructor then shut down a server that was never set. The other 20 starts ended with 1 for the same reason, ports of the other run.

Test: a second server at the same address reports it. It was not run on the code before, where the process ends.

--- a/packages/sidecar/link_server.cpp
+++ b/packages/sidecar/link_server.cpp
@@ -70,7 +70,10 @@
     builder.RegisterService(m_service.get());
     std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
     if (!server || port == 0)
+    {
+        m_service.reset();
         throw std::runtime_error("cannot listen on " + m_listen.text());
+    }
     m_service->set_server(std::move(server));
 }
 
--- a/tests/link/link_test.cpp
+++ b/tests/link/link_test.cpp
@@ -133,6 +133,20 @@
 
 } // namespace
 
+// Guards against a sidecar that ends by a segmentation fault, without a line
+// that says why: another process has its address.
+TEST_CASE("a sidecar whose address is in use reports it")
+{
+    sidecar_fixture first;
+    sidecar::link_server second{{"127.0.0.1", 28902},
+                                "t1",
+                                first.admission,
+                                first.store,
+                                first.counters};
+    CHECK_THROWS_WITH(second.start(), "cannot listen on 127.0.0.1:28902");
+    second.stop();
+}
+
 TEST_SUITE("link")
 {
     TEST_CASE("an entry receives the result of its submission")
