--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -315,7 +315,13 @@
     }
     if (const auto own = find_own(key))
         co_return *own;
-    co_return find_in_history(service, time, taken_up_at, answer);
+    finding found = find_in_history(service, time, taken_up_at, answer);
+    if (found.from == source::none)
+    {
+        found.asked = answer.asked;
+        found.silent = answer.silent;
+    }
+    co_return found;
 }
 
 void stream_registry::send_question(const decision::stream_key& key,
