--- a/tests/decision/streams/stream_progress_test.cpp
+++ b/tests/decision/streams/stream_progress_test.cpp
@@ -34,6 +34,7 @@
             .bound;
     };
     CHECK(bound_of({500ms}, 1s) == stream_bound::none);
+    CHECK(bound_of({500ms}, 1480ms) == stream_bound::none);
     CHECK(bound_of({500ms}, 1490ms) == stream_bound::patience);
     CHECK(bound_of({500ms}, 14900ms) == stream_bound::caller_time);
     CHECK(bound_of({500ms, start + 1s}, 1s) == stream_bound::process_end);
