--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -32,11 +32,18 @@
     ("a response to another request is accepted",
      "packages/decision/answer_match.hpp",
      "sent_id.empty() || sent_id == stated_id", "true", ["target_mode"]),
-    ("calls of pieces carry no id", "platform/request_dialect.cpp",
-     "    set_header(call, names::request_id, id);\n"
-     "    set_header(call, names::target, target_id);\n",
-     "    set_header(call, names::target, target_id);\n",
+    ("calls of pieces carry no id", "packages/serving/piece_batcher.cpp",
+     "std::move(request), m_context.call_ids.next(), timeout",
+     "std::move(request), std::string(), timeout",
      ["late_answers"], ["--seconds", "20"], "input of"),
+    ("releases name no target", "packages/serving/piece_batcher_targets.cpp",
+     "sent_call->send_request(\n"
+     "            m_context.protocol.make_release_request(handles),\n"
+     "            m_context.call_ids.next(), release_timeout)",
+     "sent_call->send_unaddressed(\n"
+     "            m_context.protocol.make_release_request(handles),\n"
+     "            release_timeout)",
+     ["publish"], [], "names no target"),
     ("a draining target still gets work",
      "packages/decision/target_directory.hpp",
      "return !known.is_removed && !known.value.is_leaving &&\n"
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -140,6 +140,9 @@
     async def handle(self, message, writer):
         addressed_id = message.field("x-mangofold-target-instance")
         request_id = self.caller_request_id(message)
+        if not addressed_id:
+            self.log.add_fault(f"{self.id}: {message.start_line} names no "
+                               "target")
         if addressed_id and addressed_id != self.id:
             writer.write(wire.serialize_response(
                 421, **self.request_id_fields(message)))
