Answers: they count as memory until their callers have read them

What callers saw: an entry above its memory_mb is killed, and the requests of all its callers end with it.

Cause: a body that was taken from its call left the account of memory, before it was sent. A caller who reads nothing holds it for up to 10 s, in three copies: that of the exchange, that of the argument, and the bytes to send. The same holds for the incomplete event of a stream, in up to 512 KB, and for events being sent.

Now the call keeps a body that is passed on whole until it is sent, as a second buffer behind the head, and a stream states what it holds of the parts that it took (target_call::hold). What finds no room ends as before.

--- a/packages/serving/caller_session.cpp
+++ b/packages/serving/caller_session.cpp
@@ -426,7 +426,7 @@
              loop_clock::now() < end());
 }
 
-awaitable<bool> caller_session::send(std::string bytes)
+awaitable<bool> caller_session::send(std::string bytes, std::string_view rest)
 {
     if (!m_socket.is_open())
         co_return false;
@@ -438,22 +438,22 @@
             if (!fault && self)
                 self->reset_connection();
         });
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(bytes),
+                                                    asio::buffer(rest)};
     error_code fault;
-    co_await asio::async_write(m_socket, asio::buffer(bytes),
-                               store_error_in(fault));
+    co_await asio::async_write(m_socket, buffers, store_error_in(fault));
     m_write_timer.cancel();
     co_return !fault;
 }
 
 awaitable<void> caller_session::send_response(unsigned status,
                                               http_fields fields,
-                                              std::string body)
+                                              std::string_view body)
 {
     fields.set(http::field::content_length, std::to_string(body.size()));
     announce_close(fields);
-    std::string bytes = serialize_head(status, fields);
-    bytes += body;
-    if (!co_await send(std::move(bytes)))
+    std::string head = serialize_head(status, fields);
+    if (!co_await send(std::move(head), body))
         close_after_response();
 }
 
--- a/packages/serving/caller_session.hpp
+++ b/packages/serving/caller_session.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace mangofold::serving
 {
@@ -63,13 +64,15 @@
     /// Serves the connection until it closes.
     awaitable<void> run();
 
-    /// Sends \a bytes. Returns whether the write succeeded.
-    awaitable<bool> send(std::string bytes);
+    /// Sends \a bytes and then \a rest, which must last until it is sent.
+    /// Returns whether the write succeeded.
+    awaitable<bool> send(std::string bytes, std::string_view rest = {});
 
     /// Sends a complete response. Adds Content-Length, and "Connection: close"
-    /// if the connection does not stay open.
+    /// if the connection does not stay open. \a body must last until it is
+    /// sent.
     awaitable<void> send_response(unsigned status, http_fields fields,
-                                  std::string body);
+                                  std::string_view body);
 
     /// Whether the caller has disconnected: it reset the connection, or closed
     /// its sending side and the grace period for a short response has passed.
--- a/packages/serving/event_stream.hpp
+++ b/packages/serving/event_stream.hpp
@@ -38,6 +38,9 @@
     /// Whether the incomplete event is longer than any event may be.
     bool is_too_long() const { return m_incomplete.size() > max_event_bytes; }
 
+    /// Returns the memory that the incomplete event takes.
+    std::size_t held_bytes() const { return m_incomplete.capacity(); }
+
     /// Returns the id of the last complete event that has one, if any.
     std::optional<std::uint64_t> last_id() const { return m_last_id; }
 
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -12,17 +12,13 @@
 namespace
 {
 
-std::string to_chunk(const std::string& bytes)
+std::string chunk_head(std::size_t bytes)
 {
     constexpr int hexadecimal = 16;
     char size[2 * sizeof(std::size_t)];
     const auto end =
-        std::to_chars(size, size + sizeof size, bytes.size(), hexadecimal);
-    std::string chunk(size, end.ptr);
-    chunk += "\r\n";
-    chunk += bytes;
-    chunk += "\r\n";
-    return chunk;
+        std::to_chars(size, size + sizeof size, bytes, hexadecimal);
+    return std::string(size, end.ptr) + "\r\n";
 }
 
 bool is_success(unsigned status)
@@ -91,9 +87,9 @@
         times.answer_time.add(m_context.now() - m_sent_at);
     }
     m_first_byte_at = m_context.now();
-    const std::string body = call.take_body();
+    // A caller that reads slowly holds the memory of the body until it is sent.
     co_await m_session->send_response(
-        status, m_context.protocol.returned_fields(call.head()), body);
+        status, m_context.protocol.returned_fields(call.head()), call.body());
     co_return attempt_outcome::answered;
 }
 
@@ -108,8 +104,9 @@
         bytes = serialize_head(call.head().result_int(), fields);
         m_is_head_sent = true;
     }
-    bytes += to_chunk(events);
-    co_return co_await m_session->send(std::move(bytes));
+    bytes += chunk_head(events.size());
+    events += "\r\n";
+    co_return co_await m_session->send(std::move(bytes), events);
 }
 
 awaitable<exchange::attempt_outcome>
@@ -133,7 +130,8 @@
             m_refusal = refusal::answer_spoiled;
             co_return attempt_outcome::retry;
         }
-        if (events.is_too_long())
+        if (events.is_too_long() ||
+            !call.hold(events.held_bytes() + complete_events.capacity()))
             co_return handle_failed_attempt(
                 target_call::outcome::invalid_answer,
                 call.target().incarnation);
@@ -166,6 +164,7 @@
                 call.abort();
                 co_return attempt_outcome::answered;
             }
+            call.hold(events.held_bytes());
             m_progress->note_event(m_context.now());
         }
         if (call.is_complete())
--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -155,9 +155,9 @@
         fields.set(http::field::retry_after, retry_after());
     log_refusal(status);
     m_context.count("requests_refused", "why", to_string(m_refusal));
-    co_await m_session->send_response(
-        status, std::move(fields),
-        R"({"error":")" + std::string(to_string(m_refusal)) + "\"}");
+    const std::string body =
+        R"({"error":")" + std::string(to_string(m_refusal)) + "\"}";
+    co_await m_session->send_response(status, std::move(fields), body);
 }
 
 duration exchange::time_with_events() const
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -154,6 +154,17 @@
     co_return result;
 }
 
+bool target_call::share_memory(std::size_t body_bytes)
+{
+    return m_body_share.resize(body_bytes + m_held_bytes);
+}
+
+bool target_call::hold(std::size_t bytes)
+{
+    m_held_bytes = bytes;
+    return share_memory(m_parser->get().body().capacity());
+}
+
 target_call::outcome target_call::parse()
 {
     std::string& bytes = m_connection->received();
@@ -168,7 +179,7 @@
         if (needs_more || used == 0)
             break;
     }
-    return m_body_share.resize(m_parser->get().body().capacity())
+    return share_memory(m_parser->get().body().capacity())
                ? outcome::ok
                : outcome::invalid_answer;
 }
@@ -207,7 +218,7 @@
 
 std::string target_call::take_body()
 {
-    m_body_share.resize(0);
+    share_memory(0);
     return std::exchange(m_parser->get().body(), {});
 }
 
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace mangofold::serving
 {
@@ -76,8 +77,16 @@
     const http_response_head& head() const { return m_parser->get(); }
     const response_metadata& metadata() const { return m_metadata; }
 
+    /// Returns the received part of the body, which this call holds.
+    std::string_view body() const { return m_parser->get().body(); }
+
     /// Returns the received part of the body and removes it from the buffer.
     std::string take_body();
+
+    /// Notes that \a bytes of the taken parts of the body are still held.
+    /// Returns whether there is memory for them.
+    bool hold(std::size_t bytes);
+
     /// Returns the number of bytes of the body that are buffered.
     std::size_t received_bytes() const
     {
@@ -126,6 +135,7 @@
     awaitable<outcome> skip_stray_answer(instant deadline);
     outcome parse();
     outcome parse_end();
+    bool share_memory(std::size_t body_bytes);
     duration idle_time() const;
     void reset_parser();
     decision::answer_owner answer_owner();
@@ -136,6 +146,7 @@
     connection_ptr m_connection;
     std::optional<parser> m_parser;
     body_memory::share m_body_share;
+    std::size_t m_held_bytes = 0; ///< Of the parts that were taken.
     response_metadata m_metadata;
     std::string m_id;
     std::function<bool()> m_may_send;
