Memory: what all readers take together stays within the process's memory

Cause: the account let each answer have 256 KB whatever was taken, and there may be a thousand; with bodies that wait it could promise more than a process may hold. An answer's memory was asked for after its body had grown, so what was refused was there already.

Now the assured parts find room beyond the capacity up to a reserve, a quarter of the third that is left for all that is no body, and waiting bodies have a third of it instead of half. A body asks for memory before it grows. The copy that exists while it does is that of one body only, as one thread does it.

"answers have memory that requests can't take" is unchanged and holds.

--- a/packages/decision/admission/memory_account.cpp
+++ b/packages/decision/admission/memory_account.cpp
@@ -12,15 +12,17 @@
 }
 
 // A third of the memory is left for everything that is no body: the program,
-// its tables, and the buffers of connections, half of which bodies that wait
-// may take. A quarter of the rest is for answers only, or requests could leave
-// no room for the answers to those that run.
+// its tables, and the buffers of connections. Of this third, a quarter is for
+// the assured parts of answers and a third for the bodies that wait. A quarter
+// of the rest is for answers only, or requests could leave no room for the
+// answers to those that run.
 void memory_account::set_process_bytes(std::size_t process_bytes)
 {
     const std::size_t process_reserve = process_bytes / 3;
     m_capacity = process_bytes - process_reserve;
+    m_assured_reserve = process_reserve / 4;
     m_request_capacity = m_capacity - m_capacity / 4;
-    m_max_waiting = process_reserve / 2 / bytes_per_waiting;
+    m_max_waiting = process_reserve / 3 / bytes_per_waiting;
     grant_waiting();
 }
 
@@ -78,9 +80,12 @@
 {
     const std::size_t shared = m_shared_by_answers - shared_from + shared_to;
     const std::size_t taken = m_taken - from + to;
-    const bool has_room =
-        shared <= max_answer_bytes && (m_capacity == 0 || taken <= m_capacity);
-    if (!has_room && shared_to > shared_from)
+    const bool grows_shared = shared_to > shared_from;
+    const std::size_t limit =
+        grows_shared ? m_capacity : m_capacity + m_assured_reserve;
+    const bool has_room = (m_capacity == 0 || taken <= limit) &&
+                          (!grows_shared || shared <= max_answer_bytes);
+    if (!has_room && to > from)
         return false;
     m_shared_by_answers = shared;
     m_taken = taken;
--- a/packages/decision/admission/memory_account.hpp
+++ b/packages/decision/admission/memory_account.hpp
@@ -64,7 +64,8 @@
 
     /// Changes what the body of an answer takes from \a from to \a to bytes, of
     /// which \a shared_from and \a shared_to are beyond the assured ones.
-    /// Returns false, without a change, if there is no room.
+    /// Returns false, without a change, if there is no room. Assured bytes find
+    /// room beyond the capacity, too, up to max_taken().
     bool resize_answer(std::size_t from, std::size_t to,
                        std::size_t shared_from, std::size_t shared_to);
 
@@ -77,13 +78,18 @@
     /// Returns the number of bytes that all bodies may have; 0 for no limit.
     std::size_t capacity() const { return m_capacity; }
 
+    /// Returns the most bytes that all bodies can have, with the assured parts
+    /// of answers; 0 for no limit.
+    std::size_t max_taken() const { return m_capacity + m_assured_reserve; }
+
     /// Returns the number of bodies that wait.
     std::size_t waiting() const { return m_waiting.size(); }
 
 private:
     void grant_waiting();
 
-    std::size_t m_capacity = 0; ///< 0: no limit.
+    std::size_t m_capacity = 0;        ///< 0: no limit.
+    std::size_t m_assured_reserve = 0; ///< Beyond the capacity.
     std::size_t m_request_capacity = 0;
     std::size_t m_max_waiting = 0;
     std::size_t m_taken = 0;
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -165,11 +165,28 @@
     return share_memory(m_parser->get().body().capacity());
 }
 
+// The memory is taken before the body grows. Both copies exist while it does,
+// but never those of two bodies at once.
+bool target_call::make_room(std::size_t more_bytes)
+{
+    std::string& body = m_parser->get().body();
+    const std::size_t needed = body.size() + more_bytes;
+    if (needed <= body.capacity())
+        return true;
+    const std::size_t grown = std::max(needed, 2 * body.capacity());
+    if (!share_memory(grown))
+        return false;
+    body.reserve(grown);
+    return share_memory(body.capacity());
+}
+
 target_call::outcome target_call::parse()
 {
     std::string& bytes = m_connection->received();
     while (!bytes.empty() && !m_parser->is_done())
     {
+        if (!make_room(bytes.size()))
+            return outcome::invalid_answer;
         error_code fault;
         const std::size_t used = m_parser->put(asio::buffer(bytes), fault);
         bytes.erase(0, used);
@@ -179,9 +196,7 @@
         if (needs_more || used == 0)
             break;
     }
-    return share_memory(m_parser->get().body().capacity())
-               ? outcome::ok
-               : outcome::invalid_answer;
+    return outcome::ok;
 }
 
 target_call::outcome target_call::parse_end()
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -136,6 +136,7 @@
     outcome parse();
     outcome parse_end();
     bool share_memory(std::size_t body_bytes);
+    bool make_room(std::size_t more_bytes);
     duration idle_time() const;
     void reset_parser();
     decision::answer_owner answer_owner();
