Source: its answers draw from the memory of all bodies

What callers saw: an entry that is killed while a faulty store sends bytes without end beside long bodies of callers.

Cause: the source had an account of its own, 64 MB beside the one of the process, so that the sum had no bound; and the copies that parsing makes were in none.

Now its answers draw from the account of the process, each with 12 MB assured, so that callers and targets cannot leave them without memory, and an answer is parsed only if there is room for four times its bytes. One without room counts as a failed read (source_answer_too_large), which is repeated after a pause.

--- a/packages/serving/body_memory.hpp
+++ b/packages/serving/body_memory.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <memory>
+#include <utility>
 
 namespace mangofold::serving
 {
@@ -24,16 +25,31 @@
     {
     }
 
+    /// Returns the same memory for answers that may each have \a bytes whatever
+    /// the others take.
+    body_memory with_assured(std::size_t bytes) const
+    {
+        body_memory memory(*this);
+        memory.m_assured = bytes;
+        return memory;
+    }
+
     decision::memory_account& account() const { return *m_account; }
 
     /// The bytes that the body of one answer takes. Gives them back at its end.
     class share
     {
     public:
-        explicit share(const body_memory& memory) : m_account(memory.m_account)
+        explicit share(const body_memory& memory)
+            : m_account(memory.m_account), m_assured(memory.m_assured)
         {
         }
         ~share() { resize(0); }
+        share(share&& from) noexcept
+            : m_account(from.m_account), m_assured(from.m_assured),
+              m_own(std::exchange(from.m_own, 0))
+        {
+        }
         share(const share&) = delete;
         share& operator=(const share&) = delete;
 
@@ -49,12 +65,13 @@
         }
 
     private:
-        static std::size_t beyond_assured(std::size_t bytes)
+        std::size_t beyond_assured(std::size_t bytes) const
         {
-            return bytes - std::min(bytes, assured_bytes);
+            return bytes - std::min(bytes, m_assured);
         }
 
         account_ptr m_account; ///< Outlives the process's end.
+        std::size_t m_assured;
         std::size_t m_own = 0;
     };
 
@@ -105,6 +122,7 @@
 
 private:
     account_ptr m_account;
+    std::size_t m_assured = assured_bytes;
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -25,6 +25,14 @@
 
 constexpr unsigned gone = 410;
 
+/// Bytes that an answer may have whatever the bodies of callers and targets
+/// take: several times the largest catalog, with what parsing it takes.
+constexpr std::size_t assured_answer_bytes = 12U << 20U;
+
+/// How many times the bytes of an answer it takes until it is applied: its
+/// bytes, those that are permitted, the strings parsed, and what they encode.
+constexpr std::size_t copies_while_parsed = 4;
+
 } // namespace
 
 std::string_view to_string(record_fault value)
@@ -37,7 +45,8 @@
 source_reader::source_reader(entry_context& context,
                              const source_dialect& dialect)
     : m_context(context), m_dialect(dialect),
-      m_connections(context.loop, context.time, body_memory()),
+      m_connections(context.loop, context.time,
+                    context.bodies.with_assured(assured_answer_bytes)),
       m_confirmation_asked(context.loop)
 {
 }
@@ -112,8 +121,6 @@
 {
     status = 0;
     m_connections.close_expired();
-    // Not the pool of the targets: bodies of theirs must not leave the source's
-    // answers without memory.
     const auto sent = std::make_shared<target_call>(
         m_connections, m_context.protocol,
         call_destination{"source", m_context.settings.source_address});
@@ -140,6 +147,14 @@
     m_last_status = status;
     std::string body = sent->take_body();
     sent->release_connection();
+    // Held until the next answer, as m_current_call.
+    if (!sent->hold(copies_while_parsed * body.size()))
+    {
+        runtime::event("source_answer_too_large")
+            .with("received_bytes", body.size())
+            .warn();
+        co_return std::nullopt;
+    }
     co_return body;
 }
 
