--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -205,6 +205,7 @@
     sent_call->set_send_check(
         [this, id = plan.target]
         { return m_context.directory.find(id) != nullptr; });
+    sent_call->set_max_body_bytes(max_call_answer_bytes);
     http_request request =
         m_context.protocol.make_pieces_request(piece_tasks(queue, plan));
     const duration timeout =
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -67,6 +67,10 @@
     awaitable<void> run();
 
 private:
+    /// Largest answer to a call or a release: a handle of some dozen bytes for
+    /// each piece.
+    static constexpr std::uint64_t max_call_answer_bytes = 4ULL << 20U;
+
     /// The callbacks of a job, and the progress of the job.
     struct accepted_job
     {
--- a/packages/serving/piece_batcher_targets.cpp
+++ b/packages/serving/piece_batcher_targets.cpp
@@ -123,6 +123,7 @@
         sent_call->set_send_check(
             [this, producer]
             { return m_context.directory.find(producer) != nullptr; });
+        sent_call->set_max_body_bytes(max_call_answer_bytes);
         auto state = co_await sent_call->send_request(
             m_context.protocol.make_release_request(handles),
             m_context.call_ids.next(), release_timeout);
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -17,9 +17,6 @@
 /// How long any connection is kept idle at most.
 constexpr duration max_idle_time = std::chrono::seconds(5);
 
-/// Largest body of an answer, also of one that is passed on in parts.
-constexpr std::uint64_t max_body_bytes = 64ULL << 20U;
-
 /// Largest head, chunk size line or trailer. The parser limits heads only.
 constexpr std::size_t max_unparsed_bytes = 8192;
 
@@ -42,7 +39,7 @@
 {
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->body_limit(max_body_bytes);
+    m_parser->body_limit(m_max_body_bytes);
     if (m_has_no_body)
         m_parser->skip(true);
 }
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -54,6 +54,9 @@
         m_may_send = std::move(may_send);
     }
 
+    /// Sets the largest body of an answer.
+    void set_max_body_bytes(std::uint64_t bytes) { m_max_body_bytes = bytes; }
+
     /// Sends \a request as the request \a id to this call's target only, and
     /// reads the head of its answer, both within \a timeout. Answers that carry
     /// another id are skipped. \a body replaces the request's own, if there is
@@ -128,6 +131,9 @@
 private:
     using parser = http::response_parser<received_body>;
 
+    /// Of an answer that is passed on in parts, too.
+    static constexpr std::uint64_t default_max_body_bytes = 64ULL << 20U;
+
     awaitable<outcome> connect(duration timeout);
     awaitable<outcome> send(const http_request& request, duration timeout,
                             std::shared_ptr<const std::string> body);
@@ -148,6 +154,7 @@
     std::optional<parser> m_parser;
     body_memory::share m_body_share;
     std::size_t m_held_bytes = 0; ///< Of the parts that were taken.
+    std::uint64_t m_max_body_bytes = default_max_body_bytes;
     response_metadata m_metadata;
     std::string m_id;
     std::function<bool()> m_may_send;
