Soak: targets and the store send bodies without end at once, memory is judged

The oracle of all soaks reads the peak of each entry's memory (VmHWM) and compares it with memory_mb.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -12,11 +12,12 @@
 DRAIN_S = 1.0  # By then, a draining target gets no new requests.
 CONFIG_S = 1.0  # By then, a published configuration is in force.
 RECOVERY_S = 2.0  # After a disturbance, until the bounds hold again.
+MEMORY_MB = 256  # That an entry may take.
 KEEPER_STOP_S = 3  # From SIGTERM, by then a record keeper has exited.
 HOSTS_PER_GAP = 6  # Of these hosts of engines, one has no record keeper.
 # Settings that can't be used, by the text that they replace.
 ABSURD_SETTINGS = (
-    ("memory_mb = 256", "memory_mb = -1"), ("max_fds = 4096", "max_fds = 0"),
+    (f"memory_mb = {MEMORY_MB}", "memory_mb = -1"), ("max_fds = 4096", "max_fds = 0"),
     ("cpu_share = 0.5", "cpu_share = nan"),
     ("cpu_cores = 1", "cpu_cores = 1e300"),
     ("grace_s = ", "grace_s = -9223372036854775808 #"),
@@ -177,6 +178,7 @@
         self.missed_checks = 0  # Of the balancer, in a row.
         self.is_stopping = False
         self.unexpected_exits = []  # Exit codes, and when.
+        self.peak_memory_mb = 0.0  # Of all its processes.
 
     def write_settings(self, is_truncated=False, replaced=("", "")):
         text = f"""node_name = "{self.name}"
@@ -194,7 +196,7 @@
 [limits]
 cpu_share = 0.5
 cpu_cores = 1
-memory_mb = 256
+memory_mb = {MEMORY_MB}
 max_fds = 4096
 [bounds]
 drain_ms = {int(DRAIN_S * 1000)}
@@ -352,6 +354,16 @@
         await asyncio.sleep(1.5)
         self.end_disturbance(is_planned=True)
 
+    def note_memory(self):
+        """Notes the most memory that its process has taken."""
+        if not self.is_running():
+            return
+        with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
+            for line in file:
+                if line.startswith("VmHWM:"):
+                    peak_mb = int(line.split()[1]) * 1024 / 1e6
+                    self.peak_memory_mb = max(self.peak_memory_mb, peak_mb)
+
     def restart_if_exited(self):
         """Records an unexpected exit and restarts the process."""
         if not self.is_running():
@@ -367,10 +379,12 @@
     async def restart_on_exit(self):
         while True:
             await asyncio.sleep(0.1)
+            self.note_memory()
             if not self.disturbance_count and not self.is_stopping:
                 self.restart_if_exited()
 
     def terminate(self):
+        self.note_memory()
         if self.is_running():
             self.process.kill()
             self.process.wait()
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -4,7 +4,7 @@
 import re
 import zlib
 
-from fleet import CONFIG_S, DRAIN_S, RECOVERY_S
+from fleet import CONFIG_S, DRAIN_S, MEMORY_MB, RECOVERY_S
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 CANCEL_S = 0.5  # By then, work for a disconnected caller has been cancelled.
@@ -457,6 +457,9 @@
             self._check_poison(poison, crashes)
         self._check_work_after_disconnect()
         for entry in self.fleet:
+            if entry.peak_memory_mb > MEMORY_MB:
+                self.faults.append(
+                    f"{entry.name} took {entry.peak_memory_mb:.0f} MB")
             for exit_code in entry.unexpected_exits:
                 self.faults.append(
                     f"{entry.name}: exited unexpectedly: {exit_code}")
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -23,6 +23,9 @@
 # A part of prompts that crashes each engine that starts a request with it.
 BAD_PART_PATTERN = re.compile(r"\bbad\d+(?=:)")
 ENDLESS_PART_INTERVAL_S = 0.005  # Between parts of an answer without end.
+ENDLESS_MODES = ("endless", "flood")
+# Values that take much more memory once parsed, and one long value.
+FLOOD_BLOCKS = (b"0," * 32_768, b"a" * 262_144)
 UNFRAMED_SHARE = 0.2  # Of the streams, which end with their connections.
 # A slow plain target takes longer than work may outlast its caller.
 SLOW_RESPONSE_S = 1.2
@@ -35,6 +38,14 @@
 EXTRA_DELAY_S = (0.001, 0.1)
 
 
+async def flood(writer, block):
+    """Sends a block again and again until the peer closes."""
+    while not writer.is_closing() and not writer.peer_has_closed():
+        writer.write(block)
+        await writer.drain()
+    writer.close()
+
+
 class TargetLog:
     """The work that all targets did: runs by request, pieces by result."""
 
@@ -204,8 +215,21 @@
             self.log.poison_crashes[poison].append(now)
             self.log.crash_target(self)
 
-    async def send_endlessly(self, writer):
+    async def send_flood(self, message, writer):
+        """Sends a body without end, as fast as the caller reads it."""
+        writer.write(("\r\n".join([
+            "HTTP/1.1 200 OK", "Transfer-Encoding: chunked",
+            *(f"{name}: {value}"
+              for name, value in self.response_fields(message).items())]) +
+            "\r\n\r\n" + random.choice(("", "5\r\ndata:\r\n", "1\r\n[\r\n"))
+            ).encode())
+        await flood(writer, wire.chunk(random.choice(FLOOD_BLOCKS)))
+
+    async def send_endlessly(self, message, writer):
         """Sends bytes that are no answer until the caller closes."""
+        if self.mode == "flood":
+            await self.send_flood(message, writer)
+            return
         head = b"HTTP/1.1 200 OK\r\n"
         chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
         filler = b"a" * 4096
@@ -243,8 +267,8 @@
         if self.mode == "lost":
             wire.reset(writer)
             return
-        if self.mode == "endless":
-            await self.send_endlessly(writer)
+        if self.mode in ENDLESS_MODES:
+            await self.send_endlessly(message, writer)
             return
         body = f"answer {request_id} {message.start_line.split()[1]}".encode()
         response = wire.serialize_response(200, body,
@@ -320,8 +344,8 @@
         return is_framed
 
     async def stream(self, message, writer):
-        if self.mode == "endless":
-            await self.send_endlessly(writer)
+        if self.mode in ENDLESS_MODES:
+            await self.send_endlessly(message, writer)
             return
         request_id = message.field("x-mangofold-request-id")
         first_event = int(message.field("last-event-id") or 0) + 1
@@ -410,8 +434,8 @@
         if self.mode == "lost":
             wire.reset(writer)
             return
-        if self.mode == "endless":
-            await self.send_endlessly(writer)
+        if self.mode in ENDLESS_MODES:
+            await self.send_endlessly(message, writer)
             return
         for item, result in zip(body["items"], items):
             if "handle" in result:
