Sidecar: chunk size lines and trailers of targets are bounded

A target that sends a chunk size line or a trailer without end keeps its sidecar reading until the call's timeout, and the sidecar keeps all of it.

Cause: the parser limits heads and bodies only, and the buffer had no limit. Now it has 64 KiB, and a longer line ends the call at once.

Failed before (http_test): the call of 5 s ended after more than 3 s, for both.

--- a/packages/runtime/http_client.cpp
+++ b/packages/runtime/http_client.cpp
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds min_timeout{1};
 constexpr std::uint64_t max_response_bytes = 64U << 20U;
 
+/// Largest head, chunk size line or trailer, and how much is read at once.
+constexpr std::size_t max_buffer_bytes = 64U << 10U;
+
 http::request<http::string_body> make_message(const address& server,
                                               const std::string& method,
                                               const std::string& path,
@@ -117,7 +120,7 @@
 
     asio::io_context m_loop{1};
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_buffer_bytes};
     bool m_is_reusable = true;
 };
 
--- a/tests/runtime/http_test.cpp
+++ b/tests/runtime/http_test.cpp
@@ -1,12 +1,14 @@
 #include "runtime/http_client.hpp"
 #include "runtime/http_server.hpp"
 #include "support/closing_server.hpp"
+#include "support/endless_server.hpp"
 
 #include <doctest/doctest.h>
 
 using namespace mangofold::runtime;
 using namespace std::chrono_literals;
 using mangofold::tests::closing_server;
+using mangofold::tests::endless_server;
 
 TEST_SUITE("http client")
 {
@@ -48,6 +50,23 @@
         }
     }
 
+    // Guards against a caller that runs out of memory since a faulty server
+    // sends a chunk size line or a trailer without end.
+    TEST_CASE("a response whose lines do not end is refused at once")
+    {
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (const char* begun : {"1;", "0\r\nX: "})
+        {
+            CAPTURE(begun);
+            const endless_server server(head + begun, std::string(4096, 'a'));
+            http_client client({"127.0.0.1", server.port()});
+            const auto began_at = std::chrono::steady_clock::now();
+            CHECK_THROWS_AS(client.get("/", 5s), http_error);
+            CHECK(std::chrono::steady_clock::now() < began_at + 3s);
+        }
+    }
+
     TEST_CASE("a call to a closed port is reported as unsent")
     {
         std::uint16_t port = 0;
