Answers: a skipped answer gives its memory back before the next one

The share of the memory kept the size of an answer to another request until the body after it had grown, so up to 64 MB were counted that nothing held. By reading; no test of its own. A share of memory is not movable any more: nothing moved one.

--- a/packages/serving/body_memory.hpp
+++ b/packages/serving/body_memory.hpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cstddef>
 #include <memory>
-#include <utility>
 
 namespace mangofold::serving
 {
@@ -45,11 +44,6 @@
         {
         }
         ~share() { resize(0); }
-        share(share&& from) noexcept
-            : m_account(from.m_account), m_assured(from.m_assured),
-              m_own(std::exchange(from.m_own, 0))
-        {
-        }
         share(const share&) = delete;
         share& operator=(const share&) = delete;
 
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -38,6 +38,7 @@
 void target_call::reset_parser()
 {
     m_parser.emplace();
+    share_memory(0);
     m_parser->eager(true);
     m_parser->body_limit(m_max_body_bytes);
     if (m_has_no_body)
