--- a/tests/mutants/memory.py
+++ b/tests/mutants/memory.py
@@ -22,6 +22,11 @@
     ("returned memory is granted to nobody", ACCOUNT,
      "m_taken -= bytes;\n    grant_waiting();", "m_taken -= bytes;"),
     ("answers have no limit", ACCOUNT,
-     "if (!has_room && shared_to > shared_from)",
-     "if (!has_room && shared_to > shared_from + m_capacity)"),
+     "if (!has_room && to > from)",
+     "if (!has_room && to > from + m_capacity)"),
+    ("assured parts of answers have no limit", ACCOUNT,
+     "m_capacity + m_assured_reserve;", "taken;"),
+    ("more bodies wait than there is memory for", ACCOUNT,
+     "process_reserve / 3 / bytes_per_waiting",
+     "process_reserve / bytes_per_waiting"),
 ]
