Tests: record_keeper_test compiles on x86-64

What callers saw: nothing; the build of the tests failed on x86-64, so that none of them could run there.

Cause: g++ 12 inlines the assignment of a string literal to a protobuf field and warns of a restricted copy that may overlap, with lengths that no string can have; warnings are errors. On arm64 it does not inline that far.

Change: the test passes a string, which is moved.

--- a/tests/serving/record_keeper_test.cpp
+++ b/tests/serving/record_keeper_test.cpp
@@ -137,7 +137,7 @@
         send_record(set_key(key));
     peer::Frame question;
     question.mutable_records_question()->set_after(25);
-    question.mutable_records_question()->add_successors("k");
+    question.mutable_records_question()->add_successors(std::string("k"));
     const auto reply = keeper.handle(question);
     CHECK(reply->stream_origins().origins_size() == 5);
     CHECK(reply->stream_origins().next() == 30);
