Stages: pieces without inputs are called again after a lost call

What callers saw: a request refused with stages_failed after two lost calls of its first stage, though other targets of the stage served; each lost call had all of its stages run again.

Cause: a job whose inputs must have been fetched is given up when its call is lost, since its inputs were released and another call would not find them. The time for that, 40 ms at least, passes for a job without inputs, too, so a job of a first stage was given up as input_lost.

The new test has the call lost 200 ms after it was sent, by a reset, a close and a target that hangs. Before: "pieces without inputs are called again after a late loss" fails for all three, status input_lost after 1 call. After: completed with the third call.

Why it works: only a job with inputs is given up. Another one keeps its limit of three lost calls, as before the 40 ms; three lost calls are also what quarantines a request that crashes targets. That pieces whose inputs were released are not called again has a test of its own, which passed before.

--- a/packages/serving/piece_batcher_results.cpp
+++ b/packages/serving/piece_batcher_results.cpp
@@ -183,6 +183,8 @@
                                               : "less");
 }
 
+// The inputs of a job are released once they must have been fetched, so another
+// call would not find them. Pieces without inputs can be called again.
 void piece_batcher::handle_lost_call(service_queue& queue,
                                      const decision::planned_call& plan)
 {
@@ -195,7 +197,9 @@
             continue;
         if (ref.job != last_job)
             ++accepted->second.lost_calls;
-        if (accepted->second.has_fetched_inputs)
+        const decision::stage_job* job = queue.planner.find(ref.job);
+        if (accepted->second.has_fetched_inputs && job != nullptr &&
+            !job->inputs.empty())
             accepted->second.failure = decision::job_status::input_lost;
         last_job = ref.job;
     }
--- a/tests/serving/stage_calls_test.cpp
+++ b/tests/serving/stage_calls_test.cpp
@@ -14,12 +14,13 @@
 /// 280 ms, and one more call may wait at a target.
 struct batching_entry : serving_fixture
 {
-    /// Adds a job with eight pieces.
-    void add_job()
+    /// Adds a job with eight pieces, which need \a inputs.
+    void add_job(std::vector<std::string> inputs = {})
     {
         decision::stage_job job;
         job.request = "r" + std::to_string(outcomes.size() + 1);
         job.pieces = 8;
+        job.inputs = std::move(inputs);
         job.due = job.expires = time.now() + 60s;
         const std::size_t index = outcomes.size();
         outcomes.emplace_back();
@@ -46,6 +47,18 @@
         }
     }
 
+    /// Returns how the first job ended.
+    decision::job_status status_of_first_job()
+    {
+        for (int step = 0; step < 200 && !outcomes[0]; ++step)
+        {
+            time.advance(50ms);
+            loop.run_for(1ms);
+        }
+        REQUIRE(outcomes[0]);
+        return outcomes[0]->status;
+    }
+
     std::uint64_t count(const std::string& name, const std::string& label,
                         const std::string& value)
     {
@@ -123,6 +136,46 @@
     CHECK_FALSE(entry.fetched[2]);
 }
 
+// Guards against a request that is refused after two lost calls, since each of
+// them had all stages of the request run again.
+TEST_CASE("pieces without inputs are called again after a late loss")
+{
+    for (const end loss : {end::reset, end::close, end::hang})
+    {
+        CAPTURE(static_cast<int>(loss));
+        batching_entry entry;
+        auto& target = entry.add_target(
+            "pieces",
+            [loss](const std::string&, std::size_t number)
+            {
+                return number < 2 ? scripted_target::response{"", loss, 200ms}
+                                  : results();
+            });
+        entry.add_job();
+        CHECK(entry.status_of_first_job() == decision::job_status::completed);
+        CHECK(entry.fetched[0]);
+        CHECK(target.requests().size() == 3);
+    }
+}
+
+// Guards against a call for pieces whose inputs were released meanwhile.
+TEST_CASE("pieces whose inputs were released are not called again")
+{
+    batching_entry entry;
+    auto& target = entry.add_target(
+        "pieces",
+        [](const std::string&, std::size_t number)
+        {
+            return number == 0
+                       ? scripted_target::response{"", end::reset, 200ms}
+                       : results();
+        });
+    entry.add_job({"x/1"});
+    CHECK(entry.status_of_first_job() == decision::job_status::input_lost);
+    CHECK(entry.fetched[0]);
+    CHECK(target.requests().size() == 1);
+}
+
 TEST_CASE("calls are counted by the share of their space that is used")
 {
     batching_entry entry;
