--- a/tests/soak/endless_bytes.py
+++ b/tests/soak/endless_bytes.py
@@ -1,6 +1,7 @@
 """Has targets of all kinds and the store send bytes without end at once, beside
-requests with long bodies and callers that read their answers slowly. No entry
-may take more memory than its settings allow, and all must serve again after.
+requests with long bodies, callers that read their answers slowly and heads that
+do not end. No entry may take more memory than its settings allow, and all must
+serve again after.
 """
 
 import argparse
@@ -16,10 +17,9 @@
 
 COPIES = 4  # Of each target.
 SOUND_COPIES = 1  # Of them.
-CALLERS = 60
-SLOW_CALLERS = 20
-BODY = b"b" * 300_000
 BUDGET_MS = 3000
+HEAD_BYTES = 15_000  # Of a head that does not end; 16,384 are allowed.
+HEADS_PER_S = 2000  # That begin.
 SETTLE_S = 4  # After the last byte, until requests must be served.
 # What a faulty store sends: values that take much more memory once parsed, a
 # long value, and bytes that are no JSON.
@@ -41,16 +41,22 @@
 
 
 class EndlessBytes(TotalLoss):
-    def __init__(self, platform, oracle, seed, seconds):
-        super().__init__(platform, oracle, seed)
-        self.seconds = seconds
+    def __init__(self, platform, oracle, options):
+        super().__init__(platform, oracle, options.seed)
+        self.seconds = options.seconds
+        self.callers = options.callers
+        self.slow_callers = options.slow_callers
+        self.unfinished = options.unfinished_heads
+        self.body = b"b" * options.body_bytes
         self.statuses = []
 
     async def run_all(self, options):
         self.flood_targets()
         until = self.oracle.now() + self.seconds
         callers = [asyncio.create_task(self.call(number, until))
-                   for number in range(CALLERS + SLOW_CALLERS)]
+                   for number in range(self.callers + self.slow_callers)]
+        callers += [asyncio.create_task(self.send_head(number, until))
+                    for number in range(self.unfinished)]
         for block in STORE_BLOCKS:
             self.platform.store.block = block
             await asyncio.sleep(self.seconds / len(STORE_BLOCKS))
@@ -80,12 +86,28 @@
             try:
                 await asyncio.wait_for(
                     self.send_long(entry, sent.request_id, path, pieces,
-                                   is_slow=number >= CALLERS),
+                                   is_slow=number >= self.callers),
                     BUDGET_MS / 1000 + 1)
             except (asyncio.TimeoutError, OSError, wire.ConnectionClosed):
                 self.statuses.append(0)
             await asyncio.sleep(0.05)
 
+    async def send_head(self, number, until):
+        """Sends a head that does not end, again after each refusal."""
+        entry = self.oracle.fleet[number % len(self.oracle.fleet)]
+        host, port = entry.frontend.rsplit(":", 1)
+        await asyncio.sleep(number / HEADS_PER_S)
+        while self.oracle.now() < until:
+            try:
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET /find/x HTTP/1.1\r\nHost: h.example\r\n"
+                             b"X-Long: " + b"a" * HEAD_BYTES)
+                await asyncio.wait_for(reader.read(1), BUDGET_MS / 1000 + 1)
+                writer.close()
+            except (asyncio.TimeoutError, OSError):
+                pass
+            await asyncio.sleep(0.05)
+
     async def send_long(self, entry, request_id, path, pieces, is_slow):
         host, port = entry.frontend.rsplit(":", 1)
         reader, writer = await asyncio.open_connection(
@@ -99,7 +121,7 @@
                 f"X-Mangofold-Pieces: {pieces}\r\n"
                 "X-Mangofold-Token-Count: 120,40\r\n"
                 "Authorization: Bearer always\r\n"
-                f"Content-Length: {len(BODY)}\r\n\r\n").encode() + BODY)
+                f"Content-Length: {len(self.body)}\r\n\r\n").encode() + self.body)
             await writer.drain()
             if is_slow:
                 await asyncio.sleep(BUDGET_MS / 1000)
@@ -125,13 +147,18 @@
     parser = argparse.ArgumentParser(description=__doc__)
     add_options(parser)
     parser.add_argument("--seconds", type=float, default=9)
+    parser.add_argument("--callers", type=int, default=60)
+    parser.add_argument("--slow-callers", type=int, default=20,
+                        help="callers that read their answers slowly")
+    parser.add_argument("--unfinished-heads", type=int, default=0,
+                        help="connections with a head that does not end")
+    parser.add_argument("--body-bytes", type=int, default=300_000)
     options = parser.parse_args()
     options.copies = COPIES
     platform = PlatformStandin(options.base, options.seed)
     platform.store = FloodingStore()
     run_in_folder(options, platform, lambda platform, oracle:
-                  EndlessBytes(platform, oracle, options.seed,
-                               options.seconds))
+                  EndlessBytes(platform, oracle, options))
 
 
 if __name__ == "__main__":
