Tests: late requests in a stop come after short answers

Now each route has had short answers, as in an entry that has run for a while, and the requests that wait for memory may last 3.5 s. With drain::accepts() returning true once the entry is out of rotation, all three cases fail, "each request that waits for memory has ended before the process" for targets that are silent; with the product as it is they pass.

--- a/tests/serving/late_requests_test.cpp
+++ b/tests/serving/late_requests_test.cpp
@@ -41,6 +41,13 @@
             *address = target.address();
             targets.push_back(&target);
         }
+        // The answers before were short, which says nothing about these.
+        for (const catalog::route& route : context->catalog->content().routes)
+        {
+            auto& times = context->times_by_route[route.name];
+            times.time_to_first_event.add(50ms);
+            times.answer_time.add(100ms);
+        }
         context->drain.emplace(time.now(), grace, required_replies);
     }
 
@@ -118,7 +125,7 @@
             callers.push_back(connect());
             const std::string head =
                 request_text("/once/", "r" + std::to_string(callers.size()),
-                             "Content-Length: 400000\r\nBudget: 1500\r\n");
+                             "Content-Length: 400000\r\nBudget: 3500\r\n");
             send(*callers.back(),
                  "POST" + head.substr(3) + std::string(400'000, 'b'));
         }
