Targets: a request that is given up is not sent on

What callers saw: nothing directly.

Cause: an entry that was cut off for 3.2 s had sent the request during the cut. At its deadline the connection was closed, but the system goes on sending what a closed connection has not delivered, at doubling intervals: sent at 30.83 s, the attempts up to 33.83 s fell into the cut, which ended at 33.87 s, and the next one, 6.2 s after the first, is just the arrival at 37.03 s.

The intervals are by arithmetic, no log was kept.

Why it works: while no byte of an answer has come, the connection is reset at its close, so that the system drops what it has not delivered. With an answer begun the target has the request, and the close stays an orderly one.

--- a/packages/serving/target_connection.cpp
+++ b/packages/serving/target_connection.cpp
@@ -1,6 +1,7 @@
 #include "serving/target_connection.hpp"
 
 #include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/socket_base.hpp>
 
 namespace mangofold::serving
 {
@@ -63,6 +64,7 @@
     m_to_send = std::move(bytes);
     m_body_to_send = std::move(body);
     m_is_sending = true;
+    m_is_unanswered = true;
     ++m_sent_count;
     const std::array<asio::const_buffer, 2> buffers{
         asio::buffer(m_to_send),
@@ -94,6 +96,8 @@
     const std::size_t count = co_await m_socket.async_read_some(
         asio::buffer(m_read_buffer), store_error_in(fault));
     m_received.append(m_read_buffer.data(), count);
+    if (count > 0)
+        m_is_unanswered = false;
     co_return finish_step(fault);
 }
 
@@ -109,9 +113,13 @@
     return fault == asio::error::would_block || fault == asio::error::try_again;
 }
 
+// After an orderly close the system would go on sending for minutes, and a
+// target that was cut off would get a request that has been given up.
 void target_connection::close()
 {
     error_code ignored; // Closing a broken socket may report an error.
+    if (m_is_unanswered)
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     m_socket.close(ignored);
     m_timeout.cancel();
 }
--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -50,6 +50,8 @@
     /// Whether the idle connection is open and received no unexpected bytes.
     bool is_reusable();
 
+    /// Closes the connection. What the target has not received of a request
+    /// without an answer is dropped.
     void close();
     bool is_open() const { return m_socket.is_open(); }
 
@@ -65,6 +67,7 @@
     std::uint64_t m_step = 0;
     bool m_is_timed_out = false;
     bool m_is_sending = false;
+    bool m_is_unanswered = false; ///< No byte came since the last send().
     std::uint64_t m_sent_count = 0;
     std::string m_to_send;
     std::shared_ptr<const std::string> m_body_to_send;
