Answers: log what marked the end of each

What callers saw: nothing new. A request_answered said 200 for a part of an answer as for the whole, so that the first hypothesis about answers that end too early (an orderly close of a killed target counts as the end) could not be told from an answer that its target ended. ended_by names the length, chunks or the end of the connection; the counter answers_ended counts them. Nothing depends on it yet. test_serving passes.

--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -360,6 +360,7 @@
     instant m_stages_done_at{};   ///< When the stages ended.
     instant m_first_byte_at{};    ///< Of the answer from a target.
     unsigned m_answer_status = 0; ///< HTTP status of the target's answer.
+    decision::answer_framing m_answer_framing{}; ///< Of that answer.
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -32,6 +32,7 @@
 {
     const unsigned status = call.head().result_int();
     m_answer_status = status;
+    m_answer_framing = call.framing();
     const bool is_valid =
         call.metadata().is_signed && call.metadata().is_unencoded;
     if (is_success(status) && !is_valid)
--- a/packages/serving/exchange_ends.cpp
+++ b/packages/serving/exchange_ends.cpp
@@ -82,6 +82,7 @@
 
 void exchange::log_answer()
 {
+    m_context.count("answers_ended", "by", to_string(m_answer_framing));
     const auto ms_to = [this](instant then)
     {
         return static_cast<std::uint64_t>(
@@ -99,6 +100,7 @@
         .with("tokens", m_metadata.max_output_tokens)
         .with("stages_done", m_stage_times)
         .with("begun_late", m_are_stages_late ? 1 : 0)
+        .with("ended_by", to_string(m_answer_framing))
         .with("catalog", m_catalog->version())
         .info();
 }
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -229,6 +229,14 @@
     co_return result;
 }
 
+decision::answer_framing target_call::framing() const
+{
+    using framing = decision::answer_framing;
+    if (ends_with_connection())
+        return framing::connection;
+    return m_parser->chunked() ? framing::chunks : framing::length;
+}
+
 std::string target_call::take_body()
 {
     share_memory(0);
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/answer_match.hpp"
+#include "decision/answers/answer_framing.hpp"
 #include "runtime/address.hpp"
 #include "serving/dialect.hpp"
 #include "serving/received_body.hpp"
@@ -97,6 +98,9 @@
     }
     bool is_complete() const { return m_parser && m_parser->is_done(); }
 
+    /// Returns what marks the end of the answer.
+    decision::answer_framing framing() const;
+
     /// Whether the answer has neither a length nor chunks, and so ends with its
     /// connection.
     bool ends_with_connection() const { return m_parser->need_eof(); }
