Answers: the end of an unframed answer is confirmed by its target

Cause: an orderly end of the connection was taken for the end of the answer. The system closes the connections of a killed process in order, too. The class: the end of a connection counts as the end of the work.

Now the entry opens a second connection to the target of such an answer while it arrives (the witness), and after the end asks on it whether the target lives, with a path that runs no request. A killed process has lost the witness as well; one that was started in its place, under the same address or the same id, never had it. A target that has stopped listening still has it. Anything but an answer of the target itself within a second leaves the end unconfirmed: a stream that may be resumed goes on from its last event, another one is cut, a plain answer is made again or becomes 502 (504 where the target was silent, which is no crash). Events go out as they arrive; only the end waits, for a round trip.

--- a/packages/catalog/catalog.hpp
+++ b/packages/catalog/catalog.hpp
@@ -91,6 +91,8 @@
     std::optional<call_profile> calls;     ///< Unset if it executes no stages.
     std::optional<engine_capacity> engine; ///< Unset if it has no engine.
     decision::warm_up warm_up{}; ///< Load limits of a target that just started.
+    /// Path that its targets answer without running a request.
+    std::string status_path = "/";
 
     friend bool operator==(const service&, const service&) = default;
 };
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -331,6 +331,7 @@
     record_attempt_end(id);
     m_call->release_connection();
     m_call.reset();
+    m_witness.reset();
     co_return outcome;
 }
 
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -6,6 +6,7 @@
 #include "decision/streams/stream_origin.hpp"
 #include "decision/streams/stream_progress.hpp"
 #include "runtime/event.hpp"
+#include "serving/answer_witness.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/placement_messages.hpp"
@@ -161,6 +162,13 @@
     awaitable<attempt_outcome> attempt();
     awaitable<attempt_outcome> relay_answer(target_call& call);
     awaitable<attempt_outcome> relay_buffered_answer(target_call& call);
+    /// Returns whether an answer that was read to its end is whole: ok, or how
+    /// the attempt has failed.
+    awaitable<target_call::outcome> check_end(const target_call& call);
+    /// Returns what follows after a stream that an attempt has broken off.
+    attempt_outcome
+    handle_broken_stream(target_call::outcome result,
+                         const decision::target_incarnation& target);
     awaitable<attempt_outcome> relay_event_stream(target_call& call);
     awaitable<bool> send_events(target_call& call, std::string events);
     attempt_outcome
@@ -326,6 +334,8 @@
     /// Whether the stages ran again since their results were released early.
     bool m_has_lost_inputs = false;
     std::shared_ptr<target_call> m_call;
+    /// Set while m_call brings an answer that ends with its connection.
+    std::shared_ptr<answer_witness> m_witness;
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
     bool m_is_head_sent = false;
     bool m_is_take_up_counted = false;
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -1,5 +1,6 @@
 #include "serving/exchange.hpp"
 
+#include "runtime/event.hpp"
 #include "serving/event_stream.hpp"
 #include "serving/target_losses.hpp"
 
@@ -12,6 +13,10 @@
 namespace
 {
 
+/// How long the end of an answer may wait for its target's word, which takes a
+/// round trip.
+constexpr duration max_end_check_time = std::chrono::seconds(1);
+
 std::string chunk_head(std::size_t bytes)
 {
     constexpr int hexadecimal = 16;
@@ -40,6 +45,14 @@
         co_await give_up_answer(call);
         co_return attempt_outcome::retry;
     }
+    if (call.ends_with_connection())
+    {
+        const auto* service = m_catalog->find_service(m_service);
+        m_witness = std::make_shared<answer_witness>(
+            m_context, call.target(),
+            service == nullptr ? std::string("/") : service->status_path);
+        m_witness->keep_open();
+    }
     if (m_route->is_stream && is_success(status))
         co_return co_await relay_event_stream(call);
     co_return co_await relay_buffered_answer(call);
@@ -59,6 +72,11 @@
         if (result != target_call::outcome::ok)
             co_return handle_failed_attempt(result, call.target().incarnation);
     }
+    const auto end = co_await check_end(call);
+    if (m_session->has_disconnected())
+        co_return attempt_outcome::given_up;
+    if (end != target_call::outcome::ok)
+        co_return handle_failed_attempt(end, call.target().incarnation);
     const unsigned status = call.head().result_int();
     // A server error is retried on another target where that is allowed: most
     // such errors are limited to one target or one moment.
@@ -94,6 +112,41 @@
     co_return attempt_outcome::answered;
 }
 
+// Nothing but the connection marks the end of such an answer, and the system
+// closes the connections of a killed process in order, too.
+awaitable<target_call::outcome> exchange::check_end(const target_call& call)
+{
+    if (!call.ends_with_connection())
+        co_return target_call::outcome::ok;
+    const instant ended_at = m_context.now();
+    const decision::answer_end end = co_await m_witness->judge_end(
+        std::min(remaining_time(), max_end_check_time));
+    m_context.count("answer_ends_checked", "end", to_string(end));
+    if (end == decision::answer_end::whole)
+        co_return target_call::outcome::ok;
+    runtime::event("answer_end_unconfirmed")
+        .with("request", m_metadata.id)
+        .with("target", call.target().incarnation.id)
+        .with("end", to_string(end))
+        .with("asked_ms", whole_milliseconds(m_context.now() - ended_at))
+        .warn();
+    co_return end == decision::answer_end::unknown
+        ? target_call::outcome::timed_out
+        : target_call::outcome::connection_lost;
+}
+
+exchange::attempt_outcome
+exchange::handle_broken_stream(target_call::outcome result,
+                               const decision::target_incarnation& target)
+{
+    const auto outcome = handle_failed_attempt(result, target);
+    // Released stage results must be produced again before the stream can
+    // resume.
+    return m_is_prompt_read && m_stages && outcome == attempt_outcome::retry
+               ? attempt_outcome::redo_stages
+               : outcome;
+}
+
 awaitable<bool> exchange::send_events(target_call& call, std::string events)
 {
     std::string bytes;
@@ -182,18 +235,11 @@
                                 call.opened_at());
             if (has_survived())
                 record_survival();
+            if (m_witness && !call.is_complete())
+                m_witness->keep_open();
         }
         else
-        {
-            const auto outcome =
-                handle_failed_attempt(result, call.target().incarnation);
-            // Released stage results must be produced again before the stream
-            // can resume.
-            co_return m_is_prompt_read&& m_stages&& outcome ==
-                    attempt_outcome::retry
-                ? attempt_outcome::redo_stages
-                : outcome;
-        }
+            co_return handle_broken_stream(result, call.target().incarnation);
     }
     if (!events.is_between_events() || !m_is_head_sent)
     {
@@ -206,6 +252,11 @@
         co_return m_is_head_sent ? attempt_outcome::redo_stages
                                  : attempt_outcome::retry;
     }
+    const auto end = co_await check_end(call);
+    if (m_session->has_disconnected())
+        co_return attempt_outcome::given_up;
+    if (end != target_call::outcome::ok)
+        co_return handle_broken_stream(end, call.target().incarnation);
     m_context.count("requests_answered", "status", "200");
     record_content_served(m_context, content_digest());
     record_survival();
--- a/packages/serving/message_metadata.hpp
+++ b/packages/serving/message_metadata.hpp
@@ -80,6 +80,7 @@
 struct response_metadata
 {
     std::string id;           ///< Id of the request; may be empty.
+    std::string target;       ///< Id of the target that answered; may be empty.
     bool has_not_run = false; ///< The target did not execute the request.
     bool is_signed = false;   ///< Has the target's signature.
     bool is_unencoded = true; ///< Has no content encoding.
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -47,7 +47,8 @@
 
 awaitable<target_call::outcome> target_call::connect(duration timeout)
 {
-    m_connection = m_pool.take_idle(m_target.incarnation);
+    if (!m_connection)
+        m_connection = m_pool.take_idle(m_target.incarnation);
     if (m_connection)
         co_return outcome::ok;
     m_connection = m_pool.create();
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -58,6 +58,12 @@
     /// Sets the largest body of an answer.
     void set_max_body_bytes(std::uint64_t bytes) { m_max_body_bytes = bytes; }
 
+    /// Has the request sent on \a connection, which is open.
+    void use_connection(connection_ptr connection)
+    {
+        m_connection = std::move(connection);
+    }
+
     /// Sends \a request as the request \a id to this call's target only, and
     /// reads the head of its answer, both within \a timeout. Answers that carry
     /// another id are skipped. \a body replaces the request's own, if there is
--- a/tests/support/plain_dialect.hpp
+++ b/tests/support/plain_dialect.hpp
@@ -67,6 +67,7 @@
     {
         serving::response_metadata metadata;
         metadata.id = text(response, "Id");
+        metadata.target = text(response, "Target");
         metadata.has_not_run = response.count("Not-Run") > 0;
         metadata.is_signed = response.count("Seal") > 0;
         metadata.is_misdirected = response.result_int() == 421;
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -65,14 +65,38 @@
 scripted_target::scripted_target(asio::io_context& loop, script respond)
     : m_loop(loop),
       m_acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      m_script(std::move(respond))
+      m_endpoint(m_acceptor.local_endpoint()), m_script(std::move(respond))
 {
     spawn(loop, accept());
 }
 
 std::string scripted_target::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_endpoint.port());
+}
+
+void scripted_target::stop_listening()
+{
+    error_code ignored; // It may have stopped already.
+    m_acceptor.close(ignored);
+}
+
+void scripted_target::exit()
+{
+    stop_listening();
+    for (const auto& weak : m_sockets)
+        if (const auto socket = weak.lock())
+        {
+            error_code ignored; // The peer may have closed it.
+            socket->close(ignored);
+        }
+    m_sockets.clear();
+}
+
+void scripted_target::restart()
+{
+    m_acceptor = tcp::acceptor(m_loop, m_endpoint);
+    spawn(m_loop, accept());
 }
 
 awaitable<void> scripted_target::accept()
@@ -80,23 +104,24 @@
     for (;;)
     {
         error_code fault;
-        tcp::socket socket =
-            co_await m_acceptor.async_accept(store_error_in(fault));
+        auto socket = std::make_shared<tcp::socket>(
+            co_await m_acceptor.async_accept(store_error_in(fault)));
         if (fault)
             co_return;
         ++m_connections;
+        m_sockets.push_back(socket);
         spawn(m_loop, serve(std::move(socket)));
     }
 }
 
-awaitable<void> scripted_target::serve(tcp::socket socket)
+awaitable<void> scripted_target::serve(std::shared_ptr<tcp::socket> socket)
 {
     std::string bytes;
     std::array<char, 4096> chunk{};
     for (;;)
     {
         error_code fault;
-        const std::size_t count = co_await socket.async_read_some(
+        const std::size_t count = co_await socket->async_read_some(
             asio::buffer(chunk), store_error_in(fault));
         if (fault)
         {
@@ -107,18 +132,26 @@
         const std::size_t length = request_length(bytes);
         if (length == 0)
             continue;
-        m_requests.push_back(bytes.substr(0, length));
+        const std::string request = bytes.substr(0, length);
         bytes.erase(0, length);
+        const bool is_question =
+            request.starts_with("GET " + status_path + " ");
+        m_status_questions += is_question ? 1 : 0;
+        if (!is_question)
+            m_requests.push_back(request);
         const response reply =
-            m_script(m_requests.back(), m_requests.size() - 1);
-        co_await send_response(m_loop, socket, reply);
-        if (reply.action == response::connection_action::reset)
-            socket.set_option(asio::socket_base::linger(true, 0), fault);
-        if (reply.action == response::connection_action::reset ||
-            reply.action == response::connection_action::close)
+            is_question ? m_status : m_script(request, m_requests.size() - 1);
+        co_await send_response(m_loop, *socket, reply);
+        using action = response::connection_action;
+        if (reply.action == action::exit)
+            exit();
+        if (reply.action == action::reset)
+            socket->set_option(asio::socket_base::linger(true, 0), fault);
+        if (reply.action == action::reset || reply.action == action::close ||
+            reply.action == action::exit)
         {
             // The socket's destructor would not send a reset.
-            socket.close(fault);
+            socket->close(fault);
             co_return;
         }
     }
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -10,6 +10,9 @@
 namespace mangofold::test
 {
 
+/// Path of questions for the status of a target.
+inline const std::string status_path = "/status";
+
 /// A target on loopback that answers each request with bytes that a test
 /// supplies, to reproduce broken, late or repeated answers.
 class scripted_target
@@ -25,7 +28,8 @@
             keep,
             close,
             reset,
-            hang ///< Like keep, for answers that never arrive or complete.
+            exit, ///< The target ends: all its connections close, in order.
+            hang  ///< Like keep, for answers that never arrive or complete.
         } action = connection_action::keep;
         serving::duration delay{}; ///< Before the bytes are sent.
         /// Between the bytes and what happens to the connection.
@@ -44,6 +48,19 @@
     scripted_target(serving::asio::io_context& loop, script respond);
 
     std::string address() const;
+
+    /// Has the target answer questions for its status with \a reply. They are
+    /// no requests.
+    void set_status(response reply) { m_status = std::move(reply); }
+    std::size_t status_questions() const { return m_status_questions; }
+
+    /// Closes all connections in order, and listens no more.
+    void exit();
+    /// Listens no more, and keeps its connections.
+    void stop_listening();
+    /// Listens again at its address.
+    void restart();
+
     const std::vector<std::string>& requests() const { return m_requests; }
     std::size_t connections() const { return m_connections; }
 
@@ -52,10 +69,15 @@
 
 private:
     serving::awaitable<void> accept();
-    serving::awaitable<void> serve(serving::tcp::socket socket);
+    serving::awaitable<void>
+    serve(std::shared_ptr<serving::tcp::socket> socket);
 
     serving::asio::io_context& m_loop;
     serving::tcp::acceptor m_acceptor;
+    serving::tcp::endpoint m_endpoint;
+    std::vector<std::weak_ptr<serving::tcp::socket>> m_sockets;
+    response m_status{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    std::size_t m_status_questions = 0;
     script m_script;
     std::vector<std::string> m_requests;
     std::size_t m_connections = 0;
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -61,6 +61,8 @@
          10,
          catalog::call_profile{1, 1, 8, 200ms, 10ms, 1000, 4s, 1e9},
          {}}};
+    for (catalog::service& service : result.services)
+        service.status_path = status_path;
     return result;
 }
 
