--- a/tests/soak/wire.py
+++ b/tests/soak/wire.py
@@ -79,8 +79,13 @@
 
 
 async def serve(address, handle):
-    """Serves requests at an address; handle(message, writer) answers each."""
-    host, port = address.rsplit(":", 1)
+    """Serves requests at an address, or at a socket that listens there;
+    handle(message, writer) answers each."""
+    if isinstance(address, socket.socket):
+        listener = {"sock": address}
+    else:
+        host, port = address.rsplit(":", 1)
+        listener = {"host": host, "port": int(port)}
 
     async def handle_connection(reader, writer):
         writer.peer_has_closed = reader.at_eof  # Whether the peer closed.
@@ -95,5 +100,5 @@
         finally:
             writer.close()
 
-    return await asyncio.start_server(handle_connection, host, int(port),
-                                      limit=1 << 20)
+    return await asyncio.start_server(handle_connection, limit=1 << 20,
+                                      **listener)
