Refusals of HEAD requests have no body

Cause: a refusal was sent with its JSON text, whatever the method. An answer to HEAD ends with its head, so on a kept connection the caller took the text for the beginning of the next answer. By hand, with a real entry: HEAD of a stream was answered 502, a length of 26 and 26 bytes, and the connection stayed open.

Before, "the refusal of a HEAD request has no body" failed: the 404 was followed by its text, not by the answer to the request behind it.

--- a/packages/serving/exchange_refusals.cpp
+++ b/packages/serving/exchange_refusals.cpp
@@ -155,8 +155,12 @@
         fields.set(http::field::retry_after, retry_after());
     log_refusal(status);
     m_context.count("requests_refused", "why", to_string(m_refusal));
+    // The caller takes the bytes after the answer to a HEAD request for the
+    // next answer.
     const std::string body =
-        R"({"error":")" + std::string(to_string(m_refusal)) + "\"}";
+        m_request.method() == http::verb::head
+            ? ""
+            : R"({"error":")" + std::string(to_string(m_refusal)) + "\"}";
     co_await m_session->send_response(status, std::move(fields), body);
 }
 
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -163,6 +163,21 @@
     CHECK(target.requests().empty());
 }
 
+// Guards against a body that no answer to HEAD has: its bytes are taken for the
+// next answer of the connection.
+TEST_CASE("the refusal of a HEAD request has no body")
+{
+    serving_fixture entry;
+    entry.add_target("plain", complete_response);
+    const auto caller = entry.connect();
+    std::string refused = request_text("/unknown/", "r1");
+    refused.replace(0, 3, "HEAD");
+    entry.send(*caller, refused + request_text("/once/", "r2"));
+    entry.run_until([&] { return contains(caller->received, "whole"); });
+    CHECK(contains(caller->received, " 404 "));
+    CHECK(contains(caller->received, "\r\n\r\nHTTP/1.1 200 "));
+}
+
 TEST_CASE("chunked request bodies are forwarded with Content-Length")
 {
     serving_fixture entry;
