Calls of pieces: an unusable answer that ends with its connection is a crash

Cause: an answer with neither a length nor chunks counts as whole after an orderly end of its connection, which a killed target causes, too. The part that came can't be parsed or lacks results, so the call was made again; but its target counted as alive, which even refutes other crashes, and no crash was held against the request. One that kills its stage targets inside the answer was never quarantined. Such an answer is now a lost call, with its crash. One with a length or chunks that can't be used stays an answer of a live target.

--- a/packages/serving/piece_batcher.cpp
+++ b/packages/serving/piece_batcher.cpp
@@ -227,17 +227,30 @@
         state = co_await sent_call->read_rest(timeout);
     const instant now = m_context.now();
     constexpr unsigned ok = 200;
-    if (state == target_call::outcome::ok &&
-        sent_call->head().result_int() == ok)
-    {
-        queue.planner.note_call_answered(plan, now - started_at, now);
-        record_target_alive(m_context, plan.target, sent_call->opened_at());
-        handle_answer(queue, plan, *sent_call);
-    }
+    const bool has_ended = state == target_call::outcome::ok &&
+                           sent_call->head().result_int() == ok;
+    const auto results =
+        has_ended ? read_results(plan, *sent_call) : std::nullopt;
+    // The connections of a target that was killed end in order, too.
+    const bool is_cut =
+        has_ended && !results && sent_call->ends_with_connection();
+    if (is_cut)
+        state = target_call::outcome::connection_lost;
+    // An answer that can't be used casts doubt on all that the connection
+    // brings.
+    const instant opened_at = sent_call->opened_at();
+    const bool is_usable = results || (is_full && !has_ended);
+    is_usable ? sent_call->release_connection() : sent_call->abort();
+    if (!has_ended || is_cut)
+        handle_failed_call(service, plan, state, is_full, started_at);
     else
     {
-        handle_failed_call(service, plan, state, is_full, started_at);
-        is_full ? sent_call->release_connection() : sent_call->abort();
+        queue.planner.note_call_answered(plan, now - started_at, now);
+        record_target_alive(m_context, plan.target, opened_at);
+        if (results)
+            handle_results(queue, plan, *results);
+        else
+            handle_lost_call(queue, plan);
     }
     queue.pieces += plan.pieces.size();
     ++queue.calls;
--- a/packages/serving/piece_batcher.hpp
+++ b/packages/serving/piece_batcher.hpp
@@ -141,8 +141,10 @@
                                           duration after);
     duration fetch_time(const service_queue& queue,
                         const decision::planned_call& plan) const;
-    void handle_answer(service_queue& queue, const decision::planned_call& plan,
-                       target_call& call);
+    /// Returns the results in the answer to \a plan; nothing if it can't be
+    /// used.
+    std::optional<std::vector<piece_result>>
+    read_results(const decision::planned_call& plan, target_call& call) const;
     void handle_results(service_queue& queue,
                         const decision::planned_call& plan,
                         const std::vector<piece_result>& results);
--- a/packages/serving/piece_batcher_results.cpp
+++ b/packages/serving/piece_batcher_results.cpp
@@ -15,19 +15,16 @@
 
 } // namespace
 
-// An answer that can't be used casts doubt on all that the connection brings.
-void piece_batcher::handle_answer(service_queue& queue,
-                                  const decision::planned_call& plan,
-                                  target_call& call)
+std::optional<std::vector<piece_result>>
+piece_batcher::read_results(const decision::planned_call& plan,
+                            target_call& call) const
 {
     try
     {
-        const auto results =
-            m_context.protocol.parse_piece_results(call.take_body());
+        auto results = m_context.protocol.parse_piece_results(call.take_body());
         if (results.size() != plan.pieces.size())
             throw invalid_message("wrong number of results");
-        handle_results(queue, plan, results);
-        call.release_connection();
+        return results;
     }
     catch (const invalid_message& fault)
     {
@@ -35,8 +32,7 @@
             .with("target", plan.target.id)
             .with("fault", fault.what())
             .warn();
-        call.abort();
-        handle_lost_call(queue, plan);
+        return std::nullopt;
     }
 }
 
--- a/tests/serving/stage_calls_test.cpp
+++ b/tests/serving/stage_calls_test.cpp
@@ -158,6 +158,42 @@
     }
 }
 
+// Guards against results that are missing from the answer of a killed target:
+// without a length it ends in order, and counted as the answer of a sound one,
+// so that a request which kills its targets was never held against them.
+TEST_CASE("an unusable answer that ends with its connection is a crash")
+{
+    for (const std::string body : {"", "x/0\nx/1\n", "unreadable"})
+        for (const bool has_length : {false, true})
+        {
+            CAPTURE(body);
+            CAPTURE(has_length);
+            batching_entry entry;
+            auto& target = entry.add_target(
+                "pieces",
+                [&](const std::string&, std::size_t number)
+                {
+                    if (number > 0)
+                        return results();
+                    const std::string head =
+                        "HTTP/1.1 200 OK\r\nId: \r\nSeal: s\r\n";
+                    return has_length
+                               ? scripted_target::response{response_text("",
+                                                                         body),
+                                                           end::keep}
+                               : scripted_target::response{head + "\r\n" + body,
+                                                           end::close};
+                });
+            entry.add_job();
+            CHECK(entry.status_of_first_job() ==
+                  decision::job_status::completed);
+            CHECK(target.requests().size() == 2);
+            CHECK(entry.count("calls_failed", "why", "lost") ==
+                  (has_length ? 0 : 1));
+            CHECK(entry.context->quarantine.crashes().is_empty() == has_length);
+        }
+}
+
 // Guards against a call for pieces whose inputs were released meanwhile.
 TEST_CASE("pieces whose inputs were released are not called again")
 {
