--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -242,6 +242,19 @@
     CHECK(dialect.producer_address("10.0.0.1:80/ab") == "10.0.0.1:80");
 }
 
+// Guards against a part of an answer with neither a length nor chunks, whose
+// target was killed: it must not be read as fewer results.
+TEST_CASE("no part of the answer to a call is read as a whole one")
+{
+    const platform::request_dialect dialect;
+    const std::string whole =
+        R"({"items":[{"handle":"a:1/x"},{"why":"room"},{"handle":"a:1/y"}]})";
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        CHECK_THROWS_AS(dialect.parse_piece_results(whole.substr(0, size)),
+                        serving::invalid_message);
+    CHECK(dialect.parse_piece_results(whole).size() == 3);
+}
+
 TEST_CASE("pages and changes of the store are parsed")
 {
     const platform::store_dialect store;
--- a/tests/platform/store_pages_test.cpp
+++ b/tests/platform/store_pages_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/store_dialect.hpp"
+#include "serving/message_metadata.hpp"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -158,3 +159,30 @@
         "\"current_rev\":9}");
     CHECK(page.last_key == "a\xf0\x9f\x98\x80\\udcff ");
 }
+
+// Guards against a part of an answer with neither a length nor chunks, whose
+// sender was killed: it must not be read as a shorter page.
+TEST_CASE("no part of an answer of the store is read as a whole one")
+{
+    const platform::store_dialect store;
+    const std::string item =
+        R"({"key":"servers/i-1","value":"e30=","rev":12},)"
+        R"({"key":"op/config","value":"e30=","rev":13,"removed":true})";
+    const std::string page =
+        R"({"items":[)" + item + R"(],"more_pages":true,"current_rev":30})";
+    const std::string changes =
+        R"({"current_rev":30,"events":[)" + item + R"(]})";
+    for (std::size_t size = 0; size < page.size(); ++size)
+    {
+        CAPTURE(size);
+        const std::string part = page.substr(0, size);
+        CHECK_THROWS_AS(store.parse_targets(part), serving::invalid_message);
+        CHECK_THROWS_AS(store.parse_declarations(part),
+                        serving::invalid_message);
+    }
+    for (std::size_t size = 0; size < changes.size(); ++size)
+        CHECK_THROWS_AS(store.parse_changes(changes.substr(0, size)),
+                        serving::invalid_message);
+    CHECK(store.parse_targets(page).changes.size() == 2);
+    CHECK(store.parse_changes(changes).changes.size() == 2);
+}
--- a/tests/serving/exchange_test.cpp
+++ b/tests/serving/exchange_test.cpp
@@ -163,6 +163,32 @@
     CHECK(target.requests().empty());
 }
 
+// Guards against a request that runs with a part of its body, since its caller
+// was killed: the system ends the connection in order.
+TEST_CASE("a request that is cut at any byte is not run")
+{
+    const std::string head =
+        "POST /once/ HTTP/1.1\r\nHost: h\r\nKey: good-key\r\nId: r1\r\n";
+    for (const std::string& whole :
+         {head + "Content-Length: 5\r\n\r\nabcde",
+          head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n"
+                 "0\r\n\r\n"})
+        for (std::size_t size = 0; size < whole.size(); ++size)
+        {
+            CAPTURE(whole);
+            CAPTURE(size);
+            serving_fixture entry;
+            auto& target = entry.add_target("plain", complete_response);
+            const auto caller = entry.connect();
+            entry.send(*caller, whole.substr(0, size));
+            caller->socket.shutdown(
+                mangofold::serving::tcp::socket::shutdown_send);
+            entry.run_until([&] { return caller->is_ended; });
+            CHECK(caller->received.empty());
+            CHECK(target.requests().empty());
+        }
+}
+
 // Guards against a body that no answer to HEAD has: its bytes are taken for the
 // next answer of the connection.
 TEST_CASE("the refusal of a HEAD request has no body")
--- a/tests/serving/frame_socket_test.cpp
+++ b/tests/serving/frame_socket_test.cpp
@@ -72,6 +72,14 @@
     return message;
 }
 
+awaitable<void> count_frames(frame_socket_ptr from, std::size_t& frames,
+                             bool& is_ended)
+{
+    while (const auto frame = co_await from->read())
+        ++frames;
+    is_ended = true;
+}
+
 } // namespace
 
 // Guards against answers and finished pieces that arrive seconds late because
@@ -121,3 +129,33 @@
     CHECK_FALSE(collector.add(make_part(1ULL << 40U, 3, "abc")));
     CHECK_FALSE(collector.add(make_part(0, 0, "")));
 }
+
+// Guards against a frame of an entry that was killed while it sent: the system
+// ends its connections in order.
+TEST_CASE("a frame that is cut at any byte is not read")
+{
+    peer::Frame part;
+    *part.mutable_catalog_part() = make_part(3, 0, "abc");
+    const std::string body = part.SerializeAsString();
+    REQUIRE(body.size() < 256);
+    const std::string bytes =
+        std::string(3, '\0') + static_cast<char>(body.size()) + body;
+    for (std::size_t size = 0; size <= bytes.size(); ++size)
+    {
+        CAPTURE(size);
+        asio::io_context loop{1};
+        tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+        tcp::socket sender(loop);
+        sender.connect(acceptor.local_endpoint());
+        const auto receiver = std::make_shared<frame_socket>(acceptor.accept());
+        asio::write(sender, asio::buffer(bytes.data(), size));
+        sender.close();
+        std::size_t frames = 0;
+        bool is_ended = false;
+        spawn(loop, count_frames(receiver, frames, is_ended));
+        for (int step = 0; step < 1000 && !is_ended; ++step)
+            loop.run_for(1ms);
+        CHECK(is_ended);
+        CHECK(frames == (size == bytes.size() ? 1 : 0));
+    }
+}
