--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -47,7 +47,8 @@
 
 awaitable<target_call::outcome> target_call::connect(duration timeout)
 {
-    m_connection = m_pool.take_idle(m_target.incarnation);
+    if (!m_connection)
+        m_connection = m_pool.take_idle(m_target.incarnation);
     if (m_connection)
         co_return outcome::ok;
     m_connection = m_pool.create();
@@ -229,6 +230,14 @@
     co_return result;
 }
 
+decision::answer_framing target_call::framing() const
+{
+    using framing = decision::answer_framing;
+    if (ends_with_connection())
+        return framing::connection;
+    return m_parser->chunked() ? framing::chunks : framing::length;
+}
+
 std::string target_call::take_body()
 {
     share_memory(0);
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision/answer_match.hpp"
+#include "decision/answers/answer_framing.hpp"
 #include "runtime/address.hpp"
 #include "serving/dialect.hpp"
 #include "serving/received_body.hpp"
@@ -57,6 +58,12 @@
     /// Sets the largest body of an answer.
     void set_max_body_bytes(std::uint64_t bytes) { m_max_body_bytes = bytes; }
 
+    /// Has the request sent on \a connection, which is open.
+    void use_connection(connection_ptr connection)
+    {
+        m_connection = std::move(connection);
+    }
+
     /// Sends \a request as the request \a id to this call's target only, and
     /// reads the head of its answer, both within \a timeout. Answers that carry
     /// another id are skipped. \a body replaces the request's own, if there is
@@ -97,6 +104,9 @@
     }
     bool is_complete() const { return m_parser && m_parser->is_done(); }
 
+    /// Returns what marks the end of the answer.
+    decision::answer_framing framing() const;
+
     /// Whether the answer has neither a length nor chunks, and so ends with its
     /// connection.
     bool ends_with_connection() const { return m_parser->need_eof(); }
