--- a/packages/serving/answer_witness.cpp
+++ b/packages/serving/answer_witness.cpp
@@ -83,6 +83,9 @@
         return decision::life_sign::silent;
     if (result != target_call::outcome::ok)
         return decision::life_sign::lost;
+    // Some servers send this when they close an idle connection, unasked.
+    if (question.head().result() == http::status::request_timeout)
+        return decision::life_sign::lost;
     const response_metadata& answer = question.metadata();
     const bool is_own =
         !answer.is_misdirected &&
--- a/tests/decision/answers/end_check_test.cpp
+++ b/tests/decision/answers/end_check_test.cpp
@@ -17,7 +17,7 @@
 {
     bytes,     ///< More of the answer arrives.
     end,       ///< The answer's connection ends in order.
-    idle_end,  ///< The target closes the witness, which was idle.
+    idle_end,  ///< The target closes the idle witness, with a notice.
     kill,      ///< The target is killed; its connections end.
     unlisted,  ///< The list says that the target is gone.
     same_back, ///< A new process has its address and its id.
@@ -44,6 +44,7 @@
             m_is_finished = m_is_finished || m_is_alive;
             break;
         case step::idle_end:
+            m_has_notice = m_has_notice || m_is_witness_open;
             m_is_witness_open = false;
             break;
         case step::kill:
@@ -68,7 +69,8 @@
         if (!m_check.needs_question())
             return m_check.judge(life_sign::silent);
         if (m_check.asks_witness())
-            return m_check.judge(m_is_alive && m_is_witness_open
+            return m_check.judge(m_has_notice ||
+                                         (m_is_alive && m_is_witness_open)
                                      ? life_sign::own_answer
                                      : life_sign::lost);
         return m_check.judge(sign_at_address());
@@ -90,6 +92,7 @@
     void open_witness()
     {
         m_is_witness_open = m_is_alive || m_successor != step::kill;
+        m_has_notice = false;
         if (m_is_witness_open)
             m_check.note_witness_opened();
     }
@@ -112,6 +115,7 @@
     bool m_is_finished = false; ///< The target has ended the answer.
     bool m_has_unread = false;
     bool m_is_witness_open = false;
+    bool m_has_notice = false;     ///< Unread on the witness.
     step m_successor = step::kill; ///< None, until one has started.
 };
 
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -28,7 +28,7 @@
   "engine":{"capacity":96,"kv_tokens":444000}},
  {"name":"s2","max_connections":9,"pieces":{"capacity":1,"queue":2,"batch":16,
   "call_ms":200.0,"item_ms":11.5,"room_mb":36.0,"handle_s":4.0}},
- {"name":"s3"}],
+ {"name":"s3","health_check":"/healthz"}],
  "limits":{"max_header_bytes":100,"idle_timeout_ms":15000},
  "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})";
 
@@ -89,6 +89,23 @@
     CHECK(document.limits.header_bytes == 100);
     CHECK(document.checks_keys);
     CHECK(document.accounts[0].keys.size() == 2);
+    CHECK(document.services.at(0).status_path == "/api/report");
+    CHECK(document.services.at(1).status_path == "/api/report");
+    CHECK(document.services.at(2).status_path == "/healthz");
+}
+
+// Guards against a path of the configuration that adds lines to a request.
+TEST_CASE("a health check that is no path is not asked for")
+{
+    for (const char* path : {"", "healthz", "/a b", "/a\\r\\nX: 1"})
+    {
+        CAPTURE(path);
+        const auto document = platform::read_catalog(
+            R"({"version":1,"routes":[],"backends":[{"name":"s",)"
+            R"("health_check":")" +
+            std::string(path) + R"("}]})");
+        CHECK(document.services.at(0).status_path == "/api/report");
+    }
 }
 
 TEST_CASE("an unreadable configuration throws an error")
