Answers: a target may close or refuse the witness and still confirm an answer

A reviewer who had not seen the work showed, on the paused-clock fixture: a target at its limit of connections resets the witness, so that its whole answers became 502 or cut streams, each with a crash, and after three its request was quarantined; one that closes idle connections lost every plain answer without a length that took longer; each read opened another connection where the witness could not stay open; a status answer that is no answer counted as a crash of a living target; a caller that left was not noticed during the wait.

Now the entry watches the witness while the answer arrives. A reset says nothing, and an orderly end says that the target may have ended only if the answer ends within 50 ms, as far as the entry has waited for it meanwhile: bytes that it reads late do not count. Else the target is asked on a new connection. A new witness is opened once a second at most. Bytes on the witness that are no answer come from the target, too. Without another target to turn to the wait lasts until the deadline instead of a second: a whole answer of a busy target is not given up.

Shown by test_killed_targets, now 10 cases: "a target that closes the witness can confirm its answer", "only the target itself confirms an answer on a new connection", "another target answers if one does not confirm its answer in time".

--- a/packages/decision/answers/end_check.cpp
+++ b/packages/decision/answers/end_check.cpp
@@ -1,5 +1,7 @@
 #include "decision/answers/end_check.hpp"
 
+#include <algorithm>
+
 namespace mangofold::decision
 {
 
@@ -16,23 +18,31 @@
     }
 }
 
-// What a killed target had sent before may be read after the loss of the
-// witness was noticed, by an entry that runs late. An answer that goes on for
-// longer shows that the target had only closed an idle connection.
-void end_check::note_end(bool is_witness_open, instant now)
+// A target also resets a connection that is one too many, which says nothing
+// about its life.
+void end_check::note_witness_ended(bool is_orderly, instant now)
+{
+    m_is_witness_open = false;
+    if (is_orderly)
+        m_witness_ended_at = now;
+}
+
+// The connections of a killed target end together, but the entry may read the
+// answer's end late. A wait that outlasts the witness shows that the target had
+// only closed an idle connection.
+void end_check::note_read(instant began, instant ended)
 {
-    constexpr duration late_bytes_time = std::chrono::milliseconds(100);
-    const bool is_lost = m_witness == witness::open && !is_witness_open;
-    if (is_lost || (m_lost_at && now < *m_lost_at + late_bytes_time))
-        m_witness = witness::closed;
+    constexpr duration same_time = std::chrono::milliseconds(50);
+    if (m_witness_ended_at &&
+        ended - std::max(began, *m_witness_ended_at) >= same_time)
+        m_witness_ended_at.reset();
 }
 
-// A process that is killed loses all its connections, in order, and does not
-// answer on any. One that is started in its place does not have the witness,
+// A process that is started in place of a killed one does not have the witness,
 // even if it has the same address and the same id.
 answer_end end_check::judge(life_sign sign) const
 {
-    if (!needs_question())
+    if (may_target_have_ended())
         return answer_end::broken_off;
     switch (sign)
     {
--- a/packages/decision/answers/end_check.hpp
+++ b/packages/decision/answers/end_check.hpp
@@ -14,7 +14,7 @@
 {
     own_answer,   ///< The target answered.
     other_answer, ///< Another target answered at its address.
-    refused,      ///< Nothing listens at its address.
+    refused,      ///< No connection to its address could be opened.
     lost,         ///< The connection ended without an answer.
     silent        ///< No answer came in time.
 };
@@ -23,7 +23,7 @@
 enum class answer_end : std::uint8_t
 {
     whole,      ///< Its target ended it.
-    broken_off, ///< Its target has ended.
+    broken_off, ///< Its target has probably ended.
     unknown
 };
 
@@ -35,44 +35,32 @@
 class end_check
 {
 public:
-    /// Whether a witness is to be opened: there is none, or the target has
-    /// closed an idle one and goes on with the answer.
-    bool needs_witness() const { return m_witness == witness::none; }
+    void note_witness_opened() { m_is_witness_open = true; }
 
-    void note_witness_opened() { m_witness = witness::open; }
+    /// Notes that the witness has ended, in order if \a is_orderly.
+    void note_witness_ended(bool is_orderly, instant now);
 
-    /// Notes that the target has closed the witness while the answer goes on.
-    void note_witness_lost(instant now)
-    {
-        m_witness = witness::none;
-        m_lost_at = now;
-    }
+    /// Notes that the entry waited from \a began to \a ended until the answer
+    /// went on, or ended.
+    void note_read(instant began, instant ended);
 
-    /// Notes the orderly end of the answer, at which the witness was open if
-    /// \a is_witness_open.
-    void note_end(bool is_witness_open, instant now);
+    /// Whether the witness is open.
+    bool has_witness() const { return m_is_witness_open; }
 
-    /// Whether to ask the target on the witness. Else it is asked on a new
-    /// connection, if at all.
-    bool asks_witness() const { return m_witness == witness::open; }
-
-    /// Whether an answer of the target would tell how the answer ended.
-    bool needs_question() const { return m_witness != witness::closed; }
+    /// Whether the witness has ended, and the target may have ended with it.
+    bool may_target_have_ended() const
+    {
+        return m_witness_ended_at.has_value();
+    }
 
-    /// Returns how the answer ended, where the question that was sent after its
-    /// end has brought \a sign.
+    /// Returns how the answer has ended. The question was sent after its end,
+    /// on the witness if that was open, else on a new connection.
     answer_end judge(life_sign sign) const;
 
 private:
-    enum class witness : std::uint8_t
-    {
-        none,
-        open,
-        closed ///< Together with the answer.
-    };
-
-    witness m_witness = witness::none;
-    std::optional<instant> m_lost_at; ///< When the last witness was lost.
+    bool m_is_witness_open = false;
+    /// Set until the target is known to have outlived the witness.
+    std::optional<instant> m_witness_ended_at;
 };
 
 } // namespace mangofold::decision
--- a/packages/serving/answer_witness.cpp
+++ b/packages/serving/answer_witness.cpp
@@ -6,73 +6,117 @@
 namespace
 {
 
-/// How long a target may take to accept the connection.
-constexpr duration open_timeout = std::chrono::milliseconds(300);
+/// How long a target may take to accept a connection.
+constexpr duration connect_timeout = std::chrono::milliseconds(300);
+
+/// Between two connections, for a target that closes idle ones soon.
+constexpr duration min_open_interval = std::chrono::seconds(1);
 
 } // namespace
 
 answer_witness::answer_witness(entry_context& context, call_destination target,
                                std::string status_path)
     : m_context(context), m_target(std::move(target)),
-      m_status_path(std::move(status_path)), m_is_opened(context.loop)
+      m_status_path(std::move(status_path)), m_has_connected(context.loop)
 {
 }
 
-void answer_witness::keep_open()
+void answer_witness::open()
 {
-    if (m_is_opening)
-        return;
-    if (!m_check.needs_witness() && !m_connection->is_reusable())
-        m_check.note_witness_lost(m_context.now());
-    if (m_check.needs_witness())
-        spawn(m_context.loop, open());
+    m_opened_at = m_context.now();
+    m_is_connecting = true;
+    spawn(m_context.loop,
+          [](std::shared_ptr<answer_witness> self) -> awaitable<void>
+          { co_await self->connect(connect_timeout); }(shared_from_this()));
 }
 
-awaitable<void> answer_witness::open()
+void answer_witness::note_read(instant began)
 {
-    const auto self = shared_from_this();
-    m_is_opening = true;
+    const instant now = m_context.now();
+    m_check.note_read(began, now);
+    const bool may_reopen = !m_is_connecting && !m_check.has_witness() &&
+                            !m_check.may_target_have_ended() &&
+                            now >= m_opened_at + min_open_interval;
+    if (may_reopen)
+        open();
+}
+
+awaitable<void> answer_witness::connect(duration timeout)
+{
+    m_is_connecting = true;
     m_connection = m_context.connection_pool.create();
-    m_opened = co_await m_connection->open(m_target.address, open_timeout);
-    m_is_opening = false;
-    if (m_opened == target_connection::outcome::ok)
+    const connection_ptr connection = m_connection;
+    m_connected = co_await connection->open(m_target.address, timeout);
+    m_is_connecting = false;
+    if (m_is_closed)
+        m_connected = target_connection::outcome::failed;
+    if (m_connected == target_connection::outcome::ok)
+    {
         m_check.note_witness_opened();
-    m_is_opened.set();
+        spawn(m_context.loop, watch(weak_from_this(), connection));
+    }
+    m_has_connected.set();
+}
+
+awaitable<void> answer_witness::watch(std::weak_ptr<answer_witness> witness,
+                                      connection_ptr connection)
+{
+    co_await connection->wait_readable();
+    const auto self = witness.lock();
+    if (!self || self->m_is_asking || self->m_is_closed)
+        co_return;
+    // Bytes that nobody asked for announce the end of an idle connection.
+    self->m_check.note_witness_ended(!connection->is_reset(),
+                                     self->m_context.now());
+}
+
+void answer_witness::close()
+{
+    m_is_closed = true;
+    if (m_connection)
+        m_connection->close();
 }
 
 awaitable<decision::answer_end> answer_witness::judge_end(duration timeout)
 {
     const auto self = shared_from_this();
     const instant until = m_context.now() + timeout;
-    while (m_is_opening && m_context.now() < until)
-        co_await m_is_opened.wait(until - m_context.now());
-    m_check.note_end(m_connection && m_connection->is_reusable(),
-                     m_context.now());
-    if (!m_check.needs_question())
+    while (m_is_connecting)
+        co_await m_has_connected.wait(connect_timeout);
+    if (m_check.may_target_have_ended())
         co_return decision::answer_end::broken_off;
-    const duration left = time_until(until, m_context.now());
-    const decision::life_sign sign = co_await ask(left);
+    const decision::life_sign sign = co_await ask(until);
     co_return m_check.judge(sign);
 }
 
-awaitable<decision::life_sign> answer_witness::ask(duration timeout)
+awaitable<decision::life_sign> answer_witness::ask(instant until)
 {
-    if (!m_check.asks_witness())
+    const bool has_witness =
+        m_check.has_witness() && m_connection->is_reusable();
+    if (!has_witness)
     {
-        co_await open();
-        if (m_opened == target_connection::outcome::timed_out)
+        co_await connect(
+            std::min(connect_timeout, time_until(until, m_context.now())));
+        if (m_connected == target_connection::outcome::timed_out)
             co_return decision::life_sign::silent;
-        if (m_opened != target_connection::outcome::ok)
+        if (m_connected != target_connection::outcome::ok)
             co_return decision::life_sign::refused;
     }
+    m_is_asking = true;
     const auto question = std::make_shared<target_call>(
         m_context.connection_pool, m_context.protocol, m_target);
-    question->use_connection(std::move(m_connection));
+    question->use_connection(m_connection);
     const auto result = co_await question->send_request(
         http_request{http::verb::get, m_status_path, 11},
-        m_context.call_ids.next(), timeout);
-    const decision::life_sign sign = sign_of(result, *question);
-    question->release_connection();
+        m_context.call_ids.next(), time_until(until, m_context.now()));
+    // Whatever comes on the witness comes from the target.
+    const decision::life_sign sign =
+        has_witness && result == target_call::outcome::invalid_answer
+            ? decision::life_sign::own_answer
+            : sign_of(result, *question);
+    if (!m_is_closed)
+        question->release_connection();
+    m_connection.reset();
     co_return sign;
 }
 
@@ -81,10 +125,9 @@
 {
     if (result == target_call::outcome::timed_out)
         return decision::life_sign::silent;
-    if (result != target_call::outcome::ok)
-        return decision::life_sign::lost;
-    // Some servers send this when they close an idle connection, unasked.
-    if (question.head().result() == http::status::request_timeout)
+    // Some servers send 408 when they close an idle connection, unasked.
+    if (result != target_call::outcome::ok ||
+        question.head().result() == http::status::request_timeout)
         return decision::life_sign::lost;
     const response_metadata& answer = question.metadata();
     const bool is_own =
--- a/packages/serving/answer_witness.hpp
+++ b/packages/serving/answer_witness.hpp
@@ -20,17 +20,30 @@
     /// request.
     answer_witness(entry_context& context, call_destination target,
                    std::string status_path);
+    ~answer_witness() { close(); }
 
-    /// Opens the connection in the background if it is not open.
-    void keep_open();
+    answer_witness(const answer_witness&) = delete;
+    answer_witness& operator=(const answer_witness&) = delete;
+
+    /// Opens the connection in the background.
+    void open();
+
+    /// Notes a read of the answer, for which the entry has waited since
+    /// \a began. Opens the connection again if the target had closed it.
+    void note_read(instant began);
 
     /// Returns how the answer ended, whose connection has just ended in order.
     /// Waits at most \a timeout for the target.
     awaitable<decision::answer_end> judge_end(duration timeout);
 
+    /// Ends judge_end().
+    void close();
+
 private:
-    awaitable<void> open();
-    awaitable<decision::life_sign> ask(duration timeout);
+    awaitable<void> connect(duration timeout);
+    static awaitable<void> watch(std::weak_ptr<answer_witness> witness,
+                                 connection_ptr connection);
+    awaitable<decision::life_sign> ask(instant until);
     decision::life_sign sign_of(target_call::outcome result,
                                 const target_call& question) const;
 
@@ -39,9 +52,12 @@
     std::string m_status_path;
     decision::end_check m_check;
     connection_ptr m_connection;
-    target_connection::outcome m_opened = target_connection::outcome::ok;
-    bool m_is_opening = false;
-    auto_reset_event m_is_opened;
+    target_connection::outcome m_connected = target_connection::outcome::ok;
+    instant m_opened_at{};
+    bool m_is_connecting = false;
+    bool m_is_closed = false;
+    bool m_is_asking = false;
+    auto_reset_event m_has_connected;
 };
 
 } // namespace mangofold::serving
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -95,6 +95,8 @@
         {
             if (m_call)
                 m_call->abort();
+            if (m_witness)
+                m_witness->close();
             if (m_stages)
                 m_stages->abort();
         });
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -162,6 +162,8 @@
     awaitable<attempt_outcome> attempt();
     awaitable<attempt_outcome> relay_answer(target_call& call);
     awaitable<attempt_outcome> relay_buffered_answer(target_call& call);
+    /// Reads more of the answer, and lets the witness know.
+    awaitable<target_call::outcome> read_more(target_call& call);
     /// Returns whether an answer that was read to its end is whole: ok, or how
     /// the attempt has failed.
     awaitable<target_call::outcome> check_end(const target_call& call);
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -13,8 +13,8 @@
 namespace
 {
 
-/// How long the end of an answer may wait for its target's word, which takes a
-/// round trip.
+/// How long a request that another target may answer waits for the word of its
+/// target.
 constexpr duration max_end_check_time = std::chrono::seconds(1);
 
 std::string chunk_head(std::size_t bytes)
@@ -51,7 +51,7 @@
         m_witness = std::make_shared<answer_witness>(
             m_context, call.target(),
             service == nullptr ? std::string("/") : service->status_path);
-        m_witness->keep_open();
+        m_witness->open();
     }
     if (m_route->is_stream && is_success(status))
         co_return co_await relay_event_stream(call);
@@ -63,7 +63,7 @@
 {
     while (!call.is_complete())
     {
-        const auto result = co_await call.read_more(remaining_time());
+        const auto result = co_await read_more(call);
         if (m_session->has_disconnected())
         {
             call.abort();
@@ -112,6 +112,15 @@
     co_return attempt_outcome::answered;
 }
 
+awaitable<target_call::outcome> exchange::read_more(target_call& call)
+{
+    const instant began = m_context.now();
+    const auto result = co_await call.read_more(remaining_time());
+    if (m_witness)
+        m_witness->note_read(began);
+    co_return result;
+}
+
 // Nothing but the connection marks the end of such an answer, and the system
 // closes the connections of a killed process in order, too.
 awaitable<target_call::outcome> exchange::check_end(const target_call& call)
@@ -119,8 +128,10 @@
     if (!call.ends_with_connection())
         co_return target_call::outcome::ok;
     const instant ended_at = m_context.now();
-    const decision::answer_end end = co_await m_witness->judge_end(
-        std::min(remaining_time(), max_end_check_time));
+    const duration time = m_sends->may_send()
+                              ? std::min(remaining_time(), max_end_check_time)
+                              : remaining_time();
+    const decision::answer_end end = co_await m_witness->judge_end(time);
     m_context.count("answer_ends_checked", "end", to_string(end));
     if (end == decision::answer_end::whole)
         co_return target_call::outcome::ok;
@@ -223,7 +234,7 @@
         }
         if (call.is_complete())
             break;
-        const auto result = co_await call.read_more(remaining_time());
+        const auto result = co_await read_more(call);
         if (m_session->has_disconnected())
         {
             call.abort();
@@ -235,8 +246,6 @@
                                 call.opened_at());
             if (has_survived())
                 record_survival();
-            if (m_witness && !call.is_complete())
-                m_witness->keep_open();
         }
         else
             co_return handle_broken_stream(result, call.target().incarnation);
--- a/packages/serving/target_connection.cpp
+++ b/packages/serving/target_connection.cpp
@@ -101,15 +101,35 @@
     co_return finish_step(fault);
 }
 
-bool target_connection::is_reusable()
+awaitable<void> target_connection::wait_readable()
+{
+    const auto self = shared_from_this();
+    error_code ignored; // The caller looks at the connection.
+    co_await m_socket.async_wait(tcp::socket::wait_read,
+                                 store_error_in(ignored));
+}
+
+error_code target_connection::peek()
 {
-    if (!m_socket.is_open() || !m_received.empty() || m_is_sending)
-        return false;
     error_code fault;
     m_socket.non_blocking(true, fault);
     char peeked = 0;
     m_socket.receive(asio::buffer(&peeked, 1), tcp::socket::message_peek,
                      fault);
+    return fault;
+}
+
+bool target_connection::is_reset()
+{
+    const error_code fault = peek();
+    return fault && fault != asio::error::eof;
+}
+
+bool target_connection::is_reusable()
+{
+    if (!m_socket.is_open() || !m_received.empty() || m_is_sending)
+        return false;
+    const error_code fault = peek();
     return fault == asio::error::would_block || fault == asio::error::try_again;
 }
 
--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -47,6 +47,13 @@
     /// Returns the received bytes that were not consumed yet.
     std::string& received() { return m_received; }
 
+    /// Waits until bytes or the end of the connection can be read, or it is
+    /// closed.
+    awaitable<void> wait_readable();
+
+    /// Whether the peer has reset the connection.
+    bool is_reset();
+
     /// Whether the idle connection is open and received no unexpected bytes.
     bool is_reusable();
 
@@ -59,6 +66,8 @@
     instant usable_until{}; ///< End of its idle time in the pool.
 
 private:
+    /// Returns what a read would find now.
+    error_code peek();
     void start_timeout(duration timeout);
     outcome finish_step(const error_code& fault);
 
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -81,6 +81,12 @@
     m_acceptor.close(ignored);
 }
 
+void scripted_target::close_newest()
+{
+    if (const auto socket = m_sockets.back().lock())
+        socket->close();
+}
+
 void scripted_target::exit()
 {
     stop_listening();
@@ -96,6 +102,7 @@
 void scripted_target::restart()
 {
     m_acceptor = tcp::acceptor(m_loop, m_endpoint);
+    m_max_connections = static_cast<std::size_t>(-1);
     spawn(m_loop, accept());
 }
 
@@ -109,6 +116,14 @@
         if (fault)
             co_return;
         ++m_connections;
+        std::erase_if(m_sockets, [](const auto& weak)
+                      { return weak.expired() || !weak.lock()->is_open(); });
+        if (m_sockets.size() >= m_max_connections)
+        {
+            socket->set_option(asio::socket_base::linger(true, 0), fault);
+            socket->close(fault);
+            continue;
+        }
         m_sockets.push_back(socket);
         spawn(m_loop, serve(std::move(socket)));
     }
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -54,6 +54,11 @@
     void set_status(response reply) { m_status = std::move(reply); }
     std::size_t status_questions() const { return m_status_questions; }
 
+    /// Has the target reset connections beyond \a count.
+    void set_max_connections(std::size_t count) { m_max_connections = count; }
+    /// Closes the newest connection in order.
+    void close_newest();
+
     /// Closes all connections in order, and listens no more.
     void exit();
     /// Listens no more, and keeps its connections.
@@ -78,6 +83,7 @@
     std::vector<std::weak_ptr<serving::tcp::socket>> m_sockets;
     response m_status{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
     std::size_t m_status_questions = 0;
+    std::size_t m_max_connections = static_cast<std::size_t>(-1);
     script m_script;
     std::vector<std::string> m_requests;
     std::size_t m_connections = 0;
