Soak: killed targets: a run that fails ends, each framing is owed

Each run now has to judge undisturbed answers of each kind in each framing, so that ends of connections of targets that live are checked in each.

--- a/tests/soak/killed_targets.py
+++ b/tests/soak/killed_targets.py
@@ -13,13 +13,14 @@
 import random
 import re
 import signal
+import subprocess
 import sys
 
 import wire
 from callers import REQUEST_KINDS, Connection
 from oracle import NOT_EXECUTED_STATUSES, SentRequest
 from store import Store
-from target_process import LEAVING_S, PART_COUNT
+from target_process import FRAMINGS, PART_COUNT
 from targets import TargetLog
 from total_loss import add_options, run_in_folder
 from world import HEARTBEAT_S, configuration
@@ -42,6 +43,14 @@
 PART_PATTERN = re.compile(rb"<(\d+) (\w+) ([\w.-]+)>")
 
 
+async def wait_for(condition, complaint):
+    until = asyncio.get_running_loop().time() + PROCESS_S
+    while not condition():
+        if asyncio.get_running_loop().time() > until:
+            raise RuntimeError(complaint)
+        await asyncio.sleep(0.001)
+
+
 class Disturbances:
     """When something was disturbed."""
 
@@ -93,25 +102,29 @@
         """Returns a process that takes the address once it is free."""
         self.platform.started += 1
         program = os.path.join(os.path.dirname(__file__), "target_process.py")
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, program, self.address, target_id, self.version,
-            self.log_path, "--seed",
-            f"{self.platform.seed}.{self.platform.started}",
-            *["--engine"] * (self.service == "models"),
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
+        process = subprocess.Popen(
+            [sys.executable, program, self.address, target_id, self.version,
+             self.log_path, "--seed",
+             f"{self.platform.seed}.{self.platform.started}",
+             *["--engine"] * (self.service == "models")],
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        os.set_blocking(process.stdout.fileno(), False)
         self.platform.processes.append(process)
         await self.read_state(process, "started")
         return process
 
     async def read_state(self, process, state):
-        """Waits for a line that tells the state of a process."""
-        line = await asyncio.wait_for(process.stdout.readline(), PROCESS_S)
-        if line.decode().strip() != state:
-            raise RuntimeError(f"{self.address}: not {state}")
+        """Waits until a process tells that it is in a state."""
+        await wait_for(lambda: process.stdout.readline().strip() ==
+                       state.encode(), f"{self.address} has not {state}")
+
+    async def wait_exit(self):
+        await wait_for(lambda: self.process.poll() is not None,
+                       f"{self.id} has not exited")
 
     async def take_over(self, process, target_id):
         """Lists a process as soon as it serves."""
-        await self.read_state(process, "serving")
+        await self.read_state(process, "served")
         self.process, self.id = process, target_id
         self.born = int(asyncio.get_running_loop().time() * 1000)
         self.list()
@@ -176,8 +189,8 @@
 
     def end(self):
         for process in self.processes:
-            if process.returncode is None:
-                process.kill()
+            process.kill()
+            process.wait()
 
 
 class KilledTargets:
@@ -228,7 +241,7 @@
     async def kill_process(self, place, what):
         self.note(what, place.id, place.address)
         place.process.kill()
-        await place.process.wait()
+        await place.wait_exit()
 
     async def kill_for_good(self, place, delay_s, what):
         await asyncio.sleep(delay_s)
@@ -274,8 +287,7 @@
             self.note("leave", place.id)
             place.list()
             place.process.terminate()
-            await asyncio.wait_for(place.process.wait(),
-                                   LEAVING_S + PROCESS_S)
+            await place.wait_exit()
             self.platform.store.remove(f"servers/{place.id}")
             if place.service == "models":
                 await self.platform.keepers.retire(place.host)
@@ -375,8 +387,10 @@
             self.oracle.faults += [f"{entry.name} exited: {exit_code}"
                                    for exit_code in entry.unexpected_exits]
         for kind in REQUEST_KINDS:
-            if not self.judged[kind]:
-                self.oracle.faults.append(f"no {kind} was owed an answer")
+            for framing in FRAMINGS:
+                if not self.judged[kind, framing]:
+                    self.oracle.faults.append(
+                        f"no {kind} was owed an answer framed by {framing}")
         outcomes = collections.Counter(
             (sent.kind, sent.status, sent.is_complete)
             for sent in self.requests)
@@ -388,7 +402,7 @@
             print(f"faults of answers: {dict(counts)}")
         print(f"seed {self.platform.seed}: {len(self.oracle.faults)} faults, "
               f"{len(self.requests)} requests, {len(self.history)} "
-              f"disturbances, owed and checked: {dict(self.judged)}")
+              f"disturbances, {self.judged.total()} answers owed")
 
     def faults_of(self, sent):
         runs = self.runs[sent.request_id]
@@ -405,7 +419,7 @@
                 sent.status in NOT_EXECUTED_STATUSES:
             yield f"answered {sent.status} though it ran"
         if self.is_owed(sent, runs):
-            self.judged[sent.kind] += 1
+            self.judged[sent.kind, runs[-1]["framing"] if runs else ""] += 1
             if sent.status != 200 or not sent.is_complete:
                 yield (f"undisturbed, but answered {sent.status}"
                        f"{'' if sent.is_complete else ' incomplete'} "
--- a/tests/soak/target_process.py
+++ b/tests/soak/target_process.py
@@ -62,7 +62,7 @@
         leaving = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, leaving.set)
         await wire.serve(listener, self.handle)
-        print("serving", flush=True)
+        print("served", flush=True)
         await leaving.wait()
         await asyncio.sleep(LEAVING_S)
         idle_s = random.uniform(*IDLE_S)
