Soak: mutants of the check of answers' ends

The programs were built by hand with the same changes; mutants.py itself was not run.

Not among them: an answer of another target counts as one of its own.

--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -12,9 +12,10 @@
 
 # Name, file, source text, its replacement, kinds of disturbances that expose
 # the mutant, further arguments of the soak, and a part of the fault that must
-# show it; without kinds, total_loss.py exposes it, and the arguments are its
-# own.
-TOTAL_LOSS = None
+# show it; instead of kinds, the name of another soak that exposes it, and the
+# arguments are its own.
+TOTAL_LOSS = "total_loss.py"
+KILLED_TARGETS = "killed_targets.py"
 LONG_ROLL = ["--long-streams", "--entries", "6", "--callers", "48",
              "--seconds", "14"]
 LOSSES = ["kill_all", "loss_series", "break_streams", "keeper"]
@@ -199,6 +200,23 @@
      'route.priority = value.value("priority", 0U);',
      'route.priority = 9U - value.value("priority", 0U);',
      ["uneven"], ["--entries", "6"]),
+    ("ends are never checked", "packages/serving/exchange_answers.cpp",
+     "    if (!call.ends_with_connection())\n"
+     "        co_return target_call::outcome::ok;\n    const instant",
+     "    if (m_witness || !call.ends_with_connection())\n"
+     "        co_return target_call::outcome::ok;\n    const instant",
+     KILLED_TARGETS, ["--seconds", "8"], "complete after"),
+    ("a refused question counts as an answer",
+     "packages/decision/answers/end_check.cpp",
+     "    case life_sign::own_answer:\n",
+     "    case life_sign::own_answer:\n    case life_sign::refused:\n"
+     "    case life_sign::lost:\n",
+     KILLED_TARGETS, ["--seconds", "8"], "complete after"),
+    ("a sound unframed end is never believed",
+     "packages/decision/answers/end_check.cpp",
+     "    case life_sign::own_answer:\n        return answer_end::whole;",
+     "    case life_sign::own_answer:\n        return answer_end::broken_off;",
+     KILLED_TARGETS, ["--seconds", "8"], "undisturbed, but"),
 ]
 
 
@@ -229,9 +247,9 @@
 def find_fault(folder, kinds, options, extra_arguments=(), shown_as=""):
     """Returns the first seed that shows a fault, and the fault."""
     for seed in range(1, options.seeds + 1):
-        program = "total_loss.py" if kinds is TOTAL_LOSS else "soak.py"
+        program = kinds if isinstance(kinds, str) else "soak.py"
         arguments = ["--seed", str(seed), "--base", str(options.base)]
-        if kinds is not TOTAL_LOSS:
+        if program == "soak.py":
             arguments += ["--seconds", str(options.seconds), "--only", *kinds]
         result = run([sys.executable, f"tests/soak/{program}",
                       "build/bin/mangofold-platform-entry",
