Streams: versions nobody reported are read from the list

What callers saw: a stream that its caller takes up without naming it, or whose record is lost, goes on at a target of another software version. Its version came after the last report to the record keepers before all entries were lost, and was gone when they came back; or an entry that record keepers do not hear of had begun it while others started.

Cause: spans of time in which the list was followed were joined over up to 10 s that nobody had watched. The reason given, that no stream begins while all entries are down, does not hold for the time from the last report to the loss, nor while one entry serves on unheard.

Change: an observation states the revision of the list up to which all changes were seen (VersionObservation.revision). Spans are joined only where they overlap. An entry that starts, and learns of a span that ended before its own, reads the changes since that span's revision by one watch that does not wait. Versions written in them, and those that had targets at the end of the span, count as seen when the entry began: changes name no time and removals no version. Where the source has dropped the changes, or the answer is of a release before and names no revision, the spans stay apart and the stream is refused. A keeper keeps the older span until a newer one has ended more than 10 s later, as an entry that has just started reports before it has read. An entry asks keepers on, ten times at most as before, until nothing is unread.

Why it works: every version that had targets between the spans either had them at the end of the first, and was told with it, or was written after its revision.

Tests that took a span with a gap of 5 s for known now read the changes first and check that nothing is known without; a version that had targets at the end of the span now speaks against another one until the entry's start, 5 s longer than before in "is never too little". The model has revisions, and a dropped history now takes the changes from all entries, not from one.

--- a/packages/decision/streams/version_answers.hpp
+++ b/packages/decision/streams/version_answers.hpp
@@ -17,7 +17,8 @@
     static constexpr std::size_t min_answers = 2;
 
     /// Notes the answer of one of \a keepers record keepers, and adds what it
-    /// makes known to \a history. Returns whether enough have answered.
+    /// makes known to \a history. Returns whether enough have answered and
+    /// no span of theirs waits for changes that are to be read.
     bool note(const std::string& keeper, const version_observation& seen,
               std::size_t keepers, version_history& history);
 
--- a/packages/decision/streams/version_history.cpp
+++ b/packages/decision/streams/version_history.cpp
@@ -36,33 +36,103 @@
     }
 }
 
-// Entries that are all lost see nothing until one has started again, and no
-// stream begins meanwhile. So a short time without observations hides no
-// version at which a stream can have begun.
+void version_history::note_gap(instant now, std::uint64_t revision)
+{
+    m_followed_since = now;
+    m_followed_until = now;
+    m_revision = revision;
+    m_earlier.reset();
+}
+
+void version_history::note_missed()
+{
+    m_followed_since.reset();
+    m_earlier.reset();
+}
+
+// Between two spans a version may have come and gone: entries may have been
+// lost before they told anyone of it, and one that nobody hears of begins
+// streams. The older span is kept for a while, as an entry that reads the
+// changes since then can add its own to it.
 void version_history::merge(const version_observation& other)
 {
     note_last_seen(other.last_seen);
-    const bool is_adjoining =
-        m_followed_since && other.since <= m_followed_until + max_unobserved &&
-        *m_followed_since <= other.until + max_unobserved;
-    if (is_adjoining)
-    {
-        m_followed_since = std::min(*m_followed_since, other.since);
-        m_followed_until = std::max(m_followed_until, other.until);
-    }
-    else if (!m_followed_since || other.until > m_followed_until)
-    {
-        m_followed_since = other.since;
-        m_followed_until = other.until;
-    }
+    const bool is_far_newer = other.since > m_followed_until &&
+                              other.until > m_followed_until + max_unobserved;
+    if (!m_followed_since || is_far_newer)
+        replace_by(other);
+    else if (other.until < *m_followed_since)
+        note_earlier(other);
+    else if (other.since <= m_followed_until)
+        join(other);
+}
+
+void version_history::replace_by(const version_observation& other)
+{
+    m_followed_since = other.since;
+    m_followed_until = other.until;
+    m_revision = other.revision;
+    m_earlier.reset();
+}
+
+void version_history::join(const version_observation& other)
+{
+    m_followed_until = std::max(m_followed_until, other.until);
+    m_revision = std::max(m_revision, other.revision);
+    join_earlier(other.since);
+}
+
+void version_history::join_earlier(instant since)
+{
+    m_followed_since = std::min(*m_followed_since, since);
+    if (!m_earlier || m_earlier->until < *m_followed_since)
+        return;
+    m_followed_since = std::min(*m_followed_since, m_earlier->since);
+    m_earlier.reset();
+}
+
+// The changes since the newest revision are the likeliest to be there.
+void version_history::note_earlier(const version_observation& other)
+{
+    const bool is_near = *m_followed_since <= other.until + max_unobserved;
+    const bool is_better = !m_earlier || other.revision > m_earlier->revision ||
+                           (other.revision == m_earlier->revision &&
+                            other.since < m_earlier->since);
+    if (other.revision > 0 && is_near && is_better)
+        m_earlier = {other.since, other.until, other.revision};
+}
+
+std::optional<std::uint64_t> version_history::unread_after() const
+{
+    if (!m_earlier || m_earlier->revision <= m_unreadable)
+        return std::nullopt;
+    return m_earlier->revision;
+}
+
+// Changes name no time, and a removal no version. So whatever had targets at
+// the end of the earlier span, or was written after it, may have served until
+// this one began.
+void version_history::note_read(std::uint64_t after,
+                                const std::set<stream_origin>& written)
+{
+    if (!m_earlier || m_earlier->revision < after)
+        return;
+    std::map<stream_origin, instant> seen;
+    for (const stream_origin& origin : written)
+        seen[origin] = *m_followed_since;
+    for (const auto& [origin, last_seen] : m_last_seen)
+        if (last_seen >= m_earlier->until)
+            seen[origin] = *m_followed_since;
+    note_last_seen(seen);
+    join_earlier(m_earlier->until);
 }
 
 std::optional<version_observation> version_history::observation() const
 {
     if (!m_followed_since)
         return std::nullopt;
-    return version_observation{*m_followed_since, m_followed_until,
-                               m_last_seen};
+    return version_observation{*m_followed_since, m_followed_until, m_last_seen,
+                               m_revision};
 }
 
 bool version_history::has_other_version(const stream_origin& origin,
--- a/packages/serving/source_reader.cpp
+++ b/packages/serving/source_reader.cpp
@@ -3,7 +3,9 @@
 #include "decision/source_polling.hpp"
 #include "runtime/event.hpp"
 
+#include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 namespace mangofold::serving
@@ -245,8 +247,8 @@
     m_context.versions.note_versions(m_context.directory.take_seen_versions(),
                                      m_context.now());
     // The answer may have waited at this process while it stood still.
-    m_context.versions.note_up_to_date(sent_at);
     m_revision = std::max(m_revision, page.revision);
+    m_context.versions.note_up_to_date(sent_at, m_revision);
     if (page.changes.empty())
         co_return true;
     const bool is_asked = co_await m_confirmation_asked.wait(
@@ -257,6 +259,45 @@
     co_return true;
 }
 
+// The history may not reach back as far, and an answer may contain a part of
+// the changes. What fails otherwise is asked for again.
+awaitable<bool> source_reader::read_missed(std::uint64_t after)
+{
+    std::set<decision::stream_origin> written;
+    for (std::uint64_t read_to = after;;)
+    {
+        unsigned status = 0;
+        const auto body =
+            co_await fetch(m_dialect.watch_request(read_to, duration::zero()),
+                           source_read_time, source_read_time, status);
+        if (body && status == gone)
+        {
+            m_context.versions.note_unreadable(after);
+            runtime::event("missed_changes_lost")
+                .with("revision", after)
+                .info();
+            co_return true;
+        }
+        if (!body || status != source_ok)
+            co_return false;
+        const source_page page = m_dialect.parse_changes(*body);
+        for (const source_change& change : page.changes)
+            if (change.kind == source_change::record_kind::target)
+                written.insert({change.target.service, change.target.version});
+        if (page.revision >= std::max(m_revision, after))
+            break;
+        if (page.revision <= read_to)
+            co_return false;
+        read_to = page.revision;
+    }
+    m_context.versions.note_read(after, written);
+    runtime::event("missed_changes_read")
+        .with("revision", after)
+        .with("versions", written.size())
+        .info();
+    co_return true;
+}
+
 awaitable<void> source_reader::sleep(duration time)
 {
     loop_timer timer(m_context.loop, time);
@@ -292,6 +333,7 @@
 // would hide the failure.
 void source_reader::confirm()
 {
+    m_is_read_missed_due = true;
     m_confirmation_asked.set();
     const bool is_waiting = m_watch_started_at && !m_is_watch_aborted &&
                             !m_is_confirming && m_failures == 0 &&
@@ -313,6 +355,10 @@
         bool is_ok = false;
         try
         {
+            const auto unread = m_context.versions.unread_after();
+            if (is_watch && std::exchange(m_is_read_missed_due, false) &&
+                unread)
+                co_await read_missed(*unread);
             if (is_watch)
                 is_ok = co_await watch();
             else
--- a/packages/serving/source_reader.hpp
+++ b/packages/serving/source_reader.hpp
@@ -7,6 +7,7 @@
 #include "serving/source.hpp"
 #include "serving/target_call.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,6 +56,8 @@
 
     /// Has the source confirm at once that the list is up to date, or send what
     /// has changed: the next watch does not wait, and one that waits is ended.
+    /// Changes that were missed before the list was read are read, too, if the
+    /// history of versions lacks them.
     void confirm();
 
     /// Returns whether the source is reachable and is sending an answer. Other
@@ -85,6 +88,8 @@
     duration watch_wait();
     awaitable<bool> watch();
     void note_watch_refused();
+    /// Notes the versions in the changes after the revision \a after.
+    awaitable<bool> read_missed(std::uint64_t after);
     void apply(const source_page& page);
     void report_skipped_items(const source_page& page);
     void report_unknown_service(const source_change& change);
@@ -126,8 +131,9 @@
     unsigned m_last_status = 0;                  ///< 0 if there was no answer.
     std::shared_ptr<target_call> m_current_call; ///< The last request.
     std::optional<instant> m_watch_started_at;   ///< The current watch.
-    bool m_is_watch_aborted = false; ///< By end_long_watch() or confirm().
-    bool m_is_confirming = false;    ///< The current watch does not wait.
+    bool m_is_watch_aborted = false;   ///< By end_long_watch() or confirm().
+    bool m_is_confirming = false;      ///< The current watch does not wait.
+    bool m_is_read_missed_due = false; ///< See confirm().
     auto_reset_event m_confirmation_asked;
 };
 
--- a/packages/serving/source_reader_list.cpp
+++ b/packages/serving/source_reader_list.cpp
@@ -205,7 +205,7 @@
     for (const std::string& id : missing)
         report_removal(id, m_list.revision, "list");
     m_context.has_all_targets = true;
-    m_context.versions.note_gap(m_context.now());
+    m_context.versions.note_gap(m_context.now(), m_list.revision);
     m_context.list_current_at = m_context.now();
     runtime::event("targets_read")
         .with("targets", m_list.targets.size())
--- a/packages/serving/stream_messages.cpp
+++ b/packages/serving/stream_messages.cpp
@@ -99,6 +99,7 @@
 {
     message.set_since_ago_ns((now - seen.since).count());
     message.set_until_ago_ns((now - seen.until).count());
+    message.set_revision(seen.revision);
     for (const auto& [origin, last_seen] : seen.last_seen)
     {
         peer::VersionObservation::Seen& version = *message.add_seen();
@@ -117,7 +118,8 @@
         return std::nullopt;
     decision::version_observation seen{time_before(now, message.since_ago_ns()),
                                        time_before(now, message.until_ago_ns()),
-                                       {}};
+                                       {},
+                                       message.revision()};
     for (const peer::VersionObservation::Seen& version : message.seen())
     {
         if (version.service().empty() ||
--- a/packages/serving/stream_registry.cpp
+++ b/packages/serving/stream_registry.cpp
@@ -519,9 +519,12 @@
     // What this entry sees itself comes first, or a version that is new would
     // be missing from the longer span.
     note_versions();
-    if (!m_version_answers.note(address, *seen,
-                                m_channel.listed_record_keepers(),
-                                m_context.versions))
+    const auto unread = m_context.versions.unread_after();
+    const bool is_enough = m_version_answers.note(
+        address, *seen, m_channel.listed_record_keepers(), m_context.versions);
+    if (m_context.versions.unread_after() != unread)
+        m_context.confirm_list();
+    if (!is_enough)
         return;
     m_version_questions = max_version_questions;
     const auto all = m_context.versions.observation();
@@ -565,6 +568,9 @@
         now < *m_versions_asked_at + version_question_interval)
         return;
     m_versions_asked_at = now;
+    // What failed to be read is read again.
+    if (m_context.versions.unread_after())
+        m_context.confirm_list();
     peer::Frame frame;
     frame.mutable_version_question();
     const std::size_t receivers =
--- a/tests/decision/streams/origin_records_test.cpp
+++ b/tests/decision/streams/origin_records_test.cpp
@@ -226,7 +226,7 @@
 version_observation observed(instant since, instant until,
                              const stream_origin& origin)
 {
-    return {since, until, {{origin, until}}};
+    return {since, until, {{origin, until}}, 7};
 }
 
 } // namespace
@@ -241,10 +241,86 @@
     history.note_up_to_date(start + 1s);
     CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
     history.merge(observed(start - 40s, start - 5s, first_version));
+    CHECK(history.unread_after() == 7);
+    history.note_read(7, {first_version});
+    CHECK_FALSE(history.is_unread());
     CHECK(history.only_version("chat", 20s, start + 1s) == "v1");
     CHECK(history.observation()->since == start - 40s);
 }
 
+// Guards against a version that came and went between two spans, before anyone
+// was told of it.
+TEST_CASE("a time that nobody watched counts once its changes were read")
+{
+    version_history history;
+    history.note_gap(start, 9);
+    history.note_versions({first_version}, start);
+    history.note_up_to_date(start + 1s);
+    history.merge(observed(start - 40s, start - 1ns, first_version));
+    CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
+    history.note_read(7, {second_version});
+    CHECK(history.observation()->since == start - 40s);
+    CHECK(history.has_other_version(first_version, 0s, start + 1s));
+    CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
+}
+
+// Guards against a version that left between two spans: its removal does not
+// name it, so it may have served until the second one.
+TEST_CASE("what had targets at the end of a span may have served after it")
+{
+    version_history history;
+    history.note_gap(start, 9);
+    history.note_versions({first_version}, start);
+    history.merge(observed(start - 40s, start - 9s, second_version));
+    history.note_read(7, {});
+    CHECK(history.observation()->last_seen.at(second_version) == start);
+}
+
+// Guards against spans that are joined although the changes between them are
+// lost, or can't be asked for.
+TEST_CASE("changes that can't be read join no spans")
+{
+    version_history history;
+    history.note_gap(start, 9);
+    version_observation earlier =
+        observed(start - 40s, start - 5s, first_version);
+    earlier.revision = 0; // Of a release before.
+    history.merge(earlier);
+    CHECK_FALSE(history.is_unread());
+    earlier.revision = 7;
+    history.merge(earlier);
+    history.note_unreadable(7);
+    CHECK_FALSE(history.unread_after());
+    CHECK(history.is_unread());
+    CHECK(history.observation()->since == start);
+    // A later one has no gap before this span, or is newer than what is lost.
+    earlier.revision = 8;
+    earlier.since = start - 30s;
+    history.merge(earlier);
+    CHECK(history.unread_after() == 8);
+    history.merge(observed(start - 20s, start, first_version));
+    CHECK_FALSE(history.unread_after());
+    CHECK(history.observation()->since == start - 30s);
+    history.note_read(7, {});
+    CHECK(history.observation()->since == start - 30s);
+}
+
+// Guards against an entry that has just started and tells record keepers of its
+// short span before it has read what was missed.
+TEST_CASE("a record keeper keeps a span until the next one can be added")
+{
+    version_history history;
+    history.merge(observed(start - 60s, start, first_version));
+    history.merge(observed(start + 3s, start + 9s, first_version));
+    CHECK(history.observation()->since == start - 60s);
+    CHECK(history.observation()->until == start);
+    history.merge(observed(start - 60s, start + 10s, first_version));
+    CHECK(history.observation()->since == start - 60s);
+    CHECK(history.observation()->until == start + 10s);
+    history.merge(observed(start + 15s, start + 21s, first_version));
+    CHECK(history.observation()->since == start + 15s);
+}
+
 // Guards against a guess: another version has served before the loss, or may
 // have served unseen.
 TEST_CASE("what entries saw before their loss is never too little")
@@ -255,9 +331,14 @@
     history.note_up_to_date(start + 20s);
     history.merge(observed(start - 40s, start - 11s, first_version));
     CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
+    CHECK_FALSE(history.is_unread());
     history.merge(observed(start - 40s, start - 5s, second_version));
+    history.note_read(7, {});
     CHECK_FALSE(history.only_version("chat", 20s, start + 1s));
-    CHECK(history.only_version("chat", 20s, start + 20s) == "v1");
+    // The second version may have served until this entry started.
+    history.note_versions({first_version}, start + 20s);
+    CHECK_FALSE(history.only_version("chat", 19s, start + 20s));
+    CHECK(history.only_version("chat", 18s, start + 20s) == "v1");
     // A later observation of a shorter span takes nothing away.
     history.merge(observed(start - 1s, start, first_version));
     CHECK(history.observation()->since == start - 40s);
--- a/tests/decision/streams/version_fleet.hpp
+++ b/tests/decision/streams/version_fleet.hpp
@@ -6,6 +6,7 @@
 #include "decision/streams/version_reports.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <set>
 #include <string>
 #include <vector>
@@ -67,11 +68,14 @@
 
     void list(const std::string& version)
     {
-        m_listed.push_back({version, m_now, instant::max()});
+        m_changed_at.push_back(m_now);
+        m_listed.push_back(
+            {version, m_now, instant::max(), m_changed_at.size()});
     }
 
     void unlist(const std::string& version)
     {
+        m_changed_at.push_back(m_now);
         for (listing& known : m_listed)
             if (known.version == version)
                 known.until = std::min(known.until, m_now);
@@ -175,6 +179,7 @@
         std::string version;
         instant since;
         instant until;
+        std::uint64_t revision; ///< Of the list, when it was written.
     };
 
     struct entry
@@ -246,6 +251,34 @@
         at.history.note_versions(seen, m_now);
     }
 
+    /// Returns the revision of the list at \a time, as far as it has changed.
+    std::uint64_t revision_at(instant time) const
+    {
+        const auto next = std::ranges::upper_bound(m_changed_at, time);
+        return static_cast<std::uint64_t>(next - m_changed_at.begin());
+    }
+
+    /// Returns the versions that were listed after \a revision.
+    std::set<stream_origin> written_after(std::uint64_t revision) const
+    {
+        std::set<stream_origin> written;
+        for (const listing& known : m_listed)
+            if (known.revision > revision)
+                written.insert({service, known.version});
+        return written;
+    }
+
+    void read_missed(entry& one) const
+    {
+        const auto unread = one.history.unread_after();
+        if (!unread || one.is_list_cut)
+            return;
+        if (*unread < m_oldest_revision)
+            one.history.note_unreadable(*unread);
+        else
+            one.history.note_read(*unread, written_after(*unread));
+    }
+
     void start(entry& one)
     {
         one = {};
@@ -259,7 +292,7 @@
         one.listed_at = m_now;
         one.questions = 0;
         one.answers.clear();
-        one.history.note_gap(m_now);
+        one.history.note_gap(m_now, revision_at(m_now));
         note(one, versions_at(m_now));
     }
 
@@ -274,7 +307,7 @@
             return;
         note(one, versions_between(one.listed_at, until));
         one.listed_at = until;
-        one.history.note_up_to_date(until);
+        one.history.note_up_to_date(until, revision_at(until));
     }
 
     void maintain(entry& one)
@@ -312,6 +345,7 @@
             if (one.answers.note(std::to_string(number), *known,
                                  m_keepers.size(), one.history))
                 one.questions = 10;
+            read_missed(one);
         }
     }
 
@@ -395,7 +429,10 @@
         case 11:
             if (m_given.is_history_lost && one.is_up && !one.is_frozen &&
                 !one.is_list_cut)
+            {
+                m_oldest_revision = revision_at(m_now);
                 read_list(one);
+            }
             return;
         default:
             if (!one.is_up || one.is_frozen)
@@ -446,10 +483,12 @@
     troubles m_given;
     instant m_now = instant(1h);
     std::vector<listing> m_listed;
+    std::vector<instant> m_changed_at; ///< By the revision of the list.
     std::vector<entry> m_entries;
     std::vector<keeper> m_keepers;
     std::vector<stream> m_streams;
     bool m_are_keepers_cut = false;
+    std::uint64_t m_oldest_revision = 0; ///< Whose changes can be read.
 };
 
 /// Takes up streams between random events, in a run for each seed.
--- a/tests/serving/record_keeper_test.cpp
+++ b/tests/serving/record_keeper_test.cpp
@@ -121,6 +121,16 @@
           std::chrono::nanoseconds(32s).count());
 }
 
+// Guards against an entry that can't read the changes after what record keepers
+// were told.
+TEST_CASE_FIXTURE(keeper_fixture, "a record keeper tells the list's revision")
+{
+    report([](peer::VersionObservation&) {});
+    CHECK(ask_versions().revision() == 0);
+    report([](peer::VersionObservation& seen) { seen.set_revision(9); });
+    CHECK(ask_versions().revision() == 9);
+}
+
 // Guards against records that end with a keeper that is told to stop, or that
 // it confirms although it is about to end.
 TEST_CASE_FIXTURE(keeper_fixture, "a record keeper that stops hands on")
--- a/tests/serving/source_reader_test.cpp
+++ b/tests/serving/source_reader_test.cpp
@@ -44,20 +44,25 @@
             if (request.starts_with("GET /watch"))
             {
                 ++watch_requests;
+                if (request.starts_with("GET /watch/"))
+                    ++history_requests;
                 if (!is_changing)
                     continue;
             }
             const std::string body =
                 request.starts_with("GET /targets") ? std::string() : catalog;
-            co_await answer(socket, body);
+            const std::string status =
+                request.starts_with("GET /watch/") ? history_status : "200 OK";
+            co_await answer(socket, body, status);
         }
     }
 
-    awaitable<void> answer(tcp::socket& socket, const std::string& body)
+    awaitable<void> answer(tcp::socket& socket, const std::string& body,
+                           const std::string& status)
     {
         const std::size_t part = body.size() / 10;
         error_code fault;
-        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " +
+        const std::string head = "HTTP/1.1 " + status + "\r\nContent-Length: " +
                                  std::to_string(body.size()) + "\r\n\r\n";
         co_await asio::async_write(socket, asio::buffer(head),
                                    store_error_in(fault));
@@ -77,9 +82,51 @@
     std::string catalog;
     std::size_t catalog_requests = 0;
     std::size_t watch_requests = 0;
+    std::size_t history_requests = 0; ///< Of these, by a history_dialect.
+    std::string history_status = "200 OK";
     bool is_changing = false; ///< Whether watches are answered.
 };
 
+/// The revision up to which others had followed the list.
+constexpr std::uint64_t told_revision = 1;
+
+/// A source at revision 2, in whose history a target of version "v2" was
+/// written after told_revision.
+class history_dialect : public test::stub_source
+{
+public:
+    http_request watch_request(std::uint64_t revision,
+                               duration time) const override
+    {
+        is_history_asked = revision == told_revision && time == duration();
+        return is_history_asked ? http_request(http::verb::get, "/watch/1", 11)
+                                : stub_source::watch_request(revision, time);
+    }
+
+    source_page parse_targets(std::string_view) const override
+    {
+        source_page page;
+        page.revision = 2;
+        return page;
+    }
+
+    source_page parse_changes(std::string_view body) const override
+    {
+        source_page page = stub_source::parse_changes(body);
+        if (!std::exchange(is_history_asked, false))
+            return page;
+        source_change change;
+        change.kind = source_change::record_kind::target;
+        change.target.service = "chat";
+        change.target.version = "v2";
+        page.changes.push_back(change);
+        return page;
+    }
+
+private:
+    mutable bool is_history_asked = false; ///< By the last request.
+};
+
 /// An entry that has just started and reads from a slow_source.
 struct starting_entry : test::serving_fixture
 {
@@ -105,7 +152,7 @@
         }
     }
 
-    test::stub_source dialect;
+    history_dialect dialect;
     slow_source source;
     source_reader reader;
 };
@@ -234,3 +281,71 @@
     }
     CHECK(entry.context->versions.up_to_date_at() >= asked_at);
 }
+
+namespace
+{
+
+/// Has \a entry learn that others followed the list until it started.
+void tell_of_others(starting_entry& entry)
+{
+    entry.source.is_changing = true;
+    entry.advance(1s);
+    REQUIRE(entry.context->catalog);
+    decision::version_history& versions = entry.context->versions;
+    entry.run_until([&] { return versions.observation().has_value(); });
+    const instant since = versions.observation()->since;
+    versions.merge({since - 60s, since - 2s, {}, told_revision});
+    REQUIRE(versions.unread_after() == told_revision);
+    entry.reader.confirm();
+}
+
+} // namespace
+
+// Guards against a version that came and went before this entry started, of
+// which no record keeper was told.
+TEST_CASE("changes that were missed are read for the history of versions")
+{
+    starting_entry entry(100, 1ms);
+    tell_of_others(entry);
+    const decision::version_history& versions = entry.context->versions;
+    for (int step = 0; step < 100 && versions.is_unread(); ++step)
+    {
+        entry.time.advance(50ms);
+        entry.settle();
+    }
+    CHECK_FALSE(versions.is_unread());
+    const auto seen = versions.observation();
+    CHECK(seen->last_seen.contains({"chat", "v2"}));
+    CHECK(seen->until - seen->since >= 60s);
+    CHECK(entry.source.history_requests == 1);
+}
+
+// Guards against spans that are joined without the changes between them, and
+// against an entry that asks on for changes which the source has dropped.
+TEST_CASE("changes that the source has dropped make no version certain")
+{
+    for (const char* status : {"410 Gone", "503 Later"})
+    {
+        starting_entry entry(100, 1ms);
+        entry.source.history_status = status;
+        tell_of_others(entry);
+        const decision::version_history& versions = entry.context->versions;
+        for (int step = 0; step < 40; ++step)
+        {
+            entry.time.advance(50ms);
+            entry.settle();
+        }
+        CHECK(versions.is_unread());
+        CHECK(versions.observation()->until - versions.observation()->since <
+              60s);
+        CHECK(entry.source.history_requests == 1);
+        entry.reader.confirm();
+        for (int step = 0; step < 40; ++step)
+        {
+            entry.time.advance(50ms);
+            entry.settle();
+        }
+        CHECK(entry.source.history_requests ==
+              (std::string(status) == "410 Gone" ? 1 : 2));
+    }
+}
--- a/tests/serving/stream_versions_test.cpp
+++ b/tests/serving/stream_versions_test.cpp
@@ -68,6 +68,8 @@
             if (!is_list_reachable)
                 return;
             list_changes();
+            if (const auto unread = context->versions.unread_after())
+                context->versions.note_read(*unread, missed);
             context->versions.note_up_to_date(time.now());
         };
         if (m_fleet != nullptr)
@@ -199,6 +201,9 @@
     bool is_list_reachable = true;
     /// Applies what has changed in the list since it was last up to date.
     std::function<void()> list_changes = [] {};
+    /// Versions of the targets that were written before this entry started and
+    /// that record keepers do not know.
+    std::set<decision::stream_origin> missed;
 
 private:
     fleet* m_fleet;
@@ -220,7 +225,7 @@
     void serve_for(versioned_entry& entry, int seconds)
     {
         entry.context->directory.set_source_available(true, entry.time.now());
-        entry.context->versions.note_gap(entry.time.now());
+        entry.context->versions.note_gap(entry.time.now(), 1);
         for (int second = 0; second < seconds; ++second)
         {
             entry.context->versions.note_versions(
@@ -643,6 +648,44 @@
     CHECK(contains(last.stream("r5", unnamed), "stream_unknown"));
 }
 
+// Guards against a stream that goes on at another version than it began at: its
+// version came and went while record keepers were told nothing.
+TEST_CASE_FIXTURE(keepers_test, "a new entry reads what record keepers missed")
+{
+    for (const bool has_missed : {false, true})
+    {
+        {
+            versioned_entry entry(nullptr, "a", &beside_engines);
+            entry.add_engine("v1");
+            serve_for(entry, 20);
+        }
+        time.advance(2s);
+        versioned_entry restarted(nullptr, "a", &beside_engines);
+        restarted.add_engine("v1");
+        if (has_missed)
+            restarted.missed = {{"events", "v2"}};
+        serve_for(restarted, 1);
+        CHECK(contains(restarted.stream("r2", "After: 2\r\n"),
+                       has_missed ? "stream_unknown" : "data: v1"));
+    }
+}
+
+// Guards against the same where the changes since can't be read.
+TEST_CASE_FIXTURE(keepers_test, "what a new entry can't read makes it refuse")
+{
+    {
+        versioned_entry entry(nullptr, "a", &beside_engines);
+        entry.add_engine("v1");
+        serve_for(entry, 20);
+    }
+    time.advance(2s);
+    versioned_entry restarted(nullptr, "a", &beside_engines);
+    restarted.add_engine("v1");
+    restarted.context->versions.note_unreadable(1);
+    serve_for(restarted, 3);
+    CHECK(contains(restarted.stream("r2", "After: 2\r\n"), "stream_unknown"));
+}
+
 // Guards against a stream that is refused although its record is found: another
 // entry, whose list lags, has seen one version only.
 TEST_CASE_FIXTURE(keepers_test, "a record counts more than what an entry saw")
