--- a/packages/serving/answer_witness.cpp
+++ b/packages/serving/answer_witness.cpp
@@ -83,6 +83,8 @@
     const instant until = m_context.now() + timeout;
     while (m_is_connecting)
         co_await m_has_connected.wait(connect_timeout);
+    if (m_is_closed)
+        co_return decision::answer_end::unknown;
     if (m_check.may_target_have_ended())
         co_return decision::answer_end::broken_off;
     const decision::life_sign sign = co_await ask(until);
