--- a/packages/decision/streams/version_history.cpp
+++ b/packages/decision/streams/version_history.cpp
@@ -50,10 +50,10 @@
     m_earlier.reset();
 }
 
-// Between two spans a version may have come and gone: entries may have been
-// lost before they told anyone of it, and one that nobody hears of begins
-// streams. The older span is kept for a while, as an entry that reads the
-// changes since then can add its own to it.
+// Between two spans a version may have come and gone unreported: entries were
+// lost before their report, or an unreachable one began streams. The older span
+// is kept for a while, as an entry that reads the changes since then can add
+// its own to it.
 void version_history::merge(const version_observation& other)
 {
     note_last_seen(other.last_seen);
--- a/packages/serving/answer_witness.cpp
+++ b/packages/serving/answers/answer_witness.cpp
@@ -1,4 +1,4 @@
-#include "serving/answer_witness.hpp"
+#include "serving/answers/answer_witness.hpp"
 
 namespace mangofold::serving
 {
@@ -65,7 +65,7 @@
     const auto self = witness.lock();
     if (!self || self->m_is_asking || self->m_is_closed)
         co_return;
-    // Bytes that nobody asked for announce the end of an idle connection.
+    // Unsolicited bytes announce the end of an idle connection.
     self->m_check.note_witness_ended(!connection->is_reset(),
                                      self->m_context.now());
 }
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -6,7 +6,7 @@
 #include "decision/streams/stream_origin.hpp"
 #include "decision/streams/stream_progress.hpp"
 #include "runtime/event.hpp"
-#include "serving/answer_witness.hpp"
+#include "serving/answers/answer_witness.hpp"
 #include "serving/caller_session.hpp"
 #include "serving/entry_context.hpp"
 #include "serving/placement_messages.hpp"
