Answers: a question that is one connection too many shows no crash

A target at its limit that also resets the connection of the question counted as ended, with a crash held against the request; three of them quarantine it. On a new connection a loss is no word of the target: the answer is still not whole, but no crash is recorded. test_killed_targets has the case.

--- a/packages/serving/answers/answer_witness.cpp
+++ b/packages/serving/answers/answer_witness.cpp
@@ -111,11 +111,13 @@
     const auto result = co_await question->send_request(
         http_request{http::verb::get, m_status_path, 11},
         m_context.call_ids.next(), time_until(until, m_context.now()));
-    // Whatever comes on the witness comes from the target.
-    const decision::life_sign sign =
-        has_witness && result == target_call::outcome::invalid_answer
-            ? decision::life_sign::own_answer
-            : sign_of(result, *question);
+    decision::life_sign sign = sign_of(result, *question);
+    // Whatever comes on the witness comes from the target. A new connection may
+    // be one too many, which does not show that the target has ended.
+    if (has_witness && result == target_call::outcome::invalid_answer)
+        sign = decision::life_sign::own_answer;
+    else if (!has_witness && sign == decision::life_sign::lost)
+        sign = decision::life_sign::silent;
     if (!m_is_closed)
         question->release_connection();
     m_connection.reset();
--- a/tests/serving/killed_targets_test.cpp
+++ b/tests/serving/killed_targets_test.cpp
@@ -259,6 +259,24 @@
     }
 }
 
+// Guards against a request that is quarantined since its targets are at their
+// limits of connections.
+TEST_CASE("a target without a place for the question has not crashed")
+{
+    killed_target_fixture entry("plain", "whole", "", end::close);
+    for (scripted_target* target : entry.targets)
+        target->set_max_connections(1);
+    const auto from = entry.connect();
+    entry.send(*from, request_text("/once/", "r1", "Connection: close\r\n"));
+    entry.run_until([&] { return entry.first_target != nullptr; });
+    entry.settle();
+    entry.first_target->set_max_connections(0);
+    entry.run_until([&] { return entry.pass_time() && from->is_ended; });
+    CHECK(contains(from->received, " 504 "));
+    CHECK(entry.requests.size() == 1);
+    CHECK_FALSE(entry.is_crash_recorded());
+}
+
 // Guards against a caller that waits for a silent target although another one
 // can answer.
 TEST_CASE("another target answers if one does not confirm its answer in time")
