Answers: a reset that a write reports is no orderly end

What callers saw: a target answers a long upload at once with a 200 that has neither a length nor chunks, sends a part of its body and resets the connection while the upload is still written to it. The caller gets the part as the whole answer; a stream ends as complete before its last event; a part of the results of a call is taken for all of them.

Cause: the system reports a reset once. The upload's write and the answer's read wait on one socket, and the write gets the report; the read after it finds what an orderly end looks like. The comment at the write's completion said the opposite. The check of an answer's end asks whether the target lives, and it does.

A trace of both completions shows "write: connection reset" and "read: end of file" on one connection, in either order.

Why it works: a write that fails marks the connection as broken, and an end that is read then is a failure. A broken pipe is left out: it is a reset after an orderly end, or one that a read has reported. The read's completion may come first, so that an end that is read while a write is in progress waits one turn of the loop, behind which the write's completion is queued at the latest. All answers on target_connection are covered: plain, streams, calls, releases, the store, the witness, runs that are given up.

Such an answer counts as any that a reset cuts off: a crash of its target, tried again where that is allowed, else 502. Early answers that are whole still reach their callers: with a length or chunks, or ended in order while the upload goes on (413, 401 and 200 in the tests). A blank or control byte in a field's name or value, also in a trailer, was refused before, and the tests for it are kept.

--- a/packages/serving/target_connection.cpp
+++ b/packages/serving/target_connection.cpp
@@ -1,6 +1,7 @@
 #include "serving/target_connection.hpp"
 
 #include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/socket_base.hpp>
 
 namespace mangofold::serving
@@ -35,8 +36,8 @@
         return outcome::ok;
     if (m_is_timed_out)
         return outcome::timed_out;
-    return fault == asio::error::eof ? outcome::closed_by_peer
-                                     : outcome::failed;
+    return fault == asio::error::eof && !m_is_broken ? outcome::closed_by_peer
+                                                     : outcome::failed;
 }
 
 awaitable<target_connection::outcome>
@@ -73,8 +74,10 @@
         m_socket, buffers,
         [self = shared_from_this()](const error_code& fault, std::size_t)
         {
-            // The reader sees a failed write as a reset connection.
             self->m_is_sending = static_cast<bool>(fault);
+            // A broken pipe is a reset after an orderly end, or one that a read
+            // has reported.
+            self->m_is_broken = fault && fault != asio::error::broken_pipe;
             self->m_to_send.clear();
             self->m_body_to_send.reset();
         });
@@ -98,6 +101,10 @@
     m_received.append(m_read_buffer.data(), count);
     if (count > 0)
         m_is_unanswered = false;
+    // The system reports a reset only once. If a write gets the report, reads
+    // find what looks like an orderly end, and they may complete before it.
+    if (fault == asio::error::eof && m_is_sending)
+        co_await asio::post(m_socket.get_executor(), asio::use_awaitable);
     co_return finish_step(fault);
 }
 
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -14,12 +14,15 @@
 namespace
 {
 
-/// Returns the length of the first complete request in \a bytes, or 0.
-std::size_t request_length(const std::string& bytes)
+/// Returns the length of the first complete request in \a bytes, or of its
+/// head if \a is_head_enough, or 0.
+std::size_t request_length(const std::string& bytes, bool is_head_enough)
 {
     const std::size_t head = bytes.find("\r\n\r\n");
     if (head == std::string::npos)
         return 0;
+    if (is_head_enough)
+        return head + 4;
     std::size_t body = 0;
     const std::size_t field = bytes.find("Content-Length: ");
     if (field < head)
@@ -144,7 +147,7 @@
             co_return;
         }
         bytes.append(chunk.data(), count);
-        const std::size_t length = request_length(bytes);
+        const std::size_t length = request_length(bytes, m_answers_early);
         if (length == 0)
             continue;
         const std::string request = bytes.substr(0, length);
@@ -162,8 +165,10 @@
             exit();
         if (reply.action == action::reset)
             socket->set_option(asio::socket_base::linger(true, 0), fault);
-        if (reply.action == action::reset || reply.action == action::close ||
-            reply.action == action::exit)
+        // Without this, a close resets the connection if bytes are unread.
+        if (reply.action == action::finish)
+            socket->shutdown(tcp::socket::shutdown_send, fault);
+        if (reply.action != action::keep && reply.action != action::hang)
         {
             // The socket's destructor would not send a reset.
             socket->close(fault);
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -28,8 +28,9 @@
             keep,
             close,
             reset,
-            exit, ///< The target ends: all its connections close, in order.
-            hang  ///< Like keep, for answers that never arrive or complete.
+            finish, ///< Closes in order, also if bytes of the peer are unread.
+            exit,   ///< The target ends: all its connections close, in order.
+            hang    ///< Like keep, for answers that never arrive or complete.
         } action = connection_action::keep;
         serving::duration delay{}; ///< Before the bytes are sent.
         /// Between the bytes and what happens to the connection.
@@ -54,6 +55,10 @@
     void set_status(response reply) { m_status = std::move(reply); }
     std::size_t status_questions() const { return m_status_questions; }
 
+    /// Has the target react to the head of a request, while its body is being
+    /// sent.
+    void set_answers_early() { m_answers_early = true; }
+
     /// Has the target reset connections beyond \a count.
     void set_max_connections(std::size_t count) { m_max_connections = count; }
     /// Closes the newest connection in order.
@@ -84,6 +89,7 @@
     response m_status{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
     std::size_t m_status_questions = 0;
     std::size_t m_max_connections = static_cast<std::size_t>(-1);
+    bool m_answers_early = false;
     script m_script;
     std::vector<std::string> m_requests;
     std::size_t m_connections = 0;
