Answers: a status that HTTP does not define is no answer

An entry put targets and a configuration in force that stood in the body of such an answer of the store.

Cause: all that is below 200 was taken for an interim answer, which has no body. So its head was skipped, and what followed was read as the answer. 101 is in the same range: what follows it is not HTTP.

Why it works: http_status.hpp says which statuses are interim and which are final. Any other one (below 100, 101, above 599) makes the answer invalid: a failure of its target, no crash, so that three of them quarantine nothing; tried again where that is allowed, else 502, at once, and never "not run". http_client skips interim responses, a hundred at most, and refuses the others.

--- a/packages/runtime/http_client.cpp
+++ b/packages/runtime/http_client.cpp
@@ -1,5 +1,7 @@
 #include "runtime/http_client.hpp"
 
+#include "runtime/http_status.hpp"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace mangofold::runtime
 {
@@ -26,6 +29,9 @@
 /// The interval of the checks for the end of a wait.
 constexpr std::chrono::milliseconds check_interval{50};
 
+/// Largest number of interim responses before the response to a request.
+constexpr int max_interim_responses = 100;
+
 constexpr std::uint64_t max_response_bytes = 64U << 20U;
 
 /// Largest head, chunk size line or trailer, and how much is read at once.
@@ -104,15 +110,23 @@
         run(may_wait);
         if (error)
             throw http_error(http_error::kind::no_answer, error.message());
-        response_parser response;
-        read(response, may_wait);
+        std::optional<response_parser> response;
+        for (int interim = 0; interim <= max_interim_responses; ++interim)
+        {
+            read(response.emplace(), may_wait);
+            if (!is_interim_status(response->get().result_int()))
+                break;
+        }
+        if (!is_final_status(response->get().result_int()))
+            throw http_error(http_error::kind::no_answer,
+                             "the response has no valid status");
         // The connection of a server that was killed ends in order, too.
-        if (response.need_eof())
+        if (response->need_eof())
             throw http_error(http_error::kind::no_answer,
                              "the response has neither a length nor chunks");
-        m_is_reusable = response.get().keep_alive() && m_buffer.size() == 0;
-        return {response.get().result_int(),
-                std::move(response.get().body())};
+        m_is_reusable = response->get().keep_alive() && m_buffer.size() == 0;
+        return {response->get().result_int(),
+                std::move(response->get().body())};
     }
 
 private:
--- a/packages/runtime/http_client.hpp
+++ b/packages/runtime/http_client.hpp
@@ -45,8 +45,8 @@
 
 /// A blocking HTTP client with one persistent connection, which is opened
 /// again when the server has closed it. Calls are never retried, since the
-/// server may have executed them. A response with neither a length nor chunks
-/// is no answer. To be used by one thread at a time.
+/// server may have executed them. A response with neither a length nor chunks,
+/// or without a valid status, is no answer. To be used by one thread at a time.
 class http_client
 {
 public:
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -1,5 +1,7 @@
 #include "serving/target_call.hpp"
 
+#include "runtime/http_status.hpp"
+
 namespace mangofold::serving
 {
 
@@ -112,11 +114,15 @@
             if (result != connection_outcome::ok)
                 co_return to_call_outcome(result);
         }
-        if (m_parser->get().result_int() < 200)
+        const unsigned status = m_parser->get().result_int();
+        if (runtime::is_interim_status(status))
         {
             reset_parser();
             continue;
         }
+        // Its body must not be read as the answer.
+        if (!runtime::is_final_status(status))
+            co_return outcome::invalid_answer;
         m_metadata = m_dialect.parse_response(m_parser->get());
         const decision::answer_owner owner = answer_owner();
         if (owner == decision::answer_owner::this_request)
--- a/tests/runtime/http_test.cpp
+++ b/tests/runtime/http_test.cpp
@@ -142,6 +142,33 @@
         }
     }
 
+    // Guards against a response whose status says neither success nor failure.
+    TEST_CASE("a response whose status is none is no response")
+    {
+        for (const auto& read : {get_from, watch_at})
+            for (const std::string status :
+                 {"000", "001", "099", "101", "600", "999"})
+                for (std::string answer : {sized_answer, chunked_answer})
+                {
+                    CAPTURE(status);
+                    answer.replace(answer.find("200"), 3, status);
+                    CHECK_THROWS_AS(read(cutting_server(answer)), http_error);
+                }
+    }
+
+    // Guards against an interim response that is taken for the response, which
+    // is then taken for that to the next call.
+    TEST_CASE("interim responses before a response are skipped")
+    {
+        const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+        for (const auto& read : {get_from, watch_at})
+            CHECK(read(cutting_server(interim + interim + sized_answer)) ==
+                  http_response{200, body});
+        const endless_server server(interim, interim);
+        http_client client({"127.0.0.1", server.port()});
+        CHECK_THROWS_AS(client.get("/", 60s), http_error);
+    }
+
     // Guards against a response whose head two programs read differently: a
     // line that one of them skips states the length of the body.
     TEST_CASE("a response with a blank or control byte in a name is refused")
