Answers: folded lines in a head are refused, trailers are not passed on

Cause: the parser joins folded lines (obs-fold) before anyone looks at them, and it adds the fields of a trailer, folded or not, to those of the head, which are passed on when the answer is complete.

Why it works: the lines of a head are looked at as the parser takes them, which it does by whole fields, so that no fold is split between two looks. RFC 9112 (5.2) has a gateway refuse such an answer or join the line; to join it passes on what a faulty target meant as another field. The head is copied before the body is read; a trailer's fields come later (RFC 9110, 6.5.1, has them kept apart). Such an answer is invalid as one with a bad name is. http_client passes no field on and is left as it is, as are folded lines in callers' requests.

--- a/packages/serving/http.cpp
+++ b/packages/serving/http.cpp
@@ -79,6 +79,12 @@
     return std::find(names.begin(), names.end(), lower_name) != names.end();
 }
 
+bool has_folded_line(std::string_view lines)
+{
+    return lines.find("\n ") != std::string_view::npos ||
+           lines.find("\n\t") != std::string_view::npos;
+}
+
 std::string to_lower(std::string_view text)
 {
     std::string result(text);
--- a/packages/serving/http.hpp
+++ b/packages/serving/http.hpp
@@ -42,6 +42,10 @@
 /// only and must not be forwarded.
 bool is_hop_by_hop(std::string_view name);
 
+/// Whether one of the \a lines of a head begins with a blank, which makes it a
+/// part of the field before it (obs-fold).
+bool has_folded_line(std::string_view lines);
+
 /// Returns \a text in lower case.
 std::string to_lower(std::string_view text);
 
--- a/packages/serving/target_call.cpp
+++ b/packages/serving/target_call.cpp
@@ -41,7 +41,6 @@
 {
     m_parser.emplace();
     share_memory(0);
-    m_parser->eager(true);
     m_parser->body_limit(m_max_body_bytes);
     if (m_has_no_body)
         m_parser->skip(true);
@@ -114,7 +113,7 @@
             if (result != connection_outcome::ok)
                 co_return to_call_outcome(result);
         }
-        const unsigned status = m_parser->get().result_int();
+        const unsigned status = m_head.result_int();
         if (runtime::is_interim_status(status))
         {
             reset_parser();
@@ -123,7 +122,7 @@
         // Its body must not be read as the answer.
         if (!runtime::is_final_status(status))
             co_return outcome::invalid_answer;
-        m_metadata = m_dialect.parse_response(m_parser->get());
+        m_metadata = m_dialect.parse_response(m_head);
         const decision::answer_owner owner = answer_owner();
         if (owner == decision::answer_owner::this_request)
             co_return outcome::ok;
@@ -193,7 +192,11 @@
         if (!make_room(bytes.size()))
             return outcome::invalid_answer;
         error_code fault;
+        const bool is_head = !m_parser->is_header_done();
         const std::size_t used = m_parser->put(asio::buffer(bytes), fault);
+        if (is_head &&
+            !note_head_lines(std::string_view(bytes).substr(0, used)))
+            return outcome::invalid_answer;
         bytes.erase(0, used);
         const bool needs_more = fault == http::error::need_more;
         if (needs_more ? bytes.size() > max_unparsed_bytes : bool(fault))
@@ -204,6 +207,22 @@
     return outcome::ok;
 }
 
+// Notes lines of the head that have been parsed. Returns false if they are not
+// valid. The parser would join folded lines, so that what a faulty target meant
+// as another field is passed on in the value of the one before.
+bool target_call::note_head_lines(std::string_view lines)
+{
+    if (has_folded_line(lines))
+        return false;
+    if (m_parser->is_header_done())
+    {
+        // The parser adds the trailer's fields to those of the head.
+        m_head = m_parser->get();
+        m_parser->eager(true);
+    }
+    return true;
+}
+
 target_call::outcome target_call::parse_end()
 {
     error_code fault;
--- a/packages/serving/target_call.hpp
+++ b/packages/serving/target_call.hpp
@@ -84,7 +84,8 @@
     /// Reads the rest of the answer's body within \a timeout.
     awaitable<outcome> read_rest(duration timeout);
 
-    const http_response_head& head() const { return m_parser->get(); }
+    /// Returns the head of the answer, without the fields of a trailer.
+    const http_response_head& head() const { return m_head; }
     const response_metadata& metadata() const { return m_metadata; }
 
     /// Returns the received part of the body, which this call holds.
@@ -150,6 +151,7 @@
     awaitable<outcome> read_head(instant deadline);
     awaitable<outcome> skip_stray_answer(instant deadline);
     outcome parse();
+    bool note_head_lines(std::string_view lines);
     outcome parse_end();
     bool share_memory(std::size_t body_bytes);
     bool make_room(std::size_t more_bytes);
@@ -162,6 +164,7 @@
     call_destination m_target;
     connection_ptr m_connection;
     std::optional<parser> m_parser;
+    http_response_head m_head;
     body_memory::share m_body_share;
     std::size_t m_held_bytes = 0; ///< Of the parts that were taken.
     std::uint64_t m_max_body_bytes = default_max_body_bytes;
--- a/tests/serving/broken_answers_test.cpp
+++ b/tests/serving/broken_answers_test.cpp
@@ -361,3 +361,67 @@
         CHECK_FALSE(once.is_crash_recorded());
     }
 }
+
+// Guards against a line that a faulty target meant as a field of its own and
+// that is passed on in the value of the one before.
+TEST_CASE("an answer with a line that begins with a blank is refused")
+{
+    const std::vector<std::string> lines{"HTTP/1.1 200 OK\r\n", "Id: r1\r\n",
+                                         "Seal: s\r\n",
+                                         "Content-Length: 5\r\n"};
+    for (const std::string folded :
+         {" X-Bad: v\r\n", "\tX-Bad: v\r\n", " \r\n"})
+        for (std::size_t after = 0; after < lines.size(); ++after)
+        {
+            std::string broken;
+            for (std::size_t line = 0; line < lines.size(); ++line)
+                broken += lines[line] + (line == after ? folded : "");
+            const std::size_t at = broken.find(folded);
+            broken += "\r\nwhole";
+            for (const std::size_t last_part :
+                 {std::size_t{0}, broken.size() - at, broken.size() - at - 1,
+                  broken.size() - at + 1})
+            {
+                CAPTURE(broken);
+                CAPTURE(last_part);
+                broken_answer_fixture once("plain", 1,
+                                           in_parts(broken, last_part));
+                CHECK(contains(once.ask("/once/"), " 502 "));
+                CHECK(once.requests.size() == 1);
+                CHECK_FALSE(once.is_crash_recorded());
+                broken_answer_fixture again("plain", 2,
+                                            in_parts(broken, last_part),
+                                            response_text("r1", "sound"));
+                CHECK(again.ask("/again/").ends_with("\r\n\r\nsound"));
+            }
+        }
+    broken_answer_fixture interim(
+        "plain", 1,
+        in_parts("HTTP/1.1 103 x\r\nLink: a\r\n b\r\n\r\n" +
+                     response_text("r1", "whole"),
+                 0));
+    CHECK(contains(interim.ask("/once/"), " 502 "));
+}
+
+// Guards against the same in a trailer, whose fields would be passed on as if
+// they had been in the head.
+TEST_CASE("no line of a trailer is passed on")
+{
+    for (const std::string trailer :
+         {"X-Bad: v\r\n", "Y: 1\r\n X-Bad: v\r\n", "Y: 1\r\n\tX-Bad: v\r\n",
+          "Seal: other X-Bad\r\n"})
+        for (const std::size_t last_part : {std::size_t{0}, trailer.size() + 2})
+        {
+            CAPTURE(trailer);
+            CAPTURE(last_part);
+            broken_answer_fixture once("plain", 1,
+                                       in_parts(chunked_head +
+                                                    "5\r\nwhole\r\n0\r\n" +
+                                                    trailer + "\r\n",
+                                                last_part));
+            const std::string got = once.ask("/once/");
+            CHECK(contains(got, " 200 "));
+            CHECK(got.ends_with("\r\n\r\nwhole"));
+            CHECK_FALSE(contains(got, "X-Bad"));
+        }
+}
