Soak: targets that send broken answers

Three entries before twelve targets, real processes; requests with bodies of 2 bytes and of 4 MB. A part of the answers is sound, with a length, with chunks or with neither; the others are parts that a reset cuts off while the upload is written, statuses that are none, names of fields with blanks and control bytes, folded lines. Bodies of unreadable answers read like an answer to the request. Each answer must be whole, of one run and of its own request; a sound answer must arrive; what may not be repeated runs once and is never "not run"; all are served once all targets are sound.

Three mutants name what it must find.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -107,9 +107,9 @@
                  "X-Mangofold-Token-Count: 120,40"]
         lines += [f"{name}: {value}" for name, value in extra_fields.items()]
         if method == "POST":
-            lines.append("Content-Length: 2")
-        body = "hi" if method == "POST" else ""
-        message = ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
+            lines.append(f"Content-Length: {len(sent.upload)}")
+        body = sent.upload if method == "POST" else b""
+        message = ("\r\n".join(lines) + "\r\n\r\n").encode() + body
         if body and body_delay_s:
             self.writer.write(message[:-1])
             message = message[-1:]
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -16,6 +16,7 @@
 # arguments are its own.
 TOTAL_LOSS = "total_loss.py"
 KILLED_TARGETS = "killed_targets.py"
+BROKEN_ANSWERS = "broken_answers.py"
 LONG_ROLL = ["--long-streams", "--entries", "6", "--callers", "48",
              "--seconds", "14"]
 LOSSES = ["kill_all", "loss_series", "break_streams", "keeper"]
@@ -217,6 +218,18 @@
      "    case life_sign::own_answer:\n        return answer_end::whole;",
      "    case life_sign::own_answer:\n        return answer_end::broken_off;",
      KILLED_TARGETS, ["--seconds", "8"], "undisturbed, but"),
+    ("a reset that a write reports is an orderly end",
+     "packages/serving/target_connection.cpp",
+     "fault == asio::error::eof && !m_is_broken", "fault == asio::error::eof",
+     BROKEN_ANSWERS, [], "complete after"),
+    ("a status that is none is taken for an interim one",
+     "packages/serving/target_call.cpp",
+     "if (runtime::is_interim_status(status))", "if (status < 200)",
+     BROKEN_ANSWERS, [], "another answer"),
+    ("folded lines are joined", "packages/serving/target_call.cpp",
+     "if (has_folded_line(lines))",
+     "if (has_folded_line(lines) && lines.empty())",
+     BROKEN_ANSWERS, [], "another answer"),
 ]
 
 
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -83,6 +83,7 @@
         self.status = 0  # 0: no complete response head.
         self.is_complete = False
         self.body = b""
+        self.upload = b"hi"  # Its own body, if it has one.
         self.stream = Stream()  # That it began, or took up.
         self.event_count = 0
         self.retry_after_s = 0.0
