Answers: lines of a body may begin with a blank

The check for folded lines looks at what the parser takes before the head ends; a sound answer whose body has such lines is passed on as it is, which a test now shows. Formatting of two lines beside it.

--- a/packages/serving/target_connection.hpp
+++ b/packages/serving/target_connection.hpp
@@ -76,7 +76,7 @@
     std::uint64_t m_step = 0;
     bool m_is_timed_out = false;
     bool m_is_sending = false;
-    bool m_is_broken = false; ///< A write has failed before an orderly end.
+    bool m_is_broken = false;     ///< A write has failed before an orderly end.
     bool m_is_unanswered = false; ///< No byte came since the last send().
     std::uint64_t m_sent_count = 0;
     std::string m_to_send;
--- a/tests/serving/broken_answers_test.cpp
+++ b/tests/serving/broken_answers_test.cpp
@@ -401,6 +401,9 @@
                      response_text("r1", "whole"),
                  0));
     CHECK(contains(interim.ask("/once/"), " 502 "));
+    broken_answer_fixture sound(
+        "plain", 1, {response_text("r1", "a\r\n b\n\tc"), end::keep});
+    CHECK(sound.ask("/once/").ends_with("\r\n\r\na\r\n b\n\tc"));
 }
 
 // Guards against the same in a trailer, whose fields would be passed on as if
--- a/tests/soak/broken_answers.py
+++ b/tests/soak/broken_answers.py
@@ -168,7 +168,8 @@
         self.log = TargetLog()
         self.keepers = None
         self.runs = collections.defaultdict(list)  # Kinds of its answers.
-        self.counts = collections.Counter()  # By kind and framing, status or byte.
+        # Of answers, by kind and by framing, status or byte.
+        self.counts = collections.Counter()
         self.is_calm = False  # All answers are sound.
 
     async def start(self, _):
