Sidecar: an unreadable answer is no crash of its target

What was seen: a target that answers a run with status 000 counted as crashed since such a status is refused, and one with a bad name of a field in its head had counted so before. After three of them the run's content is quarantined, although the target lives.

Cause: http_client threw the same kind of error for a connection that ends without an answer and for bytes that are no answer.

Evidence: without the distinction "a request whose answers are broken is kept from no target" of test_link fails: of six requests the last three reach no target.

Why it works: a fault of the parser other than "no more bytes", and an invalid status, are of the kind invalid_answer. The sidecar records no crash for it; the run's result stays unknown, since it has possibly run. A response that is cut, or has neither a length nor chunks, is of the kind no_answer as before.

--- a/packages/runtime/http_client.cpp
+++ b/packages/runtime/http_client.cpp
@@ -55,6 +55,19 @@
     return message;
 }
 
+/// Returns what a failed read says of the server: the parser's faults come from
+/// bytes that it sent, unless they only state that there are no more.
+http_error::kind kind_of(const error_code& read_error)
+{
+    const bool is_end = read_error == http::error::end_of_stream ||
+                        read_error == http::error::partial_message;
+    const bool is_invalid =
+        !is_end && read_error.category() ==
+                       make_error_code(http::error::bad_status).category();
+    return is_invalid ? http_error::kind::invalid_answer
+                      : http_error::kind::no_answer;
+}
+
 } // namespace
 
 class http_client::connection
@@ -118,7 +131,7 @@
                 break;
         }
         if (!is_final_status(response->get().result_int()))
-            throw http_error(http_error::kind::no_answer,
+            throw http_error(http_error::kind::invalid_answer,
                              "the response has no valid status");
         // The connection of a server that was killed ends in order, too.
         if (response->need_eof())
@@ -141,7 +154,7 @@
                          { error = result; });
         run(may_wait);
         if (error)
-            throw http_error(http_error::kind::no_answer, error.message());
+            throw http_error(kind_of(error), error.message());
     }
 
     void run(const wait_condition& may_wait)
--- a/packages/runtime/http_client.hpp
+++ b/packages/runtime/http_client.hpp
@@ -11,15 +11,16 @@
 namespace mangofold::runtime
 {
 
-/// Thrown for an HTTP call without a response. The kind tells callers whether
-/// the server may have received the request.
+/// Thrown for an HTTP call without a valid response. The kind tells callers
+/// whether the server may have received the request.
 class http_error : public std::runtime_error
 {
 public:
     enum class kind
     {
         not_connected, ///< Nothing was sent.
-        no_answer      ///< At least a part may have been sent.
+        no_answer,     ///< At least a part may have been sent.
+        invalid_answer ///< The server sent bytes that are no valid response.
     };
 
     http_error(kind failure, const std::string& message)
--- a/packages/sidecar/target_caller.cpp
+++ b/packages/sidecar/target_caller.cpp
@@ -134,13 +134,16 @@
     }
     catch (const runtime::http_error& error)
     {
+        using kind = runtime::http_error::kind;
         const bool is_timeout = m_clock.now() >= started_at + time_left;
-        if (error.error_kind() == runtime::http_error::kind::not_connected)
+        if (error.error_kind() == kind::not_connected)
             result = refused(reason::target_down);
         else
             result = unknown_outcome(is_timeout ? reason::target_timeout
                                                 : reason::target_failed);
-        if (result.cause == reason::target_failed)
+        // A target that sends bytes without meaning has not crashed.
+        if (result.cause == reason::target_failed &&
+            error.error_kind() != kind::invalid_answer)
             m_admission.record_target_crash(run, started_at);
     }
     result.service_time = m_clock.now() - started_at;
--- a/tests/link/poison_path_test.cpp
+++ b/tests/link/poison_path_test.cpp
@@ -158,6 +158,15 @@
         return sum;
     }
 
+    /// Returns how many answers without a valid status the targets sent.
+    unsigned broken_count() const
+    {
+        unsigned sum = 0;
+        for (const auto& sidecar : sidecars)
+            sum += sidecar->target.broken_count();
+        return sum;
+    }
+
     std::vector<std::unique_ptr<target_with_sidecar>> sidecars;
     std::vector<std::unique_ptr<entry_fixture>> entries;
 };
@@ -191,3 +200,19 @@
         CHECK(last_outcome.retry_after > 0s);
     }
 }
+
+// Guards against a request that is quarantined since its targets send answers
+// that are none: they have not crashed.
+TEST_CASE("a request whose answers are broken is kept from no target")
+{
+    deployment fleet;
+    for (unsigned attempt = 0; attempt < 6; ++attempt)
+    {
+        const unsigned before = fleet.broken_count();
+        const auto outcome =
+            fleet.entries[attempt % 2]->send_request("redeem", "broken");
+        CHECK(outcome.kind != entry::outcome_kind::answered);
+        CHECK(fleet.broken_count() == before + 1);
+        std::this_thread::sleep_for(50ms);
+    }
+}
--- a/tests/runtime/http_test.cpp
+++ b/tests/runtime/http_test.cpp
@@ -28,6 +28,20 @@
     return http_client({"127.0.0.1", server.port()}).get("/", 5s);
 }
 
+http_error::kind kind_of_fault(const std::string& answer)
+{
+    try
+    {
+        get_from(cutting_server(answer));
+    }
+    catch (const http_error& error)
+    {
+        return error.error_kind();
+    }
+    FAIL("no error");
+    return {};
+}
+
 http_response watch_at(const cutting_server& server)
 {
     return http_client({"127.0.0.1", server.port()})
@@ -156,6 +170,24 @@
                 }
     }
 
+    // Guards against a server that counts as crashed since its response is
+    // unreadable, and one that counts as alive since its response is cut.
+    TEST_CASE("an invalid response is told from one that is cut")
+    {
+        using kind = http_error::kind;
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        for (const std::string& answer :
+             {std::string("HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n"),
+              std::string("no answer\r\n\r\n"), head + "X Y: z\r\n\r\n",
+              head + "Transfer-Encoding: chunked\r\n\r\nx\r\n"})
+            CHECK(kind_of_fault(answer) == kind::invalid_answer);
+        for (const std::string& answer :
+             {std::string(), head, unframed_answer,
+              sized_answer.substr(0, sized_answer.size() - 1),
+              chunked_answer.substr(0, chunked_answer.size() - 2)})
+            CHECK(kind_of_fault(answer) == kind::no_answer);
+    }
+
     // Guards against an interim response that is taken for the response, which
     // is then taken for that to the next call.
     TEST_CASE("interim responses before a response are skipped")
--- a/tests/support/crashing_target.hpp
+++ b/tests/support/crashing_target.hpp
@@ -15,7 +15,8 @@
 
 /// A target that answers each run, except for inputs that contain "poison": on
 /// those it acts like a process that crashes and restarts at once, and closes
-/// the connection without an answer.
+/// the connection without an answer. On "broken" it answers without a valid
+/// status.
 class crashing_target
 {
 public:
@@ -38,6 +39,7 @@
 
     std::uint16_t port() const { return m_port; }
     unsigned crash_count() const { return m_crash_count; }
+    unsigned broken_count() const { return m_broken_count; }
 
 private:
     using tcp_socket = boost::asio::ip::tcp::socket;
@@ -111,9 +113,12 @@
             {"request_id", run_request.value("request_id", "")},
             {"stage", run_request.value("stage", "")},
             {"output", 1}}.dump();
-        const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: " +
-                                  std::to_string(answer_body.size()) +
-                                  "\r\n\r\n" + answer_body;
+        const bool is_broken = body.find("broken") != std::string::npos;
+        m_broken_count += is_broken ? 1 : 0;
+        const std::string reply =
+            std::string(is_broken ? "HTTP/1.1 000 None" : "HTTP/1.1 200 OK") +
+            "\r\nContent-Length: " + std::to_string(answer_body.size()) +
+            "\r\n\r\n" + answer_body;
         boost::system::error_code ignored; // The caller may have gone.
         boost::asio::write(client->socket, boost::asio::buffer(reply), ignored);
         read(client);
@@ -123,6 +128,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
     std::atomic<unsigned> m_crash_count{0};
+    std::atomic<unsigned> m_broken_count{0};
     std::thread m_thread;
 };
 
