Answers: the witness is opened with the request, not with the head

Cause: the witness, the connection on which an entry asks after the end whether the target lives, was opened with the head of the answer. An entry that gets no processor time reads the head only after the kill, and opens the witness to the new process, which confirms the end under the same id.

"a target restarted before the entry reads does not confirm an answer" failed in 4 of its checks, for plain answers and streams.

Why it works: the witness is opened when the request is sent if the service has sent such an answer in the last ten minutes. The target that answers then holds both connections, and a process in its place does not have the witness. If the head states a length or chunks, the witness is closed. If the target has closed the idle witness before the head, it is opened again, as before.

With the calls taken out by hand, "a target that closes the witness before the head confirms its answer" and "the witness is closed if the answer has a length" fail.

Open: the first such answer of a service, and targets that close or reset the witness.

--- a/packages/serving/answers/answer_witness.cpp
+++ b/packages/serving/answers/answer_witness.cpp
@@ -30,14 +30,18 @@
           { co_await self->connect(connect_timeout); }(shared_from_this()));
 }
 
+void answer_witness::note_head(instant began)
+{
+    m_check.note_read(began, m_context.now());
+    if (needs_connection())
+        open();
+}
+
 void answer_witness::note_read(instant began)
 {
     const instant now = m_context.now();
     m_check.note_read(began, now);
-    const bool may_reopen = !m_is_connecting && !m_check.has_witness() &&
-                            !m_check.may_target_have_ended() &&
-                            now >= m_opened_at + min_open_interval;
-    if (may_reopen)
+    if (needs_connection() && now >= m_opened_at + min_open_interval)
         open();
 }
 
--- a/packages/serving/answers/answer_witness.hpp
+++ b/packages/serving/answers/answer_witness.hpp
@@ -12,7 +12,8 @@
 {
 
 /// A second connection to the target of an answer that ends with its
-/// connection, to find out after that end whether the target lives.
+/// connection, to find out after that end whether the target lives. Tells the
+/// target from a process that is started in its place if it was open before.
 class answer_witness : public std::enable_shared_from_this<answer_witness>
 {
 public:
@@ -28,8 +29,13 @@
     /// Opens the connection in the background.
     void open();
 
-    /// Notes a read of the answer, for which the entry has waited since
-    /// \a began. Opens the connection again if the target had closed it.
+    /// Notes that the head of the answer was read, for which the entry has
+    /// waited since \a began. Opens the connection again if the target had
+    /// closed it.
+    void note_head(instant began);
+
+    /// Notes a read of the answer's body, as note_head() does. Opens no two
+    /// connections within a second.
     void note_read(instant began);
 
     /// Returns how the answer ended, whose connection has just ended in order.
@@ -40,6 +46,11 @@
     void close();
 
 private:
+    bool needs_connection() const
+    {
+        return !m_is_connecting && !m_check.has_witness() &&
+               !m_check.may_target_have_ended();
+    }
     awaitable<void> connect(duration timeout);
     static awaitable<void> watch(std::weak_ptr<answer_witness> witness,
                                  connection_ptr connection);
--- a/packages/serving/entry_context.hpp
+++ b/packages/serving/entry_context.hpp
@@ -2,6 +2,7 @@
 
 #include "catalog/catalog_index.hpp"
 #include "decision/admission/returning_callers.hpp"
+#include "decision/answers/unframed_services.hpp"
 #include "decision/cold_targets.hpp"
 #include "decision/decaying_max.hpp"
 #include "decision/drain.hpp"
@@ -120,6 +121,7 @@
     decision::target_directory directory;
     decision::zone_evacuations evacuations;
     decision::cold_targets cold_targets;
+    decision::unframed_services unframed_services;
     decision::request_limits request_limits;
     decision::resting_targets resting_targets;
     bool has_some_targets = false; ///< Part of the list was received from
--- a/packages/serving/exchange.cpp
+++ b/packages/serving/exchange.cpp
@@ -276,8 +276,14 @@
     m_call->set_send_check(
         [this, id]
         {
-            return m_context.directory.find(id) != nullptr &&
-                   !m_session->check_disconnected();
+            const bool may_send = m_context.directory.find(id) != nullptr &&
+                                  !m_session->check_disconnected();
+            // Opened with the answer's head, the witness could be a connection
+            // to a process that has started in place of a killed target.
+            if (may_send && m_context.unframed_services.may_be_unframed(
+                                m_service, m_context.now()))
+                open_witness(*m_call);
+            return may_send;
         });
     http_request forwarded_request;
     // Assigning the fields also overwrites method and path, so those are set
--- a/packages/serving/exchange.hpp
+++ b/packages/serving/exchange.hpp
@@ -162,6 +162,11 @@
     awaitable<attempt_outcome> attempt();
     awaitable<attempt_outcome> relay_answer(target_call& call);
     awaitable<attempt_outcome> relay_buffered_answer(target_call& call);
+    /// Opens the witness of the answer to \a call.
+    void open_witness(const target_call& call);
+    /// Opens the witness of an answer that ends with its connection unless it
+    /// is open, and closes that of another one.
+    void note_framing(const target_call& call);
     /// Reads more of the answer, and lets the witness know.
     awaitable<target_call::outcome> read_more(target_call& call);
     /// Returns whether an answer that was read to its end is whole: ok, or how
@@ -336,7 +341,8 @@
     /// Whether the stages ran again since their results were released early.
     bool m_has_lost_inputs = false;
     std::shared_ptr<target_call> m_call;
-    /// Set while m_call brings an answer that ends with its connection.
+    /// Set while m_call brings an answer that ends with its connection, or may
+    /// bring one.
     std::shared_ptr<answer_witness> m_witness;
     std::optional<std::uint64_t> m_last_event_id; ///< Of the relayed events.
     bool m_is_head_sent = false;
--- a/packages/serving/exchange_answers.cpp
+++ b/packages/serving/exchange_answers.cpp
@@ -33,6 +33,27 @@
 
 } // namespace
 
+void exchange::open_witness(const target_call& call)
+{
+    const auto* service = m_catalog->find_service(m_service);
+    m_witness = std::make_shared<answer_witness>(
+        m_context, call.target(),
+        service == nullptr ? std::string("/") : service->status_path);
+    m_witness->open();
+}
+
+void exchange::note_framing(const target_call& call)
+{
+    m_context.unframed_services.note_answer(m_service, m_answer_framing,
+                                            m_context.now());
+    if (!call.ends_with_connection())
+        m_witness.reset();
+    else if (m_witness)
+        m_witness->note_head(m_sent_at);
+    else
+        open_witness(call);
+}
+
 awaitable<exchange::attempt_outcome> exchange::relay_answer(target_call& call)
 {
     const unsigned status = call.head().result_int();
@@ -45,14 +66,7 @@
         co_await give_up_answer(call);
         co_return attempt_outcome::retry;
     }
-    if (call.ends_with_connection())
-    {
-        const auto* service = m_catalog->find_service(m_service);
-        m_witness = std::make_shared<answer_witness>(
-            m_context, call.target(),
-            service == nullptr ? std::string("/") : service->status_path);
-        m_witness->open();
-    }
+    note_framing(call);
     if (m_route->is_stream && is_success(status))
         co_return co_await relay_event_stream(call);
     co_return co_await relay_buffered_answer(call);
--- a/tests/serving/killed_targets_test.cpp
+++ b/tests/serving/killed_targets_test.cpp
@@ -19,12 +19,13 @@
 const std::string last_chunk = "0\r\n\r\n";
 
 /// An entry with two targets. The first one that gets a request sends
-/// \a first, without a length or chunks, and does \a then; the other one
-/// answers whole.
+/// \a first, without a length or chunks, and does \a then; later requests get
+/// \a second from either, which does \a at_last.
 struct killed_target_fixture : serving_fixture
 {
     killed_target_fixture(const std::string& service, std::string first,
-                          std::string second, end then = end::exit)
+                          std::string second, end then = end::exit,
+                          end at_last = end::close)
     {
         for (std::size_t number = 0; number < 2; ++number)
             targets.push_back(
@@ -34,7 +35,7 @@
                                 requests.push_back(text);
                                 if (requests.size() > 1)
                                     return scripted_target::response{
-                                        unframed_head + second, end::close};
+                                        unframed_head + second, at_last, 5ms};
                                 first_target = targets[number];
                                 return scripted_target::response{
                                     unframed_head + first, then, {}, 20ms};
@@ -134,6 +135,28 @@
         }
 }
 
+// Guards against a part that is returned as whole: the entry reads the head of
+// the answer only after its target was killed and restarted under its id.
+TEST_CASE(
+    "a target restarted before the entry reads does not confirm an answer")
+{
+    for (const std::string route : {"/once/", "/once-events/"})
+    {
+        CAPTURE(route);
+        const bool is_stream = route == "/once-events/";
+        killed_target_fixture entry(is_stream ? "events" : "plain",
+                                    is_stream ? event(1) + event(2) : "whole",
+                                    is_stream ? event(1) : "part", end::close,
+                                    end::restart);
+        CHECK(contains(entry.ask(route + "first"), " 200 "));
+        const std::string got = entry.ask(route);
+        CHECK(entry.requests.size() == 2);
+        CHECK_FALSE(contains(got, last_chunk));
+        CHECK(contains(got, is_stream ? "data: e1" : " 502 "));
+        CHECK(entry.is_crash_recorded());
+    }
+}
+
 // Guards against an answer that is given up though its target lives and has
 // ended it.
 TEST_CASE("an answer that its living target ends with the connection is whole")
@@ -191,6 +214,68 @@
         }
 }
 
+// Guards against the same where the target closes the idle witness while the
+// entry waits for the head.
+TEST_CASE(
+    "a target that closes the witness before the head confirms its answer")
+{
+    serving_fixture entry;
+    scripted_target& target = entry.add_target(
+        "plain",
+        [](const std::string&, std::size_t number)
+        {
+            return scripted_target::response{unframed_head + "whole",
+                                             end::close, number * 200ms};
+        });
+    for (const std::size_t connections : {2, 4})
+    {
+        const auto from = entry.connect();
+        entry.send(*from,
+                   request_text("/once/", "r1", "Connection: close\r\n"));
+        entry.settle();
+        if (connections > 2)
+            target.close_newest();
+        entry.settle();
+        entry.time.advance(150ms);
+        entry.settle();
+        entry.time.advance(50ms);
+        entry.run_until([&] { return from->is_ended; });
+        CHECK(from->received.ends_with("whole"));
+        CHECK(target.connections() == connections);
+        CHECK(target.status_questions() == connections / 2);
+    }
+    CHECK(entry.context->quarantine.crashes().is_empty());
+}
+
+// Guards against a connection that stays open for an answer with a length.
+TEST_CASE("the witness is closed if the answer has a length")
+{
+    serving_fixture entry;
+    scripted_target& target = entry.add_target(
+        "plain",
+        [](const std::string&, std::size_t number)
+        {
+            return number == 0
+                       ? scripted_target::response{unframed_head + "whole",
+                                                   end::close}
+                       : scripted_target::response{
+                             "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n"
+                             "Content-Length: 5\r\n\r\npart",
+                             end::hang};
+        });
+    const auto first = entry.connect();
+    entry.send(*first, request_text("/once/", "r1", "Connection: close\r\n"));
+    entry.run_until([&] { return first->is_ended; });
+    entry.settle();
+    const std::size_t closed = target.closed_by_peer();
+    const auto second = entry.connect();
+    entry.send(*second, request_text("/once/", "r1"));
+    entry.run_until([&] { return target.requests().size() == 2; });
+    entry.settle();
+    CHECK(target.connections() == 3);
+    CHECK(target.closed_by_peer() == closed + 1);
+}
+
 // Guards against another process at the address of a killed target that
 // confirms its answer, where no witness tells them apart.
 TEST_CASE("only the target itself confirms an answer on a new connection")
--- a/tests/soak/killed_targets.py
+++ b/tests/soak/killed_targets.py
@@ -37,6 +37,7 @@
 SERIES_S = (0, 0, 0.03, 0.1)  # Between the kills of a series.
 STILL_S = (0.05, 1.2)
 DOWN_S = (0.05, 0.5)
+PAUSED_S = (0.02, 0.2)  # Of an entry.
 PROCESS_S = 10  # By then, a target has started, or has left.
 # Answers are owed by what was not disturbed so long before and after.
 UNDISTURBED_S = 1.0
@@ -308,6 +309,10 @@
         await self.disturb_entry("stop_entry", lambda entry:
                                  entry.stop_gracefully(self.oracle.faults))
 
+    async def pause_entry(self):
+        await self.disturb_entry("pause_entry", lambda entry: entry.pause(
+            self.random.uniform(*PAUSED_S)))
+
     async def disturb(self, until):
         while self.oracle.now() < until:
             end = self.oracle.now() + DISTURBED_S
@@ -454,7 +459,7 @@
 
 
 DISTURBANCES = ("kill", "kill", "same_id", "other_id", "stand_still",
-                "leave", "kill_entry", "stop_entry")
+                "leave", "kill_entry", "stop_entry", "pause_entry")
 
 
 def main():
--- a/tests/support/scripted_target.cpp
+++ b/tests/support/scripted_target.cpp
@@ -161,8 +161,10 @@
             is_question ? m_status : m_script(request, m_requests.size() - 1);
         co_await send_response(m_loop, *socket, reply);
         using action = response::connection_action;
-        if (reply.action == action::exit)
+        if (reply.action == action::exit || reply.action == action::restart)
             exit();
+        if (reply.action == action::restart)
+            restart();
         if (reply.action == action::reset)
             socket->set_option(asio::socket_base::linger(true, 0), fault);
         // Without this, a close resets the connection if bytes are unread.
--- a/tests/support/scripted_target.hpp
+++ b/tests/support/scripted_target.hpp
@@ -28,9 +28,10 @@
             keep,
             close,
             reset,
-            finish, ///< Closes in order, also if bytes of the peer are unread.
-            exit,   ///< The target ends: all its connections close, in order.
-            hang    ///< Like keep, for answers that never arrive or complete.
+            finish,  ///< Closes in order, also if bytes of the peer are unread.
+            exit,    ///< The target ends: all its connections close, in order.
+            restart, ///< Like exit, and a new process has its address at once.
+            hang     ///< Like keep, for answers that never arrive or complete.
         } action = connection_action::keep;
         serving::duration delay{}; ///< Before the bytes are sent.
         /// Between the bytes and what happens to the connection.
