Answers: the end of the witness is looked up before the target is asked

What was seen: after a kill an entry asks the process that has the target's address now, on a new connection, although the witness has ended. It counted as the end of the target only if the watch of the witness ran before that question was sent.

Cause: judge_end() took from the connection only that it can't be used, and left it to watch(), which stops at a question, to note why.

Evidence: "a target that is restarted at once does not confirm an answer" fails with a check that the new process is not asked: 6 of 6 cases.

Why it works: the state of the connection is read and noted in the moment of the judgement, as watch() does it.

--- a/packages/serving/answers/answer_witness.cpp
+++ b/packages/serving/answers/answer_witness.cpp
@@ -89,6 +89,9 @@
         co_await m_has_connected.wait(connect_timeout);
     if (m_is_closed)
         co_return decision::answer_end::unknown;
+    // The answer's end may be read before watch() learns of the witness's.
+    if (m_check.has_witness() && !m_connection->is_reusable())
+        m_check.note_witness_ended(!m_connection->is_reset(), m_context.now());
     if (m_check.may_target_have_ended())
         co_return decision::answer_end::broken_off;
     const decision::life_sign sign = co_await ask(until);
@@ -97,8 +100,7 @@
 
 awaitable<decision::life_sign> answer_witness::ask(instant until)
 {
-    const bool has_witness =
-        m_check.has_witness() && m_connection->is_reusable();
+    const bool has_witness = m_check.has_witness();
     if (!has_witness)
     {
         co_await connect(
--- a/tests/serving/killed_targets_test.cpp
+++ b/tests/serving/killed_targets_test.cpp
@@ -107,7 +107,8 @@
 }
 
 // Guards against a killed target that is taken for a living one, since another
-// process has started at its address, under its id or another one.
+// process has started at its address, under its id or another one, and is asked
+// although the witness has ended.
 TEST_CASE("a target that is restarted at once does not confirm an answer")
 {
     for (const std::string& status :
@@ -132,6 +133,7 @@
             CHECK_FALSE(contains(from->received, last_chunk));
             CHECK(contains(from->received, " 200 ") == is_stream);
             CHECK(entry.requests.size() == 1);
+            CHECK(entry.first_target->status_questions() == 0);
         }
 }
 
