--- a/packages/serving/answers/answer_witness.hpp
+++ b/packages/serving/answers/answer_witness.hpp
@@ -12,8 +12,9 @@
 {
 
 /// A second connection to the target of an answer that ends with its
-/// connection, to find out after that end whether the target lives. Tells the
-/// target from a process that is started in its place if it was open before.
+/// connection, to find out after that end whether the target lives. A process
+/// that is started in place of the target does not have a connection that was
+/// opened before.
 class answer_witness : public std::enable_shared_from_this<answer_witness>
 {
 public:
--- a/tests/soak/killed_targets.py
+++ b/tests/soak/killed_targets.py
@@ -1,6 +1,6 @@
 """Kills targets, which are processes of their own, while they answer: one by
 one and in series, for good or to start again at their address at once. Others
-leave or stand still, and entries are killed and told to stop beside it.
+leave or stand still, and entries are killed, paused and told to stop beside it.
 """
 
 import argparse
